--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Whole system on one machine, with faults, judged from outside."""
--- /dev/null
+++ b/demo/callers.py
@@ -0,0 +1,217 @@
+"""Callers that learn owners, and write down all they are told."""
+
+import asyncio
+import hashlib
+import json
+import random
+import uuid
+from dataclasses import dataclass, field
+
+import h11
+
+from demo.topology import Deployment
+from plantaingrade.clock import BootClock
+from plantaingrade.http.channel import ChannelClosedError
+from plantaingrade.http.client import Call, Reply, fetch
+from plantaingrade.http.pool import ConnectFailedError, Pool
+from plantaingrade.journal.keys import range_slice_id, slice_index
+from standins.backend import digest
+
+CALLER_HOST = '127.3.0.1'
+TIMEOUT_S = 2.5
+OK = 200
+
+
+@dataclass(slots=True)
+class Told:
+    """What a caller was told about one request."""
+
+    request_id: str
+    service: str
+    key: str
+    slice_id: str
+    method: str
+    request_class: str
+    sent_at: float
+    done_at: float
+    outcome: str
+    reason: str = ''
+    server: str = ''
+    contacted: str = ''
+    owner: str = ''
+    whole: bool = True
+    probe: bool = False
+    retry_after: str = ''
+
+
+@dataclass(slots=True)
+class Router:
+    """A caller's copy of the routes, corrected by every answer."""
+
+    deployment: Deployment
+    slices_by_service: dict[str, int] = field(default_factory=dict)
+    owner_by_slice: dict[str, str] = field(default_factory=dict)
+
+    def pick(self, service: str, key: str) -> tuple[str, str]:
+        """Return the slice of a key and the process to contact."""
+        if not key:
+            return '', self.any_entry()
+        count = self.slices_by_service[service]
+        slice_id = range_slice_id(service, slice_index(key, count))
+        return slice_id, self.owner_by_slice.get(slice_id) or self.any_entry()
+
+    def any_entry(self) -> str:
+        """Return some process."""
+        return random.choice(self.deployment.servers).http
+
+    def learn(self, slice_id: str, owner: str) -> None:
+        """Remember who answered."""
+        if slice_id and owner:
+            self.owner_by_slice[slice_id] = owner
+
+    def forget(self, slice_id: str) -> None:
+        """Distrust what was known."""
+        self.owner_by_slice.pop(slice_id, None)
+
+
+class Callers:
+    """Send requests of every kind and keep a record of each."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        """Prepare callers of one deployment."""
+        self.clock = BootClock()
+        self.router = Router(deployment)
+        self.router.slices_by_service = {
+            each.name: each.slices for each in deployment.services
+        }
+        self.told: list[Told] = []
+        self._deployment = deployment
+        self._pool = Pool(self.clock, CALLER_HOST)
+        self._random = random.Random(seed)
+        self._stopped = False
+
+    def stop(self) -> None:
+        """End the load after the requests in flight."""
+        self._stopped = True
+
+    async def async_run(self, workers: int, rate_per_worker: float) -> None:
+        """Send mixed requests, and probe one key of each slice."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(workers):
+                group.create_task(self._work(rate_per_worker))
+            for service in self._deployment.services:
+                for index in range(service.slices):
+                    key = probe_key(service.name, index, service.slices)
+                    group.create_task(self._probe(service.name, key))
+
+    async def _work(self, rate: float) -> None:
+        while not self._stopped:
+            await asyncio.sleep(self._random.expovariate(rate))
+            service = self._random.choice(self._deployment.services)
+            rank = int(self._random.paretovariate(1.1))
+            keyless = not service.keyed and self._random.random() < 0.5
+            key = '' if keyless else f'{service.name}-{rank % 5000}'
+            method = self._random.choice(('GET', 'GET', 'POST', 'PUT'))
+            await self.async_send(service.name, key, method)
+
+    async def _probe(self, service: str, key: str) -> None:
+        await asyncio.sleep(self._random.random() * PROBE_EVERY_S)
+        while not self._stopped:
+            began = self.clock.now()
+            method = 'POST' if self._random.random() < 0.5 else 'GET'
+            await self.async_send(service, key, method, probe=True)
+            spent = self.clock.now() - began
+            await asyncio.sleep(max(0.0, PROBE_EVERY_S - spent))
+
+    async def async_send(
+        self,
+        service: str,
+        key: str,
+        method: str,
+        *,
+        probe: bool = False,
+    ) -> Told:
+        """Send one request and record its outcome."""
+        slice_id, contacted = self.router.pick(service, key)
+        request_id = uuid.uuid4().hex
+        body = b'' if method == 'GET' else request_id.encode() * 8
+        kind = 'availability' if method == 'GET' else 'default'
+        call = Call(
+            method,
+            contacted,
+            f'/{service}/{key}',
+            (
+                ('x-request-id', request_id),
+                ('x-tenant', random.choice(self._deployment.tenants)),
+                ('x-request-class', kind),
+                ('x-request-timeout-ms', '2000'),
+            ),
+            body,
+        )
+        told = Told(
+            request_id=request_id,
+            service=service,
+            key=key,
+            slice_id=slice_id,
+            method=method,
+            request_class=kind,
+            sent_at=self.clock.now(),
+            done_at=0.0,
+            outcome='unknown',
+            contacted=contacted,
+            probe=probe,
+        )
+        await self._exchange(call, told)
+        told.done_at = self.clock.now()
+        self.told.append(told)
+        if told.outcome == 'answered':
+            self.router.learn(slice_id, told.owner)
+        else:
+            self.router.forget(slice_id)
+        return told
+
+    async def _exchange(self, call: Call, told: Told) -> None:
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                reply = await fetch(self._pool, call)
+        except ConnectFailedError:
+            told.outcome, told.reason = 'not-run', 'caller-connect'
+            return
+        except (ChannelClosedError, h11.ProtocolError):
+            told.reason = 'caller-broken'
+            return
+        except TimeoutError:
+            told.reason = 'caller-timeout'
+            return
+        self._judge(reply, told, call.body)
+
+    def _judge(self, reply: Reply, told: Told, body: bytes) -> None:
+        headers = reply.headers
+        told.outcome = headers.get(b'x-outcome', b'none').decode()
+        told.reason = headers.get(b'x-reason', b'').decode()
+        told.owner = headers.get(b'x-owner', b'').decode()
+        told.retry_after = headers.get(b'retry-after', b'').decode()
+        if told.outcome != 'answered':
+            return
+        answer = json.loads(reply.body) if reply.status == OK else {}
+        told.server = answer.get('server', '')
+        told.whole = (
+            answer.get('id') == told.request_id
+            and answer.get('key') == told.key
+            and answer.get('body') == hashlib.blake2b(body).hexdigest()
+            and answer.get('digest')
+            == digest(told.request_id, told.key, answer['filler'])
+        )
+
+
+PROBE_EVERY_S = 0.2
+
+
+def probe_key(service: str, index: int, count: int) -> str:
+    """Return a key that lies in a given slice."""
+    number = 0
+    while True:
+        key = f'{service}-probe-{number}'
+        if slice_index(key, count) == index:
+            return key
+        number += 1
--- /dev/null
+++ b/demo/verdict.py
@@ -0,0 +1,183 @@
+"""Compare what callers were told with what servers ran."""
+
+import json
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import quantiles
+
+from demo.callers import Told
+from demo.topology import Deployment
+
+SAFE = 'GET'
+PERCENTILES = 100
+
+
+@dataclass(slots=True)
+class Run:
+    """One execution in a backend server's record."""
+
+    request_id: str
+    method: str
+    key: str
+    slice_id: str
+    fence: int
+    server: str
+    started_at: float
+    ended_at: float = float('inf')
+    ending: str = 'none'
+
+
+@dataclass(slots=True)
+class Verdict:
+    """Counts of one run; the promises are those that must be zero."""
+
+    requests: int = 0
+    answered: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    wrong_answers: int = 0
+    two_owners: int = 0
+    ran_twice: int = 0
+    not_run_but_ran: int = 0
+    cut_off_by_drain: int = 0
+    unavailable_key_seconds: float = 0.0
+    longest_key_gap_s: float = 0.0
+    imbalance: float = 0.0
+    churn: float = 0.0
+    direct_share: float = 0.0
+    p50_ms: float = 0.0
+    p99_ms: float = 0.0
+
+    def broken_promises(self) -> list[str]:
+        """Return the names of the promises that did not hold."""
+        zero = (
+            'wrong_answers',
+            'two_owners',
+            'ran_twice',
+            'not_run_but_ran',
+            'cut_off_by_drain',
+        )
+        broken = [name for name in zero if getattr(self, name)]
+        if self.longest_key_gap_s > 2:
+            broken.append('longest_key_gap_s')
+        return broken
+
+
+def read_runs(folder: Path) -> list[Run]:
+    """Return the executions that the servers recorded."""
+    runs: dict[tuple[str, str, int], Run] = {}
+    count: Counter[tuple[str, str]] = Counter()
+    for path in sorted(folder.glob('*.jsonl')):
+        for line in path.read_text().splitlines():
+            fields = json.loads(line)
+            place = (fields['server'], fields['id'])
+            if fields['event'] == 'start':
+                count[place] += 1
+                runs[*place, count[place]] = Run(
+                    fields['id'],
+                    fields['method'],
+                    fields['key'],
+                    fields['slice'],
+                    fields['fence'],
+                    fields['server'],
+                    fields['at'],
+                )
+            else:
+                run = runs[*place, count[place]]
+                run.ended_at = fields['at']
+                run.ending = fields['event']
+    return sorted(runs.values(), key=lambda run: run.started_at)
+
+
+def count_two_owners(runs: list[Run], killed_at: dict[str, float]) -> int:
+    """Count writes to one key that ran while another server owned it.
+
+    Either two servers worked on the key at one time, or a write under an
+    older fence began after one under a newer fence.
+    """
+    found = 0
+    runs_by_key: dict[str, list[Run]] = defaultdict(list)
+    for run in runs:
+        if run.key and run.method != SAFE:
+            runs_by_key[run.slice_id.split('/')[0] + run.key].append(run)
+    for same_key in runs_by_key.values():
+        newest = 0
+        busy: dict[str, float] = {}
+        for run in same_key:
+            found += run.fence < newest
+            newest = max(newest, run.fence)
+            found += any(
+                until > run.started_at
+                for server, until in busy.items()
+                if server != run.server
+            )
+            until = min(run.ended_at, killed_at.get(run.server, run.ended_at))
+            busy[run.server] = max(busy.get(run.server, 0.0), until)
+    return found
+
+
+def count_ran_twice(runs: list[Run]) -> int:
+    """Count non-idempotent requests with more than one execution."""
+    count = Counter(run.request_id for run in runs if run.method == 'POST')
+    return sum(each > 1 for each in count.values())
+
+
+def key_gaps(told: list[Told], until: float) -> dict[str, list[float]]:
+    """Return the gaps of each probed key, in seconds.
+
+    A gap lasts from the end of the last answer before a failure to the end
+    of the first answer after it, so it is never shorter than the outage.
+    """
+    gaps: dict[str, list[float]] = defaultdict(list)
+    by_key: dict[str, list[Told]] = defaultdict(list)
+    for each in sorted(told, key=lambda one: one.done_at):
+        if each.probe:
+            by_key[f'{each.service}/{each.key}'].append(each)
+    for key, probes in by_key.items():
+        last_good = probes[0].sent_at
+        failed = False
+        for probe in probes:
+            if probe.outcome != 'answered':
+                failed = True
+                continue
+            if failed:
+                gaps[key].append(probe.done_at - last_good)
+            failed = False
+            last_good = probe.done_at
+        if failed:
+            gaps[key].append(until - last_good)
+    return gaps
+
+
+def imbalance(
+    deployment: Deployment,
+    runs: list[Run],
+    window: tuple[float, float],
+) -> float:
+    """Return the worst service's maximum over mean load per slot."""
+    worst = 0.0
+    for service in deployment.services:
+        servers = [
+            each for each in deployment.servers if each.service == service.name
+        ]
+        count = Counter(
+            run.server
+            for run in runs
+            if window[0] <= run.started_at < window[1]
+        )
+        loads = [count[each.name] / each.slots for each in servers]
+        if sum(loads):
+            worst = max(worst, max(loads) * len(loads) / sum(loads))
+    return worst
+
+
+def percentiles(told: list[Told]) -> tuple[float, float]:
+    """Return the median and the 99th percentile of answers, in ms."""
+    spent = [
+        (each.done_at - each.sent_at) * 1000
+        for each in told
+        if each.outcome == 'answered'
+    ]
+    cuts = quantiles(spent, n=PERCENTILES)
+    return cuts[PERCENTILES // 2 - 1], cuts[-1]
--- /dev/null
+++ b/plantaingrade/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the work of one backend server."""
--- /dev/null
+++ b/plantaingrade/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the dialects of backend servers."""
--- /dev/null
+++ b/plantaingrade/backends/dialects.py
@@ -0,0 +1,42 @@
+"""Choose the adapter for a vendor's dialect."""
+
+from plantaingrade.backends import status_dialect, text_dialect
+from plantaingrade.backends.const import DIALECT_STATUS, DIALECT_TEXT
+from plantaingrade.backends.entity import (
+    Dialect,
+    Report,
+    StatusDialect,
+    TextDialect,
+    Verdict,
+)
+
+DIALECT_BY_NAME: dict[str, Dialect] = {
+    DIALECT_STATUS: StatusDialect(),
+    DIALECT_TEXT: TextDialect(),
+}
+
+
+def read_report(dialect: Dialect, body: bytes) -> Report:
+    """Return a health report in the one form that the router uses.
+
+    Raises:
+        ValueError: the body is no report of this dialect.
+    """
+    match dialect:
+        case StatusDialect():
+            return status_dialect.read_report(body)
+        case TextDialect():
+            return text_dialect.read_report(body)
+
+
+def judge(
+    dialect: Dialect,
+    status: int,
+    headers: dict[bytes, bytes],
+) -> Verdict:
+    """Tell what an answer's head says about whether the request was run."""
+    match dialect:
+        case StatusDialect():
+            return status_dialect.judge(status, headers)
+        case TextDialect():
+            return text_dialect.judge(status, headers)
--- /dev/null
+++ b/plantaingrade/cli.py
@@ -0,0 +1,141 @@
+"""Command line."""
+
+import asyncio
+import getpass
+import json
+import sys
+import urllib.error
+import urllib.request
+import uuid
+from typing import Any
+
+import click
+from absl import logging
+
+from plantaingrade.errors import PlantaingradeError
+from plantaingrade.node.const import ENV_PREFIX
+from plantaingrade.node.settings import Settings
+
+CALL_TIMEOUT_S = 10
+
+
+@click.group(context_settings={'auto_envvar_prefix': ENV_PREFIX})
+@click.version_option(package_name='plantaingrade')
+def main() -> None:
+    """Router for backend servers that own keys exclusively."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+
+
+@main.command()
+@click.option('--server', required=True, help='Id of the backend server.')
+@click.option('--service', required=True, help='Service it belongs to.')
+@click.option('--zone', required=True, help='Availability zone.')
+@click.option('--http', required=True, help='Listen for callers, ip:port.')
+@click.option('--udp', required=True, help='Listen for datagrams, ip:port.')
+@click.option('--rpc', required=True, help='Listen for gRPC, ip:port.')
+@click.option('--advertise-http', default='', help='Where callers reach it.')
+@click.option('--advertise-udp', default='', help='Where peers reach it.')
+@click.option('--advertise-rpc', default='', help='Where peers reach it.')
+@click.option('--backend', required=True, help='Backend server, ip:port.')
+@click.option('--table', required=True, help='Table service, ip:port.')
+@click.option('--objects', required=True, help='Object store, ip:port.')
+@click.option('--table-name', default='plantaingrade', show_default=True)
+@click.option('--bucket', default='plantaingrade', show_default=True)
+@click.option('--slots', type=int, required=True, help='Concurrent requests.')
+@click.option('--dialect', required=True, help='status or text.')
+@click.option('--checks-fence/--no-checks-fence', required=True)
+def run(**flags: Any) -> None:
+    """Run the process beside one backend server."""
+    # Only this command needs the data path; the others start faster without.
+    from plantaingrade.node.run import async_run  # noqa: PLC0415, WPS433
+
+    try:
+        settings = Settings.from_flags(**flags)
+    except PlantaingradeError as error:
+        raise click.UsageError(str(error)) from error
+    asyncio.run(async_run(settings))
+
+
+@main.command()
+@click.option('--at', required=True, help='Any process, ip:port.')
+@click.option('--id', 'command_id', default='', help='Id of the command.')
+@click.argument('words', nargs=-1, required=True)
+def do(at: str, command_id: str, words: tuple[str, ...]) -> None:
+    """Send one statement, such as: owner of 4711 in casebook."""
+    headers = {
+        'x-command-id': command_id or uuid.uuid4().hex,
+        'x-operator': getpass.getuser(),
+    }
+    statement = ' '.join(_quoted(word) for word in words).encode()
+    _show(_call(at, 'statement', statement, headers))
+
+
+@main.command()
+@click.option('--at', required=True, help='Any process, ip:port.')
+@click.argument('document', type=click.File('rb'))
+def apply(at: str, document: Any) -> None:
+    """Bring a declarations document into force."""
+    _, in_force = _call(at, 'statement', b'show config', {})
+    headers = {'x-based-on': str(in_force['generation'])}
+    _show(_call(at, 'declaration', document.read(), headers))
+
+
+@main.command()
+@click.option('--at', required=True, help='Any process, ip:port.')
+@click.argument('document', type=click.File('r'))
+def plan(at: str, document: Any) -> None:
+    """Compare a declarations document with what is in force."""
+    from plantaingrade.operators.changes import describe_changes  # noqa: PLC0415, WPS433
+
+    _, in_force = _call(at, 'statement', b'show config', {})
+    try:
+        lines = describe_changes(in_force['text'], document.read())
+    except PlantaingradeError as error:
+        raise click.ClickException(str(error)) from error
+    click.echo('\n'.join(lines) or 'no changes')
+
+
+@main.command()
+@click.option('--at', required=True, help='Any process, ip:port.')
+def confirm(at: str) -> None:
+    """Ask every process which generation it has in force."""
+    _, servers = _call(at, 'statement', b'show servers', {})
+    _, config = _call(at, 'statement', b'show config', {})
+    behind = []
+    for row in servers:
+        _, status = _call(row['http'], 'status', None, {})
+        if status.get('generation', 0) < config['generation']:
+            behind.append(row['server'])
+    _show((not behind, {'generation': config['generation'], 'behind': behind}))
+
+
+def _quoted(word: str) -> str:
+    return f'"{word}"' if ' ' in word else word
+
+
+def _call(
+    at: str,
+    path: str,
+    body: bytes | None,
+    headers: dict[str, str],
+) -> tuple[bool, Any]:
+    request = urllib.request.Request(  # noqa: S310
+        f'http://{at}/-/{path}',
+        body,
+        headers,
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_S) as reply:  # noqa: S310
+            return True, json.load(reply)
+    except urllib.error.HTTPError as error:
+        return False, json.load(error)
+    except OSError as error:
+        raise click.ClickException(f'{at} does not answer: {error}') from error
+
+
+def _show(answer: tuple[bool, Any]) -> None:
+    fine, body = answer
+    click.echo(json.dumps(body, indent=2))
+    if not fine:
+        sys.exit(1)
--- /dev/null
+++ b/plantaingrade/codec.py
@@ -0,0 +1,71 @@
+"""JSON codec for typed messages, built on cattrs."""
+
+from functools import partial
+from operator import is_
+from typing import Any
+
+from cattrs import BaseValidationError
+from cattrs.preconf.json import make_converter
+from cattrs.strategies import configure_tagged_union
+
+from plantaingrade.errors import PlantaingradeError
+
+TAG = 't'
+_DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+)
+
+
+class MalformedMessageError(PlantaingradeError):
+    """Report bytes that are no message of the expected type."""
+
+    advice = 'The sender runs another version, or is no plantaingrade process.'
+
+
+def _strict(kind: type, raw: Any, _: type) -> Any:
+    if type(raw) is kind or (kind is float and type(raw) is int):
+        return kind(raw)
+    raise ValueError(f'expected {kind.__name__}')
+
+
+class Codec:
+    """Encode and decode one type, with the tagged unions inside it."""
+
+    __slots__ = ('_converter', '_root')
+
+    def __init__(self, root: Any, *unions: Any) -> None:
+        """Prepare converters for the root type and for the unions in it."""
+        self._root = root
+        self._converter = make_converter()
+        for kind in (str, int, float, bool):
+            # By identity: a hook for ``str`` would catch string enums too,
+            # and leave them plain strings.
+            self._converter.register_structure_hook_func(
+                partial(is_, kind),
+                partial(_strict, kind),
+            )
+        for union in unions:
+            configure_tagged_union(union, self._converter, tag_name=TAG)
+
+    def encode(self, message: Any) -> bytes:
+        """Return the message as UTF-8 JSON."""
+        return self._converter.dumps(
+            message,
+            unstructure_as=self._root,
+            separators=(',', ':'),
+        ).encode()
+
+    def decode(self, raw: bytes | str) -> Any:
+        """Return the message held in raw bytes.
+
+        Raises:
+            MalformedMessageError: the bytes are no member of the union.
+        """
+        try:
+            return self._converter.loads(raw, self._root)
+        except (BaseValidationError, *_DECODE_ERRORS) as error:
+            raise MalformedMessageError('Message not understood.') from error
--- /dev/null
+++ b/plantaingrade/http/channel.py
@@ -0,0 +1,172 @@
+"""One HTTP/1.1 connection, either side."""
+
+import asyncio
+from typing import Any
+
+import h11
+
+from plantaingrade.clock import Clock
+from plantaingrade.errors import PlantaingradeError
+from plantaingrade.http.const import MAX_HEAD_BYTES, MAX_UNREAD_BYTES
+
+
+class ChannelClosedError(PlantaingradeError):
+    """Report that the peer closed the connection or broke the protocol."""
+
+    advice = 'The request can be sent again if it is idempotent.'
+
+
+class Channel(asyncio.Protocol):
+    """Feed a transport's bytes through an h11 connection, with back-pressure."""
+
+    __slots__ = (
+        '_broken',
+        '_busy_task',
+        '_clock',
+        '_paused',
+        '_unread',
+        '_wakeup',
+        '_writable',
+        'closed',
+        'h11',
+        'last_byte_at',
+        'transport',
+    )
+
+    def __init__(
+        self, role: type[h11.CLIENT | h11.SERVER], clock: Clock
+    ) -> None:
+        """Prepare a connection in the role of client or server."""
+        self.h11 = h11.Connection(
+            role, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self.transport: Any = None
+        self.closed = False
+        self._broken = False
+        self._clock = clock
+        self.last_byte_at = clock.now()
+        self._unread = 0
+        self._paused = False
+        self._wakeup: asyncio.Future[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._busy_task: asyncio.Task[Any] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Hand bytes to h11 and pause the peer when too many wait."""
+        self.last_byte_at = self._clock.now()
+        self._unread += len(data)
+        if not self.closed:
+            self.h11.receive_data(data)
+        if self._unread > MAX_UNREAD_BYTES and not self._paused:
+            self._paused = True
+            self.transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Note that the peer sends no more."""
+        self._end()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note that the connection is gone."""
+        # Failure: a reset in the middle of an answer that ends with the
+        # connection. It shows as a shortened answer taken for a whole one.
+        # Only an orderly end is passed on to h11.
+        self._broken = exc is not None and not self.closed
+        self._end()
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+
+    def pause_writing(self) -> None:
+        """Make writers wait for a slow reader."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def watch(self, task: asyncio.Task[Any] | None) -> None:
+        """Cancel this task when the peer hangs up."""
+        self._busy_task = task
+
+    async def next_event(self) -> Any:
+        """Return the next h11 event.
+
+        Raises:
+            ChannelClosedError: the peer broke off or broke the protocol.
+            h11.RemoteProtocolError: only in the server's role.
+        """
+        while True:
+            event = self._parse()
+            if event is not h11.NEED_DATA:
+                return event
+            if self.closed:
+                raise ChannelClosedError('Connection closed by the peer.')
+            self._unread = 0
+            if self._paused:
+                self._paused = False
+                self.transport.resume_reading()
+            self._wakeup = asyncio.get_running_loop().create_future()
+            await self._wakeup
+
+    def send(self, event: Any) -> None:
+        """Write one h11 event.
+
+        Raises:
+            ChannelClosedError: the connection is gone.
+        """
+        if self.closed or self.transport.is_closing():
+            raise ChannelClosedError('Connection closed by the peer.')
+        raw = self.h11.send(event)
+        if raw:
+            self.transport.write(raw)
+
+    async def drain(self) -> None:
+        """Wait until a slow reader has caught up."""
+        if self._writable is not None:
+            await self._writable
+
+    def has_unread_input(self) -> bool:
+        """Tell whether bytes of a further message wait."""
+        return bool(self.h11.trailing_data[0])
+
+    def close(self) -> None:
+        """Close after what is written has gone out."""
+        self.closed = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Break the connection off, so that no half answer looks whole."""
+        self.closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _parse(self) -> Any:
+        try:
+            return self.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            if self.h11.our_role is h11.SERVER:
+                raise
+            raise ChannelClosedError('Answer broken off.') from error
+
+    def _end(self) -> None:
+        if self.closed:
+            self._wake()
+            return
+        self.closed = True
+        if not self._broken:
+            self.h11.receive_data(b'')
+        if self._busy_task is not None:
+            self._busy_task.cancel()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._wakeup is not None and not self._wakeup.done():
+            self._wakeup.set_result(None)
--- /dev/null
+++ b/plantaingrade/http/client.py
@@ -0,0 +1,84 @@
+"""Small requests with small answers, as the platform's services take."""
+
+from dataclasses import dataclass
+
+import h11
+
+from plantaingrade.http.channel import Channel
+from plantaingrade.http.pool import Pool
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """Whole answer to a small request."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """One small request."""
+
+    method: str
+    address: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+
+
+async def fetch(pool: Pool, call: Call, *, fresh: bool = False) -> Reply:
+    """Send a request and return its whole answer.
+
+    Raises:
+        ConnectFailedError: nothing was sent.
+        ChannelClosedError: the connection broke; the outcome is unknown.
+    """
+    channel = await pool.acquire(call.address, fresh=fresh)
+    try:
+        reply = await _exchange(channel, call)
+    except BaseException:
+        channel.abort()
+        raise
+    pool.give_back(call.address, channel)
+    return reply
+
+
+async def _exchange(channel: Channel, call: Call) -> Reply:
+    channel.send(
+        h11.Request(
+            method=call.method,
+            target=call.target,
+            headers=[
+                ('host', call.address),
+                ('content-length', str(len(call.body))),
+                *call.headers,
+            ],
+        ),
+    )
+    if call.body:
+        channel.send(h11.Data(data=call.body))
+    channel.send(h11.EndOfMessage())
+    head = await _read_head(channel)
+    body = await read_body(channel)
+    return Reply(head.status_code, dict(head.headers), body)
+
+
+async def _read_head(channel: Channel) -> h11.Response:
+    while True:
+        event = await channel.next_event()
+        if isinstance(event, h11.Response):
+            return event
+
+
+async def read_body(channel: Channel) -> bytes:
+    """Return the rest of the message's body."""
+    chunks = []
+    while True:
+        event = await channel.next_event()
+        if not isinstance(event, h11.Data):
+            return b''.join(chunks)
+        chunks.append(bytes(event.data))
--- /dev/null
+++ b/plantaingrade/http/const.py
@@ -0,0 +1,53 @@
+"""Names and limits of the HTTP side."""
+
+MAX_HEAD_BYTES = 16 * 1024
+MAX_UNREAD_BYTES = 256 * 1024
+CONNECT_TIMEOUT_S = 0.5
+IDLE_TRUSTED_S = 2.0
+MAX_IDLE_PER_ADDRESS = 100
+CALLER_IDLE_S = 75.0
+
+HEADER_OUTCOME = b'x-outcome'
+HEADER_REASON = b'x-reason'
+HEADER_OWNER = b'x-owner'
+HEADER_SLICE = b'x-slice'
+HEADER_GENERATION = b'x-map-generation'
+HEADER_FENCE = b'x-fence'
+HEADER_LEASE_UNTIL = b'x-lease-until'
+HEADER_DEADLINE = b'x-deadline'
+HEADER_TIMEOUT_MS = b'x-request-timeout-ms'
+HEADER_HOP = b'x-forwarded-hop'
+HEADER_REQUEST_ID = b'x-request-id'
+HEADER_TENANT = b'x-tenant'
+HEADER_CLASS = b'x-request-class'
+HEADER_LOAD = b'x-load'
+HEADER_RETRY_AFTER = b'retry-after'
+
+HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+    )
+)
+
+SAFE_METHODS = frozenset((b'GET', b'HEAD', b'OPTIONS'))
+IDEMPOTENT_METHODS = SAFE_METHODS | {b'PUT', b'DELETE'}
+
+STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+STATUS_MISDIRECTED = 421
+STATUS_TOO_LARGE = 431
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_TIMEOUT = 504
+STATUS_SERVER_ERROR = 500
--- /dev/null
+++ b/plantaingrade/http/pool.py
@@ -0,0 +1,112 @@
+"""Outgoing connections, reused with care."""
+
+import asyncio
+from collections import defaultdict
+from types import TracebackType
+
+import h11
+
+from plantaingrade.clock import Clock
+from plantaingrade.errors import PlantaingradeError
+from plantaingrade.http.channel import Channel
+from plantaingrade.http.const import (
+    CONNECT_TIMEOUT_S,
+    IDLE_TRUSTED_S,
+    MAX_IDLE_PER_ADDRESS,
+)
+
+
+class ConnectFailedError(PlantaingradeError):
+    """Report that no connection was made, so nothing was sent."""
+
+    advice = 'Nothing was sent; try another server.'
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+class Pool:
+    """Keep idle connections by address, newest used first."""
+
+    __slots__ = ('_clock', '_idle_by_address', '_local_host', 'opened')
+
+    def __init__(self, clock: Clock, local_host: str | None = None) -> None:
+        """Prepare a pool whose connections start from one local address."""
+        self._clock = clock
+        self._local_host = local_host
+        self._idle_by_address: dict[str, list[Channel]] = defaultdict(list)
+        self.opened = 0
+
+    def __enter__(self) -> 'Pool':
+        """Return the pool."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close every idle connection."""
+        for address in list(self._idle_by_address):
+            self.forget(address)
+
+    async def acquire(self, address: str, *, fresh: bool = False) -> Channel:
+        """Return a connection on which nothing is in flight.
+
+        Failure: a device between the ends has forgotten an idle connection.
+        It shows as a request that is never answered, and nobody can tell
+        whether it ran. A connection that was silent for more than
+        ``IDLE_TRUSTED_S`` is not trusted; a new one costs about 1 ms.
+
+        Raises:
+            ConnectFailedError: no connection could be made.
+        """
+        idle = self._idle_by_address[address]
+        while idle:
+            channel = idle.pop()
+            age = self._clock.now() - channel.last_byte_at
+            if fresh or channel.closed or age > IDLE_TRUSTED_S:
+                channel.close()
+            else:
+                return channel
+        return await self._connect(address)
+
+    def give_back(self, address: str, channel: Channel) -> None:
+        """Keep a connection whose request and answer are both complete."""
+        try:
+            channel.h11.start_next_cycle()
+        except h11.LocalProtocolError:
+            channel.close()
+            return
+        idle = self._idle_by_address[address]
+        full = len(idle) >= MAX_IDLE_PER_ADDRESS
+        if channel.closed or channel.has_unread_input() or full:
+            channel.close()
+        else:
+            idle.append(channel)
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for channel in self._idle_by_address.pop(address, ()):
+            channel.close()
+
+    async def _connect(self, address: str) -> Channel:
+        host, port = split_address(address)
+        local = (self._local_host, 0) if self._local_host else None
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, channel = await loop.create_connection(
+                    lambda: Channel(h11.CLIENT, self._clock),
+                    host,
+                    port,
+                    local_addr=local,
+                )
+        except (OSError, TimeoutError) as error:
+            raise ConnectFailedError(f'No connection to {address}.') from error
+        self.opened += 1
+        return channel
--- /dev/null
+++ b/plantaingrade/http/server.py
@@ -0,0 +1,98 @@
+"""Accept connections and serve the requests on them in order."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import h11
+
+from plantaingrade.clock import Clock
+from plantaingrade.http.channel import Channel, ChannelClosedError
+from plantaingrade.http.const import CALLER_IDLE_S
+
+Handler = Callable[[h11.Request, Channel], Awaitable[None]]
+Refuser = Callable[[Channel, h11.RemoteProtocolError], None]
+
+
+class HttpServer:
+    """Listen on one address until closed."""
+
+    __slots__ = (
+        '_channels',
+        '_clock',
+        '_handler',
+        '_refuse',
+        '_server',
+        '_tasks',
+    )
+
+    def __init__(self, clock: Clock, handler: Handler, refuse: Refuser) -> None:
+        """Prepare a server whose requests go to ``handler``."""
+        self._clock = clock
+        self._handler = handler
+        self._refuse = refuse
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._channels: set[Channel] = set()
+
+    async def async_listen(self, host: str, port: int) -> None:
+        """Start to accept connections."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._accept, host, port)
+
+    async def async_close(self) -> None:
+        """Stop accepting, and end the connections that are idle."""
+        if self._server is not None:
+            self._server.close()
+        for channel in list(self._channels):
+            channel.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _accept(self) -> Channel:
+        channel = Channel(h11.SERVER, self._clock)
+        task = asyncio.get_running_loop().create_task(self._serve(channel))
+        self._tasks.add(task)
+        self._channels.add(channel)
+        task.add_done_callback(self._tasks.discard)
+        return channel
+
+    async def _serve(self, channel: Channel) -> None:
+        try:
+            while await self._serve_one(channel):
+                channel.h11.start_next_cycle()
+        except (ChannelClosedError, h11.LocalProtocolError):
+            channel.abort()
+        except asyncio.CancelledError:
+            channel.abort()
+        except h11.RemoteProtocolError as error:
+            self._refuse(channel, error)
+        finally:
+            channel.close()
+            self._channels.discard(channel)
+
+    async def _serve_one(self, channel: Channel) -> bool:
+        """Serve one request; tell whether the connection can take more."""
+        try:
+            async with asyncio.timeout(CALLER_IDLE_S):
+                event = await channel.next_event()
+        except TimeoutError:
+            return False
+        if not isinstance(event, h11.Request):
+            return False
+        channel.watch(asyncio.current_task())
+        try:
+            await self._handler(event, channel)
+        finally:
+            channel.watch(None)
+        await self._skip_body(channel)
+        done = channel.h11.our_state is h11.DONE
+        return done and channel.h11.their_state is h11.DONE
+
+    async def _skip_body(self, channel: Channel) -> None:
+        # A refused request may have an unread body; only what has arrived
+        # already is skipped, else the connection ends after the answer.
+        while channel.h11.their_state is h11.SEND_BODY:
+            event = channel.h11.next_event()
+            if event is h11.NEED_DATA:
+                return
--- /dev/null
+++ b/plantaingrade/journal/__init__.py
@@ -0,0 +1,1 @@
+"""Ordered journal of every change to membership, ownership and settings."""
--- /dev/null
+++ b/plantaingrade/journal/coordinator.py
@@ -0,0 +1,247 @@
+"""Append to the journal in the table service and follow what others append."""
+
+import asyncio
+import random
+import uuid
+from collections import deque
+from collections.abc import Callable
+
+from absl import logging
+
+from plantaingrade.codec import Codec
+from plantaingrade.errors import PlantaingradeError
+from plantaingrade.journal.const import (
+    PULL_LIMIT,
+    RETRY_BASE_S,
+    SNAPSHOT_EVERY,
+    TABLE_POLL_S,
+    WRITE_ATTEMPTS,
+)
+from plantaingrade.journal.entity import (
+    Change,
+    ChangeOutcome,
+    MapState,
+    Record,
+)
+from plantaingrade.journal.rules import apply_record
+from plantaingrade.platform.const import (
+    PARTITION_JOURNAL,
+    PARTITION_SNAPSHOT,
+)
+from plantaingrade.platform.entity import (
+    Conflicted,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+    Row,
+    Stored,
+)
+from plantaingrade.platform.objects import ObjectClient
+from plantaingrade.platform.table import TableClient
+
+RECORD_CODEC = Codec(Record, Change)
+STATE_CODEC = Codec(MapState)
+
+RecordListener = Callable[[Record, list[ChangeOutcome]], None]
+
+
+class JournalUnavailableError(PlantaingradeError):
+    """Report that a record could not be appended now."""
+
+    advice = 'The table service does not answer; try again in a few seconds.'
+
+
+class JournalCoordinator:
+    """Keep this process's copy of the map up to date."""
+
+    __slots__ = (
+        '_author',
+        '_available',
+        '_listeners',
+        '_lock',
+        '_objects',
+        '_outcomes_by_write',
+        '_recent',
+        '_snapshot_generation',
+        '_table',
+        'state',
+    )
+
+    def __init__(
+        self,
+        table: TableClient,
+        objects: ObjectClient,
+        author: str,
+    ) -> None:
+        """Start from an empty map."""
+        self.state = MapState()
+        self._table = table
+        self._objects = objects
+        self._author = author
+        self._available = True
+        self._lock = asyncio.Lock()
+        self._listeners: list[RecordListener] = []
+        self._snapshot_generation = 0
+        self._outcomes_by_write: dict[str, list[ChangeOutcome]] = {}
+        self._recent: deque[Record] = deque(maxlen=PULL_LIMIT)
+
+    def listen(self, listener: RecordListener) -> None:
+        """Call a listener after each record, before the next is applied."""
+        self._listeners.append(listener)
+
+    async def async_load(self) -> None:
+        """Read the newest snapshot and all records after it.
+
+        Raises:
+            PlatformUnavailableError: the platform does not answer.
+        """
+        pointer = await self._table.async_get(PARTITION_SNAPSHOT, 0)
+        if pointer is not None and int(pointer.body) > self.state.generation:
+            raw = await self._objects.async_get(f'map/{pointer.body}')
+            if raw is not None:
+                self.replace(STATE_CODEC.decode(raw))
+        await self.async_catch_up()
+
+    async def async_catch_up(self) -> None:
+        """Apply the records that the table holds beyond this copy.
+
+        Raises:
+            PlatformUnavailableError: the table service does not answer.
+        """
+        rows = await self._table.async_query(
+            PARTITION_JOURNAL,
+            self.state.generation,
+        )
+        self._note_available(available=True)
+        self.on_records([RECORD_CODEC.decode(row.body) for row in rows])
+
+    async def async_follow(self) -> None:
+        """Look into the table now and then, in case gossip misses a record."""
+        while True:
+            await asyncio.sleep(TABLE_POLL_S * random.uniform(0.5, 1.5))
+            try:
+                await self.async_catch_up()
+            except PlatformUnavailableError:
+                self._note_available(available=False)
+
+    async def async_append(self, *changes: Change) -> list[ChangeOutcome]:
+        """Append one record and return the outcome of each change.
+
+        Raises:
+            JournalUnavailableError: the record was not appended, or nobody
+                can tell now; every change is safe to append again.
+        """
+        async with self._lock:
+            write_id = uuid.uuid4().hex
+            for attempt in range(WRITE_ATTEMPTS):
+                outcomes = await self._try_append(write_id, changes)
+                if outcomes is not None:
+                    return outcomes
+                await asyncio.sleep(RETRY_BASE_S * attempt * random.random())
+            raise JournalUnavailableError('Too many others are writing.')
+
+    def on_records(self, records: list[Record]) -> None:
+        """Apply records that follow this copy without a gap."""
+        for record in records:
+            if record.generation == self.state.generation + 1:
+                self._apply(record)
+
+    def replace(self, state: MapState) -> None:
+        """Take over a whole map if it is newer than this copy."""
+        if state.generation <= self.state.generation:
+            return
+        self.state = state
+        self._recent.clear()
+        self._notify(Record(state.generation, '', '', ()), [])
+
+    def records_after(self, generation: int) -> list[Record] | None:
+        """Return recent records, or nothing if they no longer reach back."""
+        if generation >= self.state.generation:
+            return []
+        if not self._recent or self._recent[0].generation > generation + 1:
+            return None
+        return [
+            record for record in self._recent if record.generation > generation
+        ]
+
+    async def async_snapshot(self) -> None:
+        """Write a snapshot when enough records have come since the last.
+
+        Raises:
+            PlatformUnavailableError: the platform does not answer.
+        """
+        generation = self.state.generation
+        if generation < self._snapshot_generation + SNAPSHOT_EVERY:
+            return
+        pointer = await self._table.async_get(PARTITION_SNAPSHOT, 0)
+        if pointer is not None:
+            self._snapshot_generation = int(pointer.body)
+        if generation < self._snapshot_generation + SNAPSHOT_EVERY:
+            return
+        raw = STATE_CODEC.encode(self.state)
+        await self._objects.async_put(f'map/{generation}', raw)
+        row = Row(PARTITION_SNAPSHOT, 0, str(generation), generation)
+        if pointer is None:
+            await self._table.async_put_new(row)
+        else:
+            await self._table.async_replace(row, pointer.version)
+
+    async def _try_append(
+        self,
+        write_id: str,
+        changes: tuple[Change, ...],
+    ) -> list[ChangeOutcome] | None:
+        generation = self.state.generation + 1
+        record = Record(generation, write_id, self._author, changes)
+        body = RECORD_CODEC.encode(record).decode()
+        row = Row(PARTITION_JOURNAL, generation, body, generation)
+        try:
+            outcome = await self._write(row, write_id)
+        except PlatformUnavailableError as error:
+            self._note_available(available=False)
+            raise JournalUnavailableError('Record not appended.') from error
+        self._note_available(available=True)
+        match outcome:
+            case Stored():
+                self.on_records([record])
+            case Conflicted():
+                await self._read_conflicting()
+        return self._outcomes_by_write.pop(write_id, None)
+
+    async def _write(self, row: Row, write_id: str) -> Stored | Conflicted:
+        try:
+            return await self._table.async_put_new(row)
+        except PlatformOutcomeUnknownError as error:
+            # Failure: the write took effect and its answer was lost. It
+            # shows as a record appended twice. The row is read back and
+            # compared by its write id, and never written blindly again.
+            stored = await self._table.async_get(row.partition, row.sort)
+            if stored is None:
+                raise PlatformUnavailableError('Write not seen.') from error
+            same = RECORD_CODEC.decode(stored.body).write_id == write_id
+            return Stored() if same else Conflicted()
+
+    async def _read_conflicting(self) -> None:
+        try:
+            await self.async_catch_up()
+        except PlatformUnavailableError as error:
+            raise JournalUnavailableError('Journal not read.') from error
+
+    def _apply(self, record: Record) -> None:
+        outcomes = apply_record(self.state, record)
+        if record.author == self._author:
+            self._outcomes_by_write[record.write_id] = outcomes
+        self._recent.append(record)
+        self._notify(record, outcomes)
+
+    def _notify(self, record: Record, outcomes: list[ChangeOutcome]) -> None:
+        for listener in list(self._listeners):
+            listener(record, outcomes)
+
+    def _note_available(self, *, available: bool) -> None:
+        if available is self._available:
+            return
+        self._available = available
+        if available:
+            logging.info('Table service is back')
+        else:
+            logging.warning('Table service is unavailable; ownership goes on')
--- /dev/null
+++ b/plantaingrade/journal/entity.py
@@ -0,0 +1,287 @@
+"""Rows of the map and the changes that the journal records."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class MemberState(StrEnum):
+    """Stage in the life of one incarnation of a process."""
+
+    STARTING = 'starting'
+    READY = 'ready'
+    DRAINING = 'draining'
+    RETIRED = 'retired'
+    OVER = 'over'
+
+
+class Proof(StrEnum):
+    """Evidence that an incarnation holds no lease any more."""
+
+    TESTIMONY = 'testimony'
+    RESTART = 'restart'
+    LEFT = 'left'
+
+
+class RejectReason(StrEnum):
+    """Reason for which a change has no effect."""
+
+    UNKNOWN_MEMBER = 'unknown member'
+    UNKNOWN_SLICE = 'unknown slice'
+    UNKNOWN_SERVICE = 'unknown service'
+    SERVER_IN_USE = 'server id in use at another address'
+    ALREADY_OWNED = 'already owned'
+    HAS_SUCCESSOR = 'a successor is named already'
+    NOT_SUCCESSOR = 'not the named successor'
+    NOT_ELIGIBLE = 'server cannot take ownership'
+    STALE = 'made from an older state'
+    DUPLICATE = 'command already executed'
+    CONFLICT = 'lost to an earlier command'
+    HOT_LIST_FULL = 'list of hot keys is full'
+    NOT_MERGEABLE = 'hot key and slice differ in owner or successor'
+
+
+@dataclass(slots=True)
+class MemberRow:
+    """One incarnation of a process beside a backend server."""
+
+    member: str
+    server: str
+    service: str
+    zone: str
+    http: str
+    udp: str
+    rpc: str
+    slots: int
+    checks_fence: bool
+    witnesses: tuple[str, ...] = ()
+    epoch: int = 1
+    state: MemberState = MemberState.STARTING
+    proof: Proof | None = None
+
+
+@dataclass(slots=True)
+class SliceRow:
+    """Ownership of one range of the hash space, or of one hot key."""
+
+    slice_id: str
+    service: str
+    owner: str | None = None
+    fence: int = 0
+    successor: str | None = None
+    successor_fence: int = 0
+    next_successor: str | None = None
+    moving: str | None = None
+    wanted_owner: str | None = None
+    wanted_by: str = ''
+
+
+@dataclass(slots=True)
+class CommandRow:
+    """Operator command that took effect."""
+
+    command_id: str
+    operator: str
+    text: str
+    target: str
+    generation: int
+
+
+@dataclass(slots=True)
+class ServiceRow:
+    """Declared properties of one service."""
+
+    name: str
+    slices: int
+    keyed: bool
+    unfenced_grace_ms: int
+    spread_ms: int = 0
+    tenants: tuple[str, ...] = ()
+    weight_imbalance: float = 1.0
+    weight_churn: float = 1.0
+    weight_unavailable: float = 1.0
+    churn_budget: float = 0.03
+
+
+@dataclass(slots=True)
+class MapState:
+    """Everything that replaying the journal yields."""
+
+    generation: int = 0
+    members: dict[str, MemberRow] = field(default_factory=dict)
+    slices: dict[str, SliceRow] = field(default_factory=dict)
+    services: dict[str, ServiceRow] = field(default_factory=dict)
+    commands: dict[str, CommandRow] = field(default_factory=dict)
+    declaration: str = ''
+    declaration_generation: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Announced:
+    """A process joins."""
+
+    row: MemberRow
+
+
+@dataclass(slots=True, frozen=True)
+class StateSet:
+    """A process drains, retires or becomes ready."""
+
+    member: str
+    state: MemberState
+    expected: MemberState | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Witnessed:
+    """A process replaces the witnesses of its own lease."""
+
+    member: str
+    witnesses: tuple[str, ...]
+    epoch: int
+
+
+@dataclass(slots=True, frozen=True)
+class Assigned:
+    """A slice without owner gets one."""
+
+    slice_id: str
+    member: str
+
+
+@dataclass(slots=True, frozen=True)
+class SuccessorNamed:
+    """A slice without successor gets one."""
+
+    slice_id: str
+    member: str
+
+
+@dataclass(slots=True, frozen=True)
+class SuccessorWished:
+    """The named successor is asked to stand back for another."""
+
+    slice_id: str
+    member: str
+
+
+@dataclass(slots=True, frozen=True)
+class OwnerWished:
+    """An operator or the placement wants another owner for the slice."""
+
+    slice_id: str
+    member: str
+    command_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class Renounced:
+    """The named successor stands back; only it may write this."""
+
+    slice_id: str
+    member: str
+
+
+@dataclass(slots=True, frozen=True)
+class Moving:
+    """The owner is asked to release the slice to its successor."""
+
+    slice_id: str
+    command_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class Took:
+    """The named successor owns the slice now; only it may write this."""
+
+    slice_id: str
+    member: str
+    fence: int
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """An incarnation holds no lease and never will again."""
+
+    member: str
+    proof: Proof
+    epoch: int
+
+
+@dataclass(slots=True, frozen=True)
+class Carved:
+    """A hot key gets an assignment of its own."""
+
+    service: str
+    key: str
+
+
+@dataclass(slots=True, frozen=True)
+class Merged:
+    """A hot key returns to its slice."""
+
+    slice_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class Declared:
+    """A declarations document comes into force."""
+
+    text: str
+    based_on: int
+    services: tuple[ServiceRow, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Commanded:
+    """An operator command is accepted."""
+
+    command_id: str
+    operator: str
+    text: str
+    target: str
+    based_on: int
+
+
+Change = (
+    Announced
+    | StateSet
+    | Witnessed
+    | Assigned
+    | SuccessorNamed
+    | SuccessorWished
+    | OwnerWished
+    | Renounced
+    | Moving
+    | Took
+    | Ended
+    | Carved
+    | Merged
+    | Declared
+    | Commanded
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Record:
+    """Changes written together at one generation."""
+
+    generation: int
+    write_id: str
+    author: str
+    changes: tuple[Change, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Applied:
+    """The change took effect."""
+
+
+@dataclass(slots=True, frozen=True)
+class Rejected:
+    """The change had no effect."""
+
+    reason: RejectReason
+    winner: str = ''
+
+
+ChangeOutcome = Applied | Rejected
--- /dev/null
+++ b/plantaingrade/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases of processes, renewed at witnesses in other availability zones."""
--- /dev/null
+++ b/plantaingrade/leases/entity.py
@@ -0,0 +1,98 @@
+"""Datagrams that carry leases."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Renew:
+    """The holder asks a witness to renew its lease."""
+
+    member: str
+    epoch: int
+    witness: str
+    sent_at: float
+    reply_to: str
+
+
+@dataclass(slots=True, frozen=True)
+class RenewAck:
+    """A witness renewed the lease, counted from the holder's ``sent_at``."""
+
+    member: str
+    epoch: int
+    witness: str
+    sent_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class RenewRefused:
+    """A witness has promised to renew this lease no more."""
+
+    member: str
+    epoch: int
+    witness: str
+
+
+@dataclass(slots=True, frozen=True)
+class Lapsed:
+    """A witness has seen no renewal for a whole lease; not a promise."""
+
+    member: str
+    epoch: int
+    witness: str
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """Somebody asks a witness to promise that a lease has ended."""
+
+    member: str
+    epoch: int
+    witness: str
+    reply_to: str
+
+
+@dataclass(slots=True, frozen=True)
+class Testimony:
+    """A witness tells whether it renews the lease no more."""
+
+    member: str
+    epoch: int
+    witness: str
+    over: bool
+
+
+@dataclass(slots=True, frozen=True)
+class EpochCheck:
+    """The holder asks a successor to judge it by its new witnesses."""
+
+    member: str
+    epoch: int
+    successor: str
+    reply_to: str
+
+
+@dataclass(slots=True, frozen=True)
+class EpochAck:
+    """A successor judges the holder by the witnesses of this epoch only."""
+
+    member: str
+    epoch: int
+    successor: str
+
+
+LeaseMessage = (
+    Renew
+    | RenewAck
+    | RenewRefused
+    | Lapsed
+    | Ask
+    | Testimony
+    | EpochCheck
+    | EpochAck
+)
+
+
+def majority(count: int) -> int:
+    """Return the smallest number that is more than half of ``count``."""
+    return count // 2 + 1
--- /dev/null
+++ b/plantaingrade/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Spread of the journal between processes."""
--- /dev/null
+++ b/plantaingrade/membership/const.py
@@ -0,0 +1,8 @@
+"""Constants of membership."""
+
+BEAT_EVERY_S = 0.5
+BEAT_FANOUT = 2
+NEWS_FANOUT = 4
+PULL_TIMEOUT_S = 2.0
+MAX_DATAGRAM_BYTES = 1400
+PULL_PATH = '/plantaingrade.Journal/Pull'
--- /dev/null
+++ b/plantaingrade/node/settings.py
@@ -0,0 +1,106 @@
+"""Settings of one process, validated."""
+
+import ipaddress
+import re
+from dataclasses import dataclass, fields
+
+from plantaingrade.backends.dialects import DIALECT_BY_NAME
+from plantaingrade.errors import PlantaingradeError
+
+NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]*')
+MAX_PORT = 65535
+ADDRESSES = ('http', 'udp', 'rpc', 'backend', 'table', 'objects')
+OPTIONAL_ADDRESSES = ('advertise_http', 'advertise_udp', 'advertise_rpc')
+NAMES = ('server', 'service', 'zone', 'table_name', 'bucket')
+MAX_SLOTS = 10_000
+
+
+class SettingsError(PlantaingradeError):
+    """Report every setting that cannot be used."""
+
+    advice = 'Correct the flags or environment variables named.'
+
+    def __init__(self, mistakes: list[str]) -> None:
+        """Keep the mistakes."""
+        self.mistakes = mistakes
+        super().__init__('; '.join(mistakes))
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """What a process is told when it starts.
+
+    Addresses are ``ip:port``. The advertised ones are what other processes
+    use to reach this one, where it differs from where it listens.
+    """
+
+    server: str
+    service: str
+    zone: str
+    http: str
+    udp: str
+    rpc: str
+    backend: str
+    table: str
+    objects: str
+    slots: int
+    dialect: str
+    checks_fence: bool
+    table_name: str = 'plantaingrade'
+    bucket: str = 'plantaingrade'
+    advertise_http: str = ''
+    advertise_udp: str = ''
+    advertise_rpc: str = ''
+
+    @classmethod
+    def from_flags(cls, **flags: object) -> 'Settings':
+        """Return settings made of flags.
+
+        Raises:
+            SettingsError: names each setting that cannot be used, and why.
+        """
+        known = {each.name for each in fields(cls)}
+        settings = cls(
+            **{name: flag for name, flag in flags.items() if name in known},
+        )
+        mistakes = settings.mistakes()
+        if mistakes:
+            raise SettingsError(mistakes)
+        return settings
+
+    def mistakes(self) -> list[str]:
+        """Return what is wrong with the settings."""
+        found = [
+            f'{name}: {getattr(self, name)!r} is not an IP address and port'
+            for name in ADDRESSES
+            if not is_address(getattr(self, name))
+        ]
+        found.extend(
+            f'{name}: {getattr(self, name)!r} is not an IP address and port'
+            for name in OPTIONAL_ADDRESSES
+            if getattr(self, name) and not is_address(getattr(self, name))
+        )
+        found.extend(
+            f'{name}: {getattr(self, name)!r} may hold only letters, digits,'
+            ' dots, dashes and underscores'
+            for name in NAMES
+            if NAME.fullmatch(getattr(self, name)) is None
+        )
+        if not 1 <= self.slots <= MAX_SLOTS:
+            found.append(
+                f'slots: {self.slots} is not between 1 and {MAX_SLOTS}'
+            )
+        if self.dialect not in DIALECT_BY_NAME:
+            choices = ', '.join(sorted(DIALECT_BY_NAME))
+            found.append(f'dialect: {self.dialect!r} is none of {choices}')
+        return found
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is an IP address with a port."""
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return port.isdigit() and 0 < int(port) <= MAX_PORT
--- /dev/null
+++ b/plantaingrade/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Query and command language, and declarations."""
--- /dev/null
+++ b/plantaingrade/operators/coordinator.py
@@ -0,0 +1,213 @@
+"""Answer queries from the map, and write commands to the journal."""
+
+from dataclasses import asdict
+from typing import Any
+
+from plantaingrade.journal.coordinator import (
+    JournalCoordinator,
+    JournalUnavailableError,
+)
+from plantaingrade.journal.entity import (
+    Applied,
+    Carved,
+    Change,
+    ChangeOutcome,
+    Commanded,
+    Declared,
+    MapState,
+    MemberRow,
+    MemberState,
+    OwnerWished,
+    Rejected,
+    RejectReason,
+    StateSet,
+)
+from plantaingrade.journal.keys import (
+    find_slice,
+    hash_key,
+    hot_slice_id,
+    range_slice_id,
+)
+from plantaingrade.operators.declarations import read_declaration
+from plantaingrade.operators.entity import (
+    Accepted,
+    AlreadyDone,
+    Command,
+    CommandOutcome,
+    Drain,
+    Lost,
+    MoveKey,
+    MoveSlice,
+    OwnerOf,
+    Query,
+    Refused,
+    Resume,
+    Retire,
+    ShowCommands,
+    ShowConfig,
+    ShowDecider,
+    ShowServers,
+    ShowSlices,
+    Unsettled,
+)
+
+STATE_BY_COMMAND = {
+    Drain: MemberState.DRAINING,
+    Resume: MemberState.READY,
+    Retire: MemberState.RETIRED,
+}
+
+
+class OperatorCoordinator:
+    """Serve operators at any process."""
+
+    __slots__ = ('_decider', '_journal')
+
+    def __init__(self, journal: JournalCoordinator, decider: Any) -> None:
+        """Read from and write to one journal."""
+        self._journal = journal
+        self._decider = decider
+
+    def answer(self, query: Query) -> Any:
+        """Return the answer to a query as plain JSON types."""
+        state = self._journal.state
+        match query:
+            case OwnerOf(service=service, key=key):
+                return explain_owner(state, service, key)
+            case ShowServers(service=service):
+                return [
+                    _describe_member(state, row)
+                    for row in state.members.values()
+                    if service in {'', row.service}
+                ]
+            case ShowSlices(service=service):
+                return [
+                    asdict(part)
+                    for part in state.slices.values()
+                    if part.service == service
+                ]
+            case ShowConfig():
+                return {
+                    'generation': state.declaration_generation,
+                    'applied': state.generation,
+                    'text': state.declaration,
+                }
+            case ShowDecider():
+                return {'decider': self._decider.holder}
+            case ShowCommands():
+                return [asdict(row) for row in state.commands.values()]
+
+    async def async_command(
+        self,
+        command: Command,
+        command_id: str,
+        operator: str,
+        text: str,
+    ) -> CommandOutcome:
+        """Carry a command out at most once."""
+        state = self._journal.state
+        target, effects = plan_command(state, command, command_id)
+        commanded = Commanded(
+            command_id,
+            operator,
+            text,
+            target,
+            state.generation,
+        )
+        try:
+            outcomes = await self._journal.async_append(commanded, *effects)
+        except JournalUnavailableError:
+            return Unsettled(command_id)
+        return self._judge(command_id, outcomes)
+
+    async def async_declare(self, text: str, based_on: int) -> CommandOutcome:
+        """Bring a declarations document into force.
+
+        Raises:
+            DeclarationError: the document has mistakes.
+        """
+        services = read_declaration(text)
+        declared = Declared(text, based_on, services)
+        try:
+            outcomes = await self._journal.async_append(declared)
+        except JournalUnavailableError:
+            return Unsettled('declaration')
+        state = self._journal.state
+        match outcomes[0]:
+            case Applied():
+                return Accepted('declaration', state.declaration_generation)
+            case Rejected():
+                winner = f'generation {state.declaration_generation}'
+                return Lost('declaration', winner)
+
+    def _judge(
+        self,
+        command_id: str,
+        outcomes: list[ChangeOutcome],
+    ) -> CommandOutcome:
+        generation = self._journal.state.generation
+        for outcome in outcomes:
+            match outcome:
+                case Rejected(reason=RejectReason.DUPLICATE, winner=winner):
+                    if winner == command_id:
+                        return AlreadyDone(command_id, generation)
+                case Rejected(reason=RejectReason.CONFLICT, winner=winner):
+                    return Lost(command_id, winner)
+                case Rejected(reason=reason):
+                    return Refused(command_id, reason.value)
+        return Accepted(command_id, generation)
+
+
+def plan_command(
+    state: MapState,
+    command: Command,
+    command_id: str,
+) -> tuple[str, list[Change]]:
+    """Return the target of a command and the changes that carry it out."""
+    match command:
+        case MoveKey(service=service, key=key, server=server):
+            slice_id = hot_slice_id(service, key)
+            wish = OwnerWished(slice_id, find_member(state, server), command_id)
+            known = slice_id in state.slices
+            return slice_id, [wish] if known else [Carved(service, key), wish]
+        case MoveSlice(service=service, index=index, server=server):
+            slice_id = range_slice_id(service, index)
+            member = find_member(state, server)
+            return slice_id, [OwnerWished(slice_id, member, command_id)]
+        case Drain(server=server) | Resume(server=server):
+            member = find_member(state, server)
+            return server, [StateSet(member, STATE_BY_COMMAND[type(command)])]
+        case Retire(server=server):
+            member = find_member(state, server)
+            return server, [StateSet(member, MemberState.RETIRED)]
+
+
+def find_member(state: MapState, server: str) -> str:
+    """Return the live incarnation of a server, or its name if none lives."""
+    for row in state.members.values():
+        if row.server == server and row.state is not MemberState.OVER:
+            return row.member
+    return server
+
+
+def explain_owner(state: MapState, service: str, key: str) -> Any:
+    """Return who owns a key, and by which rows of the map."""
+    part = find_slice(state, service, key)
+    if part is None:
+        return {'error': 'unknown service'}
+    owner = state.members.get(part.owner or '')
+    return {
+        'key': key,
+        'hash': f'{hash_key(key):016x}',
+        'slice': asdict(part),
+        'owner': None if owner is None else _describe_member(state, owner),
+        'generation': state.generation,
+    }
+
+
+def _describe_member(state: MapState, row: MemberRow) -> dict[str, Any]:
+    owned = sum(part.owner == row.member for part in state.slices.values())
+    backing = sum(
+        part.successor == row.member for part in state.slices.values()
+    )
+    return {**asdict(row), 'owned': owned, 'successor_of': backing}
--- /dev/null
+++ b/plantaingrade/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""What this process owns: fences, takeovers, hand-overs."""
--- /dev/null
+++ b/plantaingrade/ownership/coordinator.py
@@ -0,0 +1,372 @@
+"""Take over, release and renounce slices as the journal and leases tell."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from absl import logging
+
+from plantaingrade.clock import Clock
+from plantaingrade.journal.entity import (
+    Carved,
+    Change,
+    ChangeOutcome,
+    Ended,
+    MapState,
+    MemberRow,
+    MemberState,
+    Proof,
+    Record,
+    Renounced,
+    SliceRow,
+    Took,
+)
+from plantaingrade.journal.keys import find_slice, parent_slice_id
+from plantaingrade.journal.rules import is_over
+from plantaingrade.leases.const import DRIFT, EARLIEST, LEASE_S
+from plantaingrade.ownership.const import DRIFT_WAIT_S, RELEASE_EVERY_S
+from plantaingrade.ownership.entity import (
+    LeaseLapsed,
+    Owned,
+    OwnedElsewhere,
+    Ownership,
+    Release,
+    Unowned,
+)
+from plantaingrade.ownership.table import OwnershipTable
+from plantaingrade.ownership.work import WorkTable
+
+MS_PER_S = 1000
+
+
+@dataclass(slots=True)
+class Takeover:
+    """A takeover that waits until work under the old fence has ended."""
+
+    owner: str
+    at: float
+    proof: Proof
+    epoch: int
+    done: bool = False
+
+
+@dataclass(slots=True)
+class Handover:
+    """Slices this process is about to release."""
+
+    slice_ids: set[str] = field(default_factory=set)
+    leaving: bool = False
+
+
+class OwnershipCoordinator:
+    """Decide for one member which slices it may act on; no I/O of its own."""
+
+    __slots__ = (
+        '_clock',
+        '_handover',
+        '_lease_until',
+        '_next_release_at',
+        '_row',
+        '_send',
+        '_state',
+        '_takeover_by_owner',
+        '_to_append',
+        'table',
+        'takeovers',
+        'work',
+    )
+
+    def __init__(
+        self,
+        row: MemberRow,
+        state: Callable[[], MapState],
+        clock: Clock,
+        send: Callable[[Any, str], None],
+        lease_until: Callable[[], float],
+    ) -> None:
+        """Act for the member of ``row``."""
+        self._row = row
+        self._state = state
+        self._clock = clock
+        self._send = send
+        self._lease_until = lease_until
+        self._next_release_at = EARLIEST
+        self._takeover_by_owner: dict[str, Takeover] = {}
+        self._to_append: dict[Change, None] = {}
+        self._handover = Handover()
+        self.table = OwnershipTable(row.member)
+        self.work = WorkTable()
+        self.takeovers = 0
+
+    def find(self, service: str, key: str) -> Ownership | None:
+        """Tell who owns a key, as far as this process knows."""
+        part = find_slice(self._state(), service, key)
+        return None if part is None else self.judge(part)
+
+    def judge(self, part: SliceRow) -> Ownership:
+        """Tell who owns a slice, as far as this process knows."""
+        slice_id = part.slice_id
+        fence = self.table.fence(self._state(), part)
+        if fence is not None:
+            # Failure: the process was paused and the lease is past, but it
+            # still takes itself for the owner. The clock is read at every
+            # request, and the same end goes along as the work's deadline,
+            # for a pause that comes after this check.
+            until = self._lease_until()
+            if until <= self._clock.now():
+                return LeaseLapsed(slice_id, part.successor)
+            return Owned(slice_id, fence, until)
+        if part.owner is None:
+            return Unowned(slice_id)
+        if part.owner == self._row.member:
+            # Released, and the journal has not caught up.
+            if part.successor is None:
+                return Unowned(slice_id)
+            return OwnedElsewhere(slice_id, part.successor, None)
+        return OwnedElsewhere(slice_id, part.owner, part.successor)
+
+    def is_handing_over(self, slice_id: str) -> bool:
+        """Tell whether new work on a slice must wait for its next owner.
+
+        While lost work may still be running, the slice cannot be released,
+        so new work goes on here instead of waiting.
+        """
+        if slice_id not in self._handover.slice_ids:
+            return False
+        return not self.work.is_lingering(slice_id, self._clock.now())
+
+    def held(self) -> list[SliceRow]:
+        """Return the slices whose fences this process holds."""
+        state = self._state()
+        return [
+            part
+            for part in state.slices.values()
+            if self.table.fence(state, part) is not None
+        ]
+
+    def leave(self) -> None:
+        """Release everything as soon as its work is done."""
+        self._handover.leaving = True
+        self._plan_releases()
+
+    def stay(self) -> None:
+        """Stop releasing; what is released stays so."""
+        self._handover.leaving = False
+        self._handover.slice_ids.clear()
+        self._plan_releases()
+
+    def on_record(self, record: Record, _: list[ChangeOutcome]) -> None:
+        """Follow one record; called before the next is applied."""
+        state = self._state()
+        for change in record.changes:
+            if isinstance(change, Carved):
+                self._follow_range(state, change)
+        self.table.settle(state)
+        self._schedule_ended(state)
+        self._answer_wishes(state)
+        self._take_late(state)
+        self._plan_releases()
+
+    def on_proven(self, owner: str, epoch: int) -> None:
+        """Plan the takeover from an owner whose lease has ended."""
+        known = self._takeover_by_owner.get(owner)
+        if known is not None and known.epoch < epoch:
+            self._takeover_by_owner.pop(owner)
+        row = self._state().members.get(owner)
+        if row is not None:
+            self._plan_takeover(row, self._grace(row), Proof.TESTIMONY, epoch)
+
+    def outdated_proofs(self) -> list[str]:
+        """Return owners whose takeover is done but whose epoch has changed.
+
+        Their end has to be proven again under the new witnesses.
+        """
+        members = self._state().members
+        return [
+            owner
+            for owner, takeover in self._takeover_by_owner.items()
+            if takeover.done
+            and owner in members
+            and members[owner].state is not MemberState.OVER
+            and members[owner].epoch > takeover.epoch
+        ]
+
+    def on_release(self, release: Release) -> None:
+        """Take a slice that its owner has released to this member."""
+        part = self._state().slices.get(release.slice_id)
+        if part is None or release.successor != self._row.member:
+            return
+        if self._may_take() and self.table.take_released(
+            part,
+            release.owner,
+            release.fence,
+        ):
+            self._note_take(part)
+
+    def tick(self) -> None:
+        """Run takeovers and releases that are due."""
+        now = self._clock.now()
+        for takeover in list(self._takeover_by_owner.values()):
+            if takeover.at <= now and not takeover.done:
+                self._take_over(takeover)
+        if self._handover.slice_ids:
+            self._release_idle(now)
+        if now >= self._next_release_at:
+            self._next_release_at = now + RELEASE_EVERY_S
+            self._offer_releases()
+
+    def pending_changes(self) -> tuple[Change, ...]:
+        """Return changes to append that the journal does not show yet."""
+        state = self._state()
+        self._to_append = {
+            change: None
+            for change in self._to_append
+            if _is_news(state, change)
+        }
+        return tuple(self._to_append)
+
+    def _may_take(self) -> bool:
+        return self._lease_until() > self._clock.now()
+
+    def _grace(self, row: MemberRow) -> float:
+        """Return how long work of an ended owner may still run.
+
+        A server that checks fences stops at the end of the lease, which is
+        over by the time it is proven. Others stop at the deadline sent along,
+        which is later than the lease's end by the declared grace.
+        """
+        if row.checks_fence:
+            return DRIFT_WAIT_S
+        service = self._state().services[row.service]
+        return DRIFT_WAIT_S + service.unfenced_grace_ms / MS_PER_S
+
+    def _plan_takeover(
+        self,
+        row: MemberRow,
+        wait: float,
+        proof: Proof,
+        epoch: int,
+    ) -> None:
+        if row.member not in self._takeover_by_owner:
+            at = self._clock.now() + wait
+            takeover = Takeover(row.member, at, proof, epoch)
+            self._takeover_by_owner[row.member] = takeover
+
+    def _schedule_ended(self, state: MapState) -> None:
+        for member, row in state.members.items():
+            if row.state is not MemberState.OVER:
+                continue
+            wait = self._grace(row)
+            if row.proof is Proof.RESTART:
+                wait += LEASE_S * (1 + DRIFT)
+            proof = row.proof or Proof.TESTIMONY
+            self._plan_takeover(row, wait, proof, row.epoch)
+        for owner in list(self._takeover_by_owner):
+            if owner not in state.members:
+                self._takeover_by_owner.pop(owner)
+
+    def _take_over(self, takeover: Takeover) -> None:
+        if not self._may_take():
+            return
+        takeover.done = True
+        state = self._state()
+        parts = [
+            part
+            for part in state.slices.values()
+            if part.owner == takeover.owner and self.table.take(part)
+        ]
+        for part in parts:
+            self._note_take(part)
+        ended = Ended(takeover.owner, Proof.TESTIMONY, takeover.epoch)
+        self._to_append[ended] = None
+        if parts:
+            logging.info('Took %d slices of %s', len(parts), takeover.owner)
+
+    def _take_late(self, state: MapState) -> None:
+        """Take what named this member successor after the owner had ended."""
+        for takeover in self._takeover_by_owner.values():
+            if not takeover.done:
+                continue
+            for part in state.slices.values():
+                late = part.owner == takeover.owner
+                if late and part.successor == self._row.member:
+                    takeover.done = False
+
+    def _note_take(self, part: SliceRow) -> None:
+        self.takeovers += 1
+        took = Took(part.slice_id, self._row.member, part.successor_fence)
+        self._to_append[took] = None
+
+    def _answer_wishes(self, state: MapState) -> None:
+        for part in state.slices.values():
+            if part.next_successor is None:
+                continue
+            if part.successor == self._row.member and self.table.renounce(part):
+                renounced = Renounced(part.slice_id, self._row.member)
+                self._to_append[renounced] = None
+
+    def _follow_range(self, state: MapState, carved: Carved) -> None:
+        part = find_slice(state, carved.service, carved.key)
+        if part is None or part.owner != self._row.member:
+            return
+        parent = parent_slice_id(state, part.slice_id)
+        if self.table.released.get(parent) == part.fence:
+            self.table.release(part)
+
+    def _plan_releases(self) -> None:
+        state = self._state()
+        leaving = self._handover.leaving
+        self._handover.slice_ids = {
+            part.slice_id
+            for part in state.slices.values()
+            if (leaving or part.moving)
+            and part.successor is not None
+            and not is_over(state, part.successor)
+            and self.table.fence(state, part) is not None
+        }
+
+    def _release_idle(self, now: float) -> None:
+        slices = self._state().slices
+        for slice_id in list(self._handover.slice_ids):
+            part = slices[slice_id]
+            # A slice taken ahead of the journal has no successor of its own
+            # yet: the one named in the journal is this member itself.
+            if part.successor in {None, self._row.member}:
+                continue
+            if self.work.is_idle(slice_id, now):
+                self.table.release(part)
+                self._handover.slice_ids.discard(slice_id)
+                self._next_release_at = EARLIEST
+
+    def _offer_releases(self) -> None:
+        state = self._state()
+        for slice_id, fence in self.table.released.items():
+            part = state.slices.get(slice_id)
+            if part is None or part.successor is None:
+                continue
+            successor = state.members.get(part.successor)
+            if successor is None:
+                continue
+            release = Release(
+                slice_id,
+                self._row.member,
+                fence,
+                successor.member,
+                self._row.udp,
+            )
+            self._send(release, successor.udp)
+
+
+def _is_news(state: MapState, change: Change) -> bool:
+    match change:
+        case Ended(member=member, epoch=epoch):
+            row = state.members.get(member)
+            alive = row is not None and row.state is not MemberState.OVER
+            return alive and row.epoch == epoch
+        case Took(slice_id=slice_id, fence=fence):
+            part = state.slices.get(slice_id)
+            return part is not None and part.fence < fence
+        case Renounced(slice_id=slice_id, member=member):
+            part = state.slices.get(slice_id)
+            return part is not None and part.successor == member
+    return False
--- /dev/null
+++ b/plantaingrade/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Who should own and succeed what, as the decider sees it."""
--- /dev/null
+++ b/plantaingrade/placement/coordinator.py
@@ -0,0 +1,130 @@
+"""Hold the decider's lease and carry the placement out."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from absl import logging
+
+from plantaingrade.clock import Clock
+from plantaingrade.journal.coordinator import (
+    JournalCoordinator,
+    JournalUnavailableError,
+)
+from plantaingrade.leases.const import EARLIEST
+from plantaingrade.placement.const import (
+    DECIDER_LEASE_S,
+    DECIDER_LOOK_S,
+    DECIDER_RENEW_S,
+    DECIDER_ROW,
+    PLAN_EVERY_S,
+)
+from plantaingrade.placement.policy import plan
+from plantaingrade.platform.const import PARTITION_DECIDER
+from plantaingrade.platform.entity import (
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+    Row,
+    Stored,
+)
+from plantaingrade.platform.table import TableClient
+
+
+class DeciderCoordinator:
+    """Compete for the decider's lease, a row of the table service.
+
+    Two processes that both hold themselves for the decider do no harm: each
+    record is appended to one journal, and a change that no longer fits has no
+    effect. The lease only keeps them from doing the same work twice.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_held_until',
+        '_journal',
+        '_may_decide',
+        '_member',
+        '_seen',
+        '_seen_at',
+        '_table',
+    )
+
+    def __init__(
+        self,
+        table: TableClient,
+        journal: JournalCoordinator,
+        member: str,
+        clock: Clock,
+        may_decide: Callable[[], bool],
+    ) -> None:
+        """Compete on behalf of one member."""
+        self._table = table
+        self._journal = journal
+        self._member = member
+        self._clock = clock
+        self._may_decide = may_decide
+        self._held_until = EARLIEST
+        self._seen: Row | None = None
+        self._seen_at = EARLIEST
+
+    @property
+    def holder(self) -> str:
+        """Return the decider as last seen."""
+        return '' if self._seen is None else self._seen.body
+
+    def is_decider(self) -> bool:
+        """Tell whether this process holds the lease."""
+        return self._clock.now() < self._held_until
+
+    async def async_compete(self) -> None:
+        """Renew the lease, or take it when its holder stops renewing."""
+        while True:
+            try:
+                await self._look()
+            except (PlatformUnavailableError, PlatformOutcomeUnknownError):
+                self._held_until = EARLIEST
+            held = self.is_decider()
+            pause = DECIDER_RENEW_S if held else DECIDER_LOOK_S
+            await asyncio.sleep(pause * random.uniform(0.8, 1.2))
+
+    async def async_decide(self) -> None:
+        """Plan and append while holding the lease."""
+        while True:
+            await asyncio.sleep(PLAN_EVERY_S)
+            if not self.is_decider() or not self._may_decide():
+                continue
+            changes = plan(self._journal.state)
+            try:
+                if changes:
+                    await self._journal.async_append(*changes)
+                await self._journal.async_snapshot()
+            except (JournalUnavailableError, PlatformUnavailableError):
+                await asyncio.sleep(1)
+
+    async def _look(self) -> None:
+        now = self._clock.now()
+        row = await self._table.async_get(PARTITION_DECIDER, DECIDER_ROW)
+        if row is None:
+            fresh = Row(PARTITION_DECIDER, DECIDER_ROW, self._member, 1)
+            outcome = await self._table.async_put_new(fresh)
+            self._note(fresh, now, won=isinstance(outcome, Stored))
+            return
+        if self._seen is None or row.version != self._seen.version:
+            self._seen = row
+            self._seen_at = now
+        mine = row.body == self._member
+        expired = now - self._seen_at > DECIDER_LEASE_S
+        if (mine or expired) and self._may_decide():
+            version = row.version + 1
+            claim = Row(PARTITION_DECIDER, DECIDER_ROW, self._member, version)
+            outcome = await self._table.async_replace(claim, row.version)
+            self._note(claim, now, won=isinstance(outcome, Stored))
+
+    def _note(self, row: Row, now: float, *, won: bool) -> None:
+        if not won:
+            return
+        if not self.is_decider():
+            logging.info('This process is the decider now')
+        self._seen = row
+        self._seen_at = now
+        self._held_until = now + DECIDER_LEASE_S
--- /dev/null
+++ b/plantaingrade/placement/policy.py
@@ -0,0 +1,193 @@
+"""Decide who should own and succeed what.
+
+Pure code over the tables of the map: no I/O, no clock. Each system looks at
+one kind of gap and yields the changes that close it.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from plantaingrade.journal.entity import (
+    Assigned,
+    Change,
+    MapState,
+    MemberRow,
+    MemberState,
+    Moving,
+    OwnerWished,
+    SliceRow,
+    SuccessorNamed,
+    SuccessorWished,
+)
+from plantaingrade.journal.rules import is_eligible, is_over
+from plantaingrade.placement.const import (
+    BALANCE_ID,
+    DRAIN_ID,
+    MAX_CHANGES_PER_RECORD,
+    MAX_MOVES_IN_PROGRESS,
+    MOVE_THRESHOLD,
+)
+
+
+@dataclass(slots=True)
+class ServiceView:
+    """One service's slices and the servers that can take them."""
+
+    state: MapState
+    slices: list[SliceRow]
+    eligible: list[MemberRow]
+    owned_by_member: Counter[str] = field(default_factory=Counter)
+    backing_by_member: Counter[str] = field(default_factory=Counter)
+
+    @classmethod
+    def from_state(cls, state: MapState, service: str) -> 'ServiceView':
+        """Collect the rows of one service."""
+        slices = [
+            part for part in state.slices.values() if part.service == service
+        ]
+        eligible = [
+            row
+            for row in state.members.values()
+            if row.service == service and row.state is MemberState.READY
+        ]
+        view = cls(state, slices, eligible)
+        for part in slices:
+            view.owned_by_member[part.wanted_owner or part.owner or ''] += 1
+            view.backing_by_member[part.successor or ''] += 1
+        return view
+
+    def least_owner(self) -> MemberRow:
+        """Return the server with the fewest slices per slot."""
+        return min(self.eligible, key=self.share)
+
+    def share(self, row: MemberRow) -> float:
+        """Return a server's slices per slot."""
+        return self.owned_by_member[row.member] / row.slots
+
+    def best_successor(self, part: SliceRow) -> MemberRow | None:
+        """Return the server that should take over if the owner is lost.
+
+        Another zone than the owner's goes first, then the server that would
+        carry the least after all the takeovers it is named for.
+        """
+        owner = self.state.members.get(part.owner or '')
+        zone = owner.zone if owner else ''
+        candidates = [
+            row
+            for row in self.eligible
+            if row.member not in {part.owner, part.successor}
+        ]
+        if not candidates:
+            return None
+        return min(
+            candidates,
+            key=lambda row: (
+                row.zone == zone,
+                (
+                    self.owned_by_member[row.member]
+                    + self.backing_by_member[row.member]
+                )
+                / row.slots,
+            ),
+        )
+
+
+def plan(state: MapState) -> list[Change]:
+    """Return the next changes, at most one record full."""
+    changes: list[Change] = []
+    for service in state.services:
+        view = ServiceView.from_state(state, service)
+        if not view.eligible:
+            continue
+        changes.extend(_assign_unowned(view))
+        changes.extend(_name_successors(view))
+        changes.extend(_replace_successors(view))
+        changes.extend(_drive_moves(view))
+        changes.extend(_balance(view))
+    return changes[:MAX_CHANGES_PER_RECORD]
+
+
+def _assign_unowned(view: ServiceView) -> Iterator[Change]:
+    for part in view.slices:
+        if part.owner is None:
+            target = view.least_owner()
+            view.owned_by_member[target.member] += 1
+            yield Assigned(part.slice_id, target.member)
+
+
+def _name_successors(view: ServiceView) -> Iterator[Change]:
+    for part in view.slices:
+        if part.owner is None or part.successor is not None:
+            continue
+        target = view.best_successor(part)
+        if target is not None:
+            view.backing_by_member[target.member] += 1
+            yield SuccessorNamed(part.slice_id, target.member)
+
+
+def _replace_successors(view: ServiceView) -> Iterator[Change]:
+    for part in view.slices:
+        settled = part.next_successor is None and part.moving is None
+        if not settled or part.successor is None:
+            continue
+        if is_over(view.state, part.owner):
+            continue
+        wanted = _wanted_successor(view, part)
+        if wanted is not None:
+            view.backing_by_member[wanted] += 1
+            yield SuccessorWished(part.slice_id, wanted)
+
+
+def _wanted_successor(view: ServiceView, part: SliceRow) -> str | None:
+    if part.wanted_owner is not None:
+        right = part.successor == part.wanted_owner
+        return None if right else part.wanted_owner
+    if is_eligible(view.state, part.successor):
+        return None
+    better = view.best_successor(part)
+    return None if better is None else better.member
+
+
+def _drive_moves(view: ServiceView) -> Iterator[Change]:
+    for part in view.slices:
+        if part.moving is not None or part.owner is None:
+            continue
+        if part.next_successor is not None or is_over(view.state, part.owner):
+            continue
+        if not is_eligible(view.state, part.successor):
+            continue
+        if part.wanted_owner == part.successor:
+            yield Moving(part.slice_id, part.wanted_by)
+        elif part.wanted_owner is None:
+            if not is_eligible(view.state, part.owner):
+                yield Moving(part.slice_id, DRAIN_ID)
+
+
+def _balance(view: ServiceView) -> Iterator[Change]:
+    """Move a few slices from the fullest server to the emptiest one."""
+    busy = sum(
+        part.moving is not None or part.wanted_owner is not None
+        for part in view.slices
+    )
+    for _ in range(MAX_MOVES_IN_PROGRESS - busy):
+        low = view.least_owner()
+        high = max(view.eligible, key=view.share)
+        surplus = view.owned_by_member[high.member] * low.slots / high.slots
+        if surplus - view.owned_by_member[low.member] < MOVE_THRESHOLD:
+            return
+        part = _movable(view, high.member)
+        if part is None:
+            return
+        view.owned_by_member[high.member] -= 1
+        view.owned_by_member[low.member] += 1
+        part_wish = OwnerWished(part.slice_id, low.member, BALANCE_ID)
+        yield part_wish
+
+
+def _movable(view: ServiceView, owner: str) -> SliceRow | None:
+    for part in view.slices:
+        free = part.moving is None and part.wanted_owner is None
+        if part.owner == owner and free and part.next_successor is None:
+            return part
+    return None
--- /dev/null
+++ b/plantaingrade/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the table service and the object store."""
--- /dev/null
+++ b/plantaingrade/platform/objects.py
@@ -0,0 +1,63 @@
+"""Client of the platform's object store, over the published S3 REST calls.
+
+Requests are not signed.
+"""
+
+import asyncio
+
+from plantaingrade.http.channel import ChannelClosedError
+from plantaingrade.http.client import Call, fetch
+from plantaingrade.http.const import STATUS_NOT_FOUND, STATUS_OK
+from plantaingrade.http.pool import ConnectFailedError, Pool
+from plantaingrade.platform.const import OBJECT_TIMEOUT_S
+from plantaingrade.platform.entity import PlatformUnavailableError
+
+
+class ObjectClient:
+    """Read and write whole objects of one bucket."""
+
+    __slots__ = ('_address', '_bucket', '_pool')
+
+    def __init__(self, pool: Pool, address: str, bucket: str) -> None:
+        """Use one bucket at one address."""
+        self._pool = pool
+        self._address = address
+        self._bucket = bucket
+
+    async def async_put(self, name: str, body: bytes) -> None:
+        """Write an object; the same name always holds the same bytes.
+
+        Raises:
+            PlatformUnavailableError: the object may not be there.
+        """
+        status, _ = await self._call('PUT', name, body)
+        if status != STATUS_OK:
+            raise PlatformUnavailableError('Object store refused the write.')
+
+    async def async_get(self, name: str) -> bytes | None:
+        """Return an object, or nothing if there is none.
+
+        Raises:
+            PlatformUnavailableError: no answer.
+        """
+        status, body = await self._call('GET', name, b'')
+        if status == STATUS_NOT_FOUND:
+            return None
+        if status != STATUS_OK:
+            raise PlatformUnavailableError('Object store refused the read.')
+        return body
+
+    async def _call(
+        self,
+        method: str,
+        name: str,
+        body: bytes,
+    ) -> tuple[int, bytes]:
+        target = f'/{self._bucket}/{name}'
+        call = Call(method, self._address, target, body=body)
+        try:
+            async with asyncio.timeout(OBJECT_TIMEOUT_S):
+                reply = await fetch(self._pool, call)
+        except (TimeoutError, ChannelClosedError, ConnectFailedError) as error:
+            raise PlatformUnavailableError('Object store failed.') from error
+        return reply.status, reply.body
--- /dev/null
+++ b/plantaingrade/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The path of requests to the owners of their keys."""
--- /dev/null
+++ b/plantaingrade/routing/relay.py
@@ -0,0 +1,64 @@
+"""Pass an answer's body on to the caller."""
+
+import h11
+
+from plantaingrade.http.channel import Channel, ChannelClosedError
+from plantaingrade.http.client import read_body
+from plantaingrade.http.pool import Pool
+from plantaingrade.routing.entity import Head, Headers
+from plantaingrade.routing.parse import forwardable
+
+
+async def relay(
+    pool: Pool,
+    head: Head,
+    caller: Channel,
+    replaced: Headers,
+) -> None:
+    """Send the whole answer, or break the caller's connection off.
+
+    Raises:
+        ChannelClosedError: either side broke off before the end.
+    """
+    names = frozenset(name for name, _ in replaced)
+    headers = [*forwardable(head.response.headers, names), *replaced]
+    try:
+        caller.send(
+            h11.Response(
+                status_code=head.response.status_code,
+                headers=headers,
+                reason=head.response.reason,
+            ),
+        )
+        await _relay_body(head.channel, caller)
+    except BaseException:
+        # Failure: the upstream breaks off in the middle. It shows as a
+        # fragment that looks whole. Without the final chunk or the full
+        # length, the caller's library knows the answer for broken.
+        caller.abort()
+        head.channel.abort()
+        raise
+    pool.give_back(head.address, head.channel)
+
+
+async def _relay_body(upstream: Channel, caller: Channel) -> None:
+    while True:
+        match await upstream.next_event():
+            case h11.Data() as event:
+                caller.send(h11.Data(data=bytes(event.data)))
+                await caller.drain()
+            case h11.EndOfMessage():
+                caller.send(h11.EndOfMessage())
+                return
+            case _:
+                raise ChannelClosedError('Answer broken off.')
+
+
+async def discard(pool: Pool, head: Head) -> None:
+    """Read an answer that is not passed on, to keep its connection."""
+    try:
+        await read_body(head.channel)
+    except ChannelClosedError:
+        head.channel.abort()
+        return
+    pool.give_back(head.address, head.channel)
--- /dev/null
+++ b/plantaingrade/routing/retry.py
@@ -0,0 +1,67 @@
+"""Decide whether a failed try may be repeated."""
+
+from plantaingrade.outcome import NotRun, NotRunReason, Unknown
+from plantaingrade.routing.body import RequestBody
+from plantaingrade.routing.const import MAX_TRIES, PAUSE_S
+from plantaingrade.routing.entity import (
+    GiveUp,
+    NextStep,
+    RetryAfter,
+    RouteRequest,
+)
+from plantaingrade.routing.targets import Tries
+
+PAUSED = frozenset(
+    (
+        NotRunReason.MOVING,
+        NotRunReason.LEASE_LAPSED,
+        NotRunReason.NOT_OWNER,
+    )
+)
+FINAL_FOR_KEY = frozenset(
+    (
+        NotRunReason.SHED,
+        NotRunReason.QUEUE_FULL,
+        NotRunReason.DRAINING,
+        NotRunReason.NO_OWNER,
+        NotRunReason.EXPIRED,
+    )
+)
+
+
+def next_step(
+    request: RouteRequest,
+    outcome: NotRun | Unknown,
+    tries: Tries,
+    body: RequestBody,
+    left_s: float,
+) -> NextStep:
+    """Repeat what certainly did not run or is idempotent, in time.
+
+    Failure: a request whose answer was lost is sent again and runs twice. An
+    unknown outcome of non-idempotent work is final.
+    """
+    tries.count += 1
+    if tries.count >= MAX_TRIES or not body.is_replayable:
+        return GiveUp()
+    match outcome:
+        case Unknown():
+            again = request.is_idempotent and not request.hop
+            return _in_time(0, left_s) if again else GiveUp()
+        case NotRun(reason=reason):
+            if reason in FINAL_FOR_KEY and (request.key or request.hop):
+                return GiveUp()
+            if request.hop and reason is NotRunReason.NOT_OWNER:
+                return GiveUp()
+            pause_s = PAUSE_S if _waits(reason, tries) else 0
+            return _in_time(pause_s, left_s)
+
+
+def _waits(reason: NotRunReason, tries: Tries) -> bool:
+    """Tell whether only time can help."""
+    first_hint = reason is NotRunReason.NOT_OWNER and tries.count == 1
+    return reason in PAUSED and not first_hint
+
+
+def _in_time(pause_s: float, left_s: float) -> NextStep:
+    return RetryAfter(pause_s) if pause_s < left_s else GiveUp()
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what surrounds the system, with faults to order."""
--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,55 @@
+"""Faults that a stand-in shows on order."""
+
+import asyncio
+import json
+import random
+from dataclasses import dataclass, fields
+
+import h11
+
+from plantaingrade.http.channel import Channel
+from plantaingrade.http.client import read_body
+from plantaingrade.routing.respond import send_plain
+
+FAULT_TARGET = b'/-/fault'
+OK = 200
+BAD_REQUEST = 400
+
+
+@dataclass(slots=True)
+class Faults:
+    """Which faults are on; all off at first."""
+
+    down: bool = False
+    slow_s: float = 0.0
+    lose_answers: float = 0.0
+    refuse_share: float = 0.0
+    lie_state: str = ''
+    silent: bool = False
+
+    def loses_answer(self) -> bool:
+        """Tell whether this answer is lost after the write."""
+        return random.random() < self.lose_answers
+
+    def refuses(self) -> bool:
+        """Tell whether this request is over the rate."""
+        return random.random() < self.refuse_share
+
+    async def async_delay(self) -> None:
+        """Wait as long as a slow service does."""
+        if self.slow_s:
+            await asyncio.sleep(self.slow_s)
+
+    async def async_order(self, request: h11.Request, channel: Channel) -> bool:
+        """Take an order in; tell whether the request was one."""
+        if request.target != FAULT_TARGET:
+            return False
+        wanted = json.loads(await read_body(channel))
+        known = {each.name for each in fields(self)}
+        if not wanted.keys() <= known:
+            send_plain(channel, BAD_REQUEST, b'{"error": "unknown fault"}')
+            return True
+        for name, setting in wanted.items():
+            setattr(self, name, setting)
+        send_plain(channel, OK, b'{}')
+        return True
--- /dev/null
+++ b/standins/network.py
@@ -0,0 +1,209 @@
+"""The network between processes: one-way delays, cuts, silent connections.
+
+Processes of one availability zone share the third number of their loopback
+address, so the relay knows the two zones of each connection.
+"""
+
+import asyncio
+import json
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import Any
+
+import click
+import h11
+
+from plantaingrade.clock import BootClock
+from plantaingrade.http.channel import Channel
+from plantaingrade.http.client import read_body
+from plantaingrade.http.pool import split_address
+from plantaingrade.http.server import HttpServer
+from plantaingrade.routing.respond import refuse_malformed, send_plain
+
+OK = 200
+CHUNK_BYTES = 65536
+CALLER_PREFIX = '127.3.'
+MS_PER_S = 1000
+
+
+@dataclass(slots=True)
+class Links:
+    """Delays and cuts between hosts."""
+
+    zone_delay_s: float
+    caller_delay_s: float
+    cut_hosts: set[str] = field(default_factory=set)
+    silent_hosts: set[str] = field(default_factory=set)
+
+    def delay(self, source: str, target: str) -> float:
+        """Return the one-way delay in seconds."""
+        if source.startswith(CALLER_PREFIX):
+            return self.caller_delay_s
+        same = source.split('.')[2] == target.split('.')[2]
+        return 0.0 if same else self.zone_delay_s
+
+    def is_cut(self, *hosts: str) -> bool:
+        """Tell whether nothing passes between these hosts."""
+        return not self.cut_hosts.isdisjoint(hosts)
+
+
+class UdpRelay(asyncio.DatagramProtocol):
+    """Pass datagrams on to one host after the delay."""
+
+    def __init__(self, links: Links, target: tuple[str, int]) -> None:
+        """Relay to one address."""
+        self._links = links
+        self._target = target
+        self._transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:  # noqa: WPS110
+        """Pass one datagram on."""
+        source, target = addr[0], self._target[0]
+        if self._links.is_cut(source, target):
+            return
+        delay = self._links.delay(source, target)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay, self._transport.sendto, data, self._target)
+
+
+class TcpRelay:
+    """Pass connections on to one host; each chunk after the delay."""
+
+    def __init__(self, links: Links, target: tuple[str, int]) -> None:
+        """Relay to one address."""
+        self._links = links
+        self._target = target
+
+    @property
+    def target_host(self) -> str:
+        """Return the host this relay stands before."""
+        return self._target[0]
+
+    async def async_accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Join an accepted connection with one to the target."""
+        source = writer.get_extra_info('peername')[0]
+        hosts = (source, self._target[0])
+        if self._links.is_cut(*hosts):
+            await asyncio.sleep(1)
+            writer.transport.abort()
+            return
+        delay = self._links.delay(*hosts)
+        await asyncio.sleep(delay)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                *self._target
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(
+            self._pump(reader, far_writer, delay, hosts),
+            self._pump(far_reader, writer, delay, hosts),
+        )
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        delay: float,
+        hosts: tuple[str, str],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        silent = False
+        try:
+            while chunk := await reader.read(CHUNK_BYTES):
+                silent = silent or not self._links.silent_hosts.isdisjoint(
+                    hosts
+                )
+                if silent or self._links.is_cut(*hosts):
+                    silent = True
+                    continue
+                loop.call_later(delay, writer.write, chunk)
+                await writer.drain()
+        except ConnectionError:
+            loop.call_later(delay, writer.transport.abort)
+            return
+        if not silent:
+            loop.call_later(delay, writer.close)
+
+
+@dataclass(slots=True)
+class Control:
+    """Take orders for cuts, silence and refused connections."""
+
+    links: Links
+    server_by_host: dict[str, list[asyncio.Server]] = field(
+        default_factory=lambda: defaultdict(list),
+    )
+
+    async def async_handle(
+        self, request: h11.Request, channel: Channel
+    ) -> None:
+        """Serve one order, such as ``{"cut_hosts": ["127.1.0.1"]}``."""
+        wanted = json.loads(await read_body(channel))
+        self.links.cut_hosts = set(wanted.get('cut_hosts', ()))
+        self.links.silent_hosts = set(wanted.get('silent_hosts', ()))
+        # Nobody listens where a process was killed, so connecting to it is
+        # refused; a relay that accepted first would hide that.
+        for host in wanted.get('refused_hosts', ()):
+            for server in self.server_by_host.pop(host, ()):
+                server.close()
+        send_plain(channel, OK, b'{}')
+
+
+async def async_serve(
+    links: Links,
+    control: str,
+    routes: list[tuple[str, str, str]],
+) -> None:
+    """Relay until cancelled; a route is kind, listening, target address."""
+    loop = asyncio.get_running_loop()
+    orders = Control(links)
+    for kind, listen, target in routes:
+        host, port = split_address(listen)
+        if kind == 'udp':
+            relay = UdpRelay(links, split_address(target))
+            await loop.create_datagram_endpoint(
+                lambda relay=relay: relay,
+                local_addr=(host, port),
+            )
+        else:
+            tcp = TcpRelay(links, split_address(target))
+            accepting = await asyncio.start_server(tcp.async_accept, host, port)
+            orders.server_by_host[tcp.target_host].append(accepting)
+    server = HttpServer(
+        BootClock(),
+        orders.async_handle,
+        refuse_malformed,
+    )
+    await server.async_listen(*split_address(control))
+    await asyncio.Event().wait()
+
+
+@click.command()
+@click.option('--zone-ms', type=float, required=True)
+@click.option('--caller-ms', type=float, required=True)
+@click.option('--control', required=True)
+@click.argument('routes', nargs=-1)
+def main(
+    zone_ms: float,
+    caller_ms: float,
+    control: str,
+    routes: tuple[str, ...],
+) -> None:
+    """Relay each route, written as kind=listen=target."""
+    links = Links(zone_ms / MS_PER_S, caller_ms / MS_PER_S)
+    parsed = [tuple(route.split('=')) for route in routes]
+    asyncio.run(async_serve(links, control, parsed))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,161 @@
+"""Table service and object store, each over its published protocol."""
+
+import asyncio
+import json
+from typing import Any
+
+import click
+import h11
+
+from plantaingrade.clock import BootClock
+from plantaingrade.http.channel import Channel
+from plantaingrade.http.client import read_body
+from plantaingrade.http.pool import split_address
+from plantaingrade.http.server import HttpServer
+from plantaingrade.routing.respond import refuse_malformed, send_plain
+from standins.faults import Faults
+
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+UNAVAILABLE = 503
+CONFLICT = b'{"__type": "ConditionalCheckFailedException"}'
+THROTTLED = b'{"__type": "ProvisionedThroughputExceededException"}'
+QUERY_LIMIT = 500
+
+
+class TableStandIn:
+    """Rows in memory, behind GetItem, PutItem and Query."""
+
+    def __init__(self) -> None:
+        """Start empty and without faults."""
+        self.faults = Faults()
+        self.rows: dict[tuple[str, int], dict[str, Any]] = {}
+        self.reads = 0
+        self.writes = 0
+
+    async def async_handle(
+        self, request: h11.Request, channel: Channel
+    ) -> None:
+        """Serve one request."""
+        if await self.faults.async_order(request, channel):
+            return
+        if request.target == b'/-/counts':
+            counts = {'reads': self.reads, 'writes': self.writes}
+            send_plain(channel, OK, json.dumps(counts).encode())
+            return
+        body = json.loads(await read_body(channel))
+        if self.faults.down:
+            channel.abort()
+            return
+        await self.faults.async_delay()
+        if self.faults.refuses():
+            send_plain(channel, BAD_REQUEST, THROTTLED)
+            return
+        target = dict(request.headers)[b'x-amz-target'].decode()
+        status, answer = self.execute(target.partition('.')[2], body)
+        if self.faults.loses_answer():
+            channel.abort()
+            return
+        send_plain(channel, status, answer)
+
+    def execute(self, name: str, body: dict[str, Any]) -> tuple[int, bytes]:
+        """Carry one operation out."""
+        match name:
+            case 'GetItem':
+                self.reads += 1
+                row = self.rows.get(_place(body['Key']))
+                return OK, json.dumps({'Item': row} if row else {}).encode()
+            case 'PutItem':
+                self.writes += 1
+                return self._put(body)
+            case 'Query':
+                self.reads += 1
+                return self._query(body)
+        return BAD_REQUEST, b'{"__type": "UnknownOperationException"}'
+
+    def _put(self, body: dict[str, Any]) -> tuple[int, bytes]:
+        place = _place(body['Item'])
+        known = self.rows.get(place)
+        condition = body['ConditionExpression']
+        if condition == 'attribute_not_exists(pk)':
+            holds = known is None
+        elif condition == 'version = :v':
+            expected = body['ExpressionAttributeValues'][':v']
+            holds = known is not None and known['version'] == expected
+        else:
+            return BAD_REQUEST, b'{"__type": "ValidationException"}'
+        if not holds:
+            return BAD_REQUEST, CONFLICT
+        self.rows[place] = body['Item']
+        return OK, b'{}'
+
+    def _query(self, body: dict[str, Any]) -> tuple[int, bytes]:
+        wanted = body['ExpressionAttributeValues']
+        partition = wanted[':p']['S']
+        after = int(wanted[':s']['N'])
+        found = sorted(
+            (place[1], row)
+            for place, row in self.rows.items()
+            if place[0] == partition and place[1] > after
+        )
+        rows = [row for _, row in found[:QUERY_LIMIT]]
+        return OK, json.dumps({'Items': rows}).encode()
+
+
+class ObjectStandIn:
+    """Objects in memory, behind PUT and GET."""
+
+    def __init__(self) -> None:
+        """Start empty and without faults."""
+        self.faults = Faults()
+        self.body_by_name: dict[bytes, bytes] = {}
+
+    async def async_handle(
+        self, request: h11.Request, channel: Channel
+    ) -> None:
+        """Serve one request."""
+        if await self.faults.async_order(request, channel):
+            return
+        body = await read_body(channel)
+        if self.faults.down:
+            channel.abort()
+            return
+        await self.faults.async_delay()
+        if request.method == b'PUT':
+            self.body_by_name[request.target] = body
+            send_plain(channel, OK, b'')
+        elif request.target in self.body_by_name:
+            send_plain(channel, OK, self.body_by_name[request.target])
+        else:
+            send_plain(channel, NOT_FOUND, b'')
+
+
+def _place(fields: dict[str, Any]) -> tuple[str, int]:
+    return fields['pk']['S'], int(fields['sk']['N'])
+
+
+async def async_serve(table: str, objects: str) -> None:
+    """Serve both until cancelled."""
+    clock = BootClock()
+    servers = []
+    for address, standin in (
+        (table, TableStandIn()),
+        (objects, ObjectStandIn()),
+    ):
+        server = HttpServer(clock, standin.async_handle, refuse_malformed)
+        await server.async_listen(*split_address(address))
+        servers.append(server)
+    await asyncio.Event().wait()
+
+
+@click.command()
+@click.option('--table', required=True)
+@click.option('--objects', required=True)
+def main(table: str, objects: str) -> None:
+    """Run the table service and the object store."""
+    asyncio.run(async_serve(table, objects))
+
+
+if __name__ == '__main__':
+    main()
