--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -15,6 +15,7 @@
 from demo.verdict import (
     Run,
     Verdict,
+    count_cut_off,
     count_ran_twice,
     count_two_owners,
     imbalance,
@@ -26,6 +27,7 @@
 WORKERS = 12
 RATE = 6.0
 DRAIN_LIMIT_S = 20.0
+RELAY_CLOSES_S = 1.7
 
 
 @dataclass(slots=True)
@@ -50,7 +52,7 @@
     story.steady = (began, now())
     await _kill(cluster, story, servers[0], now(), 'with its process')
     await asyncio.sleep(6)
-    await _drain(cluster, story, callers, servers[1].name)
+    await _drain(cluster, story, callers, servers[1])
     await asyncio.sleep(3)
     await cluster.async_order(cluster.deployment.table, {'down': True})
     await asyncio.sleep(2)
@@ -74,7 +76,7 @@
     cluster.signal(f'backend {name}', signal.SIGKILL)
     cluster.signal(f'node {name}', signal.SIGKILL)
     story.killed_at[name] = at
-    order = {'refused_hosts': [server.host]}
+    order = {'refused': [f'{server.host}:{port}' for port in (7000, 7002)]}
     await cluster.async_order(cluster.deployment.network, order)
     story.notes.append(f'killed {name} {how}')
 
@@ -83,10 +85,15 @@
     cluster: Cluster,
     story: Story,
     callers: Callers,
-    name: str,
+    server: ServerSpec,
 ) -> None:
+    name = server.name
     began = callers.clock.now()
     cluster.signal(f'node {name}', signal.SIGTERM)
+    # The relay must not accept what the process no longer does.
+    await asyncio.sleep(RELAY_CLOSES_S)
+    order = {'refused': [f'{server.host}:7000']}
+    await cluster.async_order(cluster.deployment.network, order)
     code = await cluster.async_wait_exit(f'node {name}', DRAIN_LIMIT_S)
     ended = callers.clock.now()
     story.drained[name] = (began, ended)
@@ -110,6 +117,9 @@
         load = asyncio.ensure_future(callers.async_run(WORKERS, RATE))
         story = await play(cluster, callers)
         await load
+    lines = [json.dumps(asdict(each)) for each in callers.told]
+    (folder / 'callers.txt').write_text('\n'.join(lines))
+    (folder / 'story.txt').write_text(json.dumps(asdict(story)))
     runs = read_runs(folder)
     verdict = judge(deployment, callers, runs, story)
     report(deployment, callers, story, verdict)
@@ -150,11 +160,14 @@
             each.outcome == 'not-run' and each.request_id in ran
             for each in told
         ),
-        cut_off_by_drain=sum(
-            run.server in story.drained
-            and story.drained[run.server][0] <= run.ended_at
-            and run.ending != 'end'
-            for run in runs
+        cut_off_by_drain=count_cut_off(
+            [
+                (server.name, server.http, *story.drained[server.name])
+                for server in deployment.servers
+                if server.name in story.drained
+            ],
+            runs,
+            told,
         ),
         unavailable_key_seconds=sum(map(sum, gaps.values())),
         longest_key_gap_s=max(map(max, gaps.values()), default=0.0),
--- a/demo/callers.py
+++ b/demo/callers.py
@@ -51,6 +51,7 @@
     deployment: Deployment
     slices_by_service: dict[str, int] = field(default_factory=dict)
     owner_by_slice: dict[str, str] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
 
     def pick(self, service: str, key: str) -> tuple[str, str]:
         """Return the slice of a key and the process to contact."""
@@ -62,7 +63,12 @@
 
     def any_entry(self) -> str:
         """Return some process."""
-        return random.choice(self.deployment.servers).http
+        servers = [
+            server.http
+            for server in self.deployment.servers
+            if server.http not in self.refused
+        ]
+        return random.choice(servers)
 
     def learn(self, slice_id: str, owner: str) -> None:
         """Remember who answered."""
@@ -175,6 +181,8 @@
             async with asyncio.timeout(TIMEOUT_S):
                 reply = await fetch(self._pool, call)
         except ConnectFailedError:
+            # Like any client with several addresses: not this one again.
+            self.router.refused.add(call.address)
             told.outcome, told.reason = 'not-run', 'caller-connect'
             return
         except (ChannelClosedError, h11.ProtocolError):
--- a/demo/verdict.py
+++ b/demo/verdict.py
@@ -123,6 +123,31 @@
     return sum(each > 1 for each in count.values())
 
 
+def count_cut_off(
+    drains: list[tuple[str, str, float, float]],
+    runs: list[Run],
+    told: list[Told],
+) -> int:
+    """Count requests that a planned stop cut off, seen from both sides.
+
+    A drain is the server's name, its process's address, and both times.
+    """
+    found = 0
+    for name, http, began, ended in drains:
+        found += sum(
+            run.server == name and run.ended_at >= began and run.ending != 'end'
+            for run in runs
+        )
+        found += sum(
+            each.contacted == http
+            and each.outcome == 'unknown'
+            and began <= each.done_at
+            and each.sent_at <= ended
+            for each in told
+        )
+    return found
+
+
 def key_gaps(told: list[Told], until: float) -> dict[str, list[float]]:
     """Return the gaps of each probed key, in seconds.
 
--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -29,6 +29,7 @@
         '_writable',
         'closed',
         'h11',
+        'last_answer',
         'last_byte_at',
         'transport',
     )
@@ -42,6 +43,7 @@
         )
         self.transport: Any = None
         self.closed = False
+        self.last_answer = False
         self._broken = False
         self._clock = clock
         self.last_byte_at = clock.now()
@@ -123,6 +125,12 @@
         """
         if self.closed or self.transport.is_closing():
             raise ChannelClosedError('Connection closed by the peer.')
+        if self.last_answer and isinstance(event, h11.Response):
+            event = h11.Response(
+                status_code=event.status_code,
+                headers=[*event.headers, (b'connection', b'close')],
+                reason=event.reason,
+            )
         raw = self.h11.send(event)
         if raw:
             self.transport.write(raw)
--- a/plantaingrade/http/server.py
+++ b/plantaingrade/http/server.py
@@ -17,12 +17,14 @@
     """Listen on one address until closed."""
 
     __slots__ = (
+        '_busy',
         '_channels',
         '_clock',
         '_handler',
         '_refuse',
         '_server',
         '_tasks',
+        'leaving',
     )
 
     def __init__(self, clock: Clock, handler: Handler, refuse: Refuser) -> None:
@@ -33,12 +35,34 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._channels: set[Channel] = set()
+        self._busy = 0
+        self.leaving = False
 
     async def async_listen(self, host: str, port: int) -> None:
         """Start to accept connections."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._accept, host, port)
 
+    @property
+    def busy(self) -> int:
+        """Return how many requests are being served."""
+        return self._busy
+
+    @property
+    def connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._channels)
+
+    def end_connections(self) -> None:
+        """End each connection after its next answer; still take new ones.
+
+        Failure: a planned stop closes a connection, or a listening socket
+        with connections waiting in it, while a request is on its way. It
+        shows as a request without answer. So callers are told
+        ``Connection: close`` with an answer, and the socket closes last.
+        """
+        self.leaving = True
+
     async def async_close(self) -> None:
         """Stop accepting, and end the connections that are idle."""
         if self._server is not None:
@@ -81,9 +105,12 @@
         if not isinstance(event, h11.Request):
             return False
         channel.watch(asyncio.current_task())
+        channel.last_answer = self.leaving
+        self._busy += 1
         try:
             await self._handler(event, channel)
         finally:
+            self._busy -= 1
             channel.watch(None)
         await self._skip_body(channel)
         done = channel.h11.our_state is h11.DONE
--- a/plantaingrade/leases/const.py
+++ b/plantaingrade/leases/const.py
@@ -1,7 +1,7 @@
 """Constants of the leases."""
 
-LEASE_S = 1.0
-RENEW_EVERY_S = 0.25
+LEASE_S = 0.8
+RENEW_EVERY_S = 0.2
 DRIFT = 0.02
 WITNESS_COUNT = 3
 LAPSE_NOTICE_EVERY_S = 0.1
--- a/plantaingrade/node/runtime.py
+++ b/plantaingrade/node/runtime.py
@@ -47,6 +47,7 @@
     JOIN_RETRY_S,
     LEAVE_CHECK_S,
     LEAVE_LIMIT_S,
+    LEAVE_LINGER_S,
     SUPERVISE_EVERY_S,
     TICK_S,
     WITNESS_EVERY_S,
@@ -172,11 +173,12 @@
         the table service is down.
         """
         self._leaving = True
+        self._server.end_connections()
+        began = self._clock.now()
         self.ownership.leave()
         self.membership.spread(len(self.state.members))
         await self._try_append(StateSet(self.row.member, MemberState.DRAINING))
-        deadline = self._clock.now() + LEAVE_LIMIT_S
-        while self._clock.now() < deadline and not self._is_empty():
+        while not self._has_left(self._clock.now() - began):
             await asyncio.sleep(LEAVE_CHECK_S)
         row = self.state.members.get(self.row.member)
         if row is not None and self._is_empty():
@@ -392,6 +394,17 @@
     def _is_empty(self) -> bool:
         return not self.ownership.held() and not self.ownership.work.total()
 
+    def _has_left(self, elapsed_s: float) -> bool:
+        """Tell whether nothing holds this process back any more.
+
+        Callers use it as their entry, so it serves on for a while after its
+        slices are gone.
+        """
+        if elapsed_s > LEAVE_LIMIT_S:
+            return True
+        busy = not self._is_empty() or self._server.busy
+        return elapsed_s > LEAVE_LINGER_S and not busy
+
     def _accepts_work(self) -> bool:
         row = self.state.members.get(self.row.member)
         ready = row is not None and row.state is MemberState.READY
--- a/standins/network.py
+++ b/standins/network.py
@@ -78,11 +78,6 @@
         self._links = links
         self._target = target
 
-    @property
-    def target_host(self) -> str:
-        """Return the host this relay stands before."""
-        return self._target[0]
-
     async def async_accept(
         self,
         reader: asyncio.StreamReader,
@@ -140,7 +135,7 @@
     """Take orders for cuts, silence and refused connections."""
 
     links: Links
-    server_by_host: dict[str, list[asyncio.Server]] = field(
+    server_by_target: dict[str, list[asyncio.Server]] = field(
         default_factory=lambda: defaultdict(list),
     )
 
@@ -153,8 +148,8 @@
         self.links.silent_hosts = set(wanted.get('silent_hosts', ()))
         # Nobody listens where a process was killed, so connecting to it is
         # refused; a relay that accepted first would hide that.
-        for host in wanted.get('refused_hosts', ()):
-            for server in self.server_by_host.pop(host, ()):
+        for target in wanted.get('refused', ()):
+            for server in self.server_by_target.pop(target, ()):
                 server.close()
         send_plain(channel, OK, b'{}')
 
@@ -178,7 +173,7 @@
         else:
             tcp = TcpRelay(links, split_address(target))
             accepting = await asyncio.start_server(tcp.async_accept, host, port)
-            orders.server_by_host[tcp.target_host].append(accepting)
+            orders.server_by_target[target].append(accepting)
     server = HttpServer(
         BootClock(),
         orders.async_handle,
