--- a/demo/callers.py
+++ b/demo/callers.py
@@ -115,7 +115,7 @@
             await asyncio.sleep(self._random.expovariate(rate))
             service = self._random.choice(self._deployment.services)
             rank = int(self._random.paretovariate(1.1))
-            keyless = not service.keyed and self._random.random() < 0.5
+            keyless = not service.keyed and self._flip()
             key = '' if keyless else f'{service.name}-{rank % 5000}'
             method = self._random.choice(('GET', 'GET', 'POST', 'PUT'))
             await self.async_send(service.name, key, method)
@@ -124,7 +124,7 @@
         await asyncio.sleep(self._random.random() * PROBE_EVERY_S)
         while not self._stopped:
             began = self.clock.now()
-            method = 'POST' if self._random.random() < 0.5 else 'GET'
+            method = 'POST' if self._flip() else 'GET'
             await self.async_send(service, key, method, probe=True)
             spent = self.clock.now() - began
             await asyncio.sleep(max(0.0, PROBE_EVERY_S - spent))
@@ -183,7 +183,8 @@
         except ConnectFailedError:
             # Like any client with several addresses: not this one again.
             self.router.refused.add(call.address)
-            told.outcome, told.reason = 'not-run', 'caller-connect'
+            told.outcome = 'not-run'
+            told.reason = 'caller-connect'
             return
         except (ChannelClosedError, h11.ProtocolError):
             told.reason = 'caller-broken'
@@ -193,6 +194,9 @@
             return
         self._judge(reply, told, call.body)
 
+    def _flip(self) -> bool:
+        return bool(self._random.getrandbits(1))
+
     def _judge(self, reply: Reply, told: Told, body: bytes) -> None:
         headers = reply.headers
         told.outcome = headers.get(b'x-outcome', b'none').decode()
--- a/demo/topology.py
+++ b/demo/topology.py
@@ -60,7 +60,7 @@
         return f'127.9.{self.block}.1:9000'
 
     @property
-    def objects(self) -> str:
+    def objects(self) -> str:  # noqa: WPS110
         """Return the address of the object store."""
         return f'127.9.{self.block}.1:9001'
 
@@ -103,7 +103,8 @@
                     f'    weights: {self.weights}',
                 )
             )
-        return '\n'.join(lines) + '\n'
+        lines.append('')
+        return '\n'.join(lines)
 
 
 def lisbon() -> Deployment:
--- a/demo/verdict.py
+++ b/demo/verdict.py
@@ -154,25 +154,30 @@
     A gap lasts from the end of the last answer before a failure to the end
     of the first answer after it, so it is never shorter than the outage.
     """
-    gaps: dict[str, list[float]] = defaultdict(list)
     by_key: dict[str, list[Told]] = defaultdict(list)
     for each in sorted(told, key=lambda one: one.done_at):
         if each.probe:
             by_key[f'{each.service}/{each.key}'].append(each)
-    for key, probes in by_key.items():
-        last_good = probes[0].sent_at
-        failed = False
-        for probe in probes:
-            if probe.outcome != 'answered':
-                failed = True
-                continue
-            if failed:
-                gaps[key].append(probe.done_at - last_good)
-            failed = False
-            last_good = probe.done_at
+    return {
+        key: gaps
+        for key, probes in by_key.items()
+        if (gaps := _gaps_of(probes, until))
+    }
+
+
+def _gaps_of(probes: list[Told], until: float) -> list[float]:
+    gaps = []
+    last_good = probes[0].sent_at
+    failed = False
+    for probe in probes:
+        if probe.outcome != 'answered':
+            failed = True
+            continue
         if failed:
-            gaps[key].append(until - last_good)
-    return gaps
+            gaps.append(probe.done_at - last_good)
+        failed = False
+        last_good = probe.done_at
+    return [*gaps, until - last_good] if failed else gaps
 
 
 def imbalance(
--- a/plantaingrade/admission/queue.py
+++ b/plantaingrade/admission/queue.py
@@ -15,6 +15,9 @@
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.outcome import NotRun, NotRunReason
 
+Turn = asyncio.Future[None]
+Place = tuple[int, int, Turn]
+
 
 class NotAdmittedError(PlantaingradeError):
     """Report that a request was refused before it was run."""
@@ -37,7 +40,7 @@
         self.slots = slots
         self.in_flight = 0
         self._order = count()
-        self._queue: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._queue: list[Place] = []
 
     def __len__(self) -> int:
         """Return how many requests wait."""
--- a/plantaingrade/cli.py
+++ b/plantaingrade/cli.py
@@ -4,10 +4,10 @@
 import getpass
 import json
 import sys
-import urllib.error
-import urllib.request
 import uuid
 from typing import Any
+from urllib import error as url_error
+from urllib import request as url_request
 
 import click
 from absl import logging
@@ -48,7 +48,7 @@
 def run(**flags: Any) -> None:
     """Run the process beside one backend server."""
     # Only this command needs the data path; the others start faster without.
-    from plantaingrade.node.run import async_run  # noqa: PLC0415, WPS433
+    from plantaingrade.node.run import async_run  # noqa: WPS433
 
     try:
         settings = Settings.from_flags(**flags)
@@ -57,11 +57,11 @@
     asyncio.run(async_run(settings))
 
 
-@main.command()
+@main.command('do')
 @click.option('--at', required=True, help='Any process, ip:port.')
 @click.option('--id', 'command_id', default='', help='Id of the command.')
 @click.argument('words', nargs=-1, required=True)
-def do(at: str, command_id: str, words: tuple[str, ...]) -> None:
+def send(at: str, command_id: str, words: tuple[str, ...]) -> None:
     """Send one statement, such as: owner of 4711 in casebook."""
     headers = {
         'x-command-id': command_id or uuid.uuid4().hex,
@@ -86,7 +86,7 @@
 @click.argument('document', type=click.File('r'))
 def plan(at: str, document: Any) -> None:
     """Compare a declarations document with what is in force."""
-    from plantaingrade.operators.changes import describe_changes  # noqa: PLC0415, WPS433
+    from plantaingrade.operators.changes import describe_changes  # noqa: WPS433
 
     _, in_force = _call(at, 'statement', b'show config', {})
     try:
@@ -120,15 +120,15 @@
     body: bytes | None,
     headers: dict[str, str],
 ) -> tuple[bool, Any]:
-    request = urllib.request.Request(  # noqa: S310
+    request = url_request.Request(
         f'http://{at}/-/{path}',
         body,
         headers,
     )
     try:
-        with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_S) as reply:  # noqa: S310
+        with url_request.urlopen(request, timeout=CALL_TIMEOUT_S) as reply:
             return True, json.load(reply)
-    except urllib.error.HTTPError as error:
+    except url_error.HTTPError as error:
         return False, json.load(error)
     except OSError as error:
         raise click.ClickException(f'{at} does not answer: {error}') from error
--- a/plantaingrade/codec.py
+++ b/plantaingrade/codec.py
@@ -11,7 +11,8 @@
 from plantaingrade.errors import PlantaingradeError
 
 TAG = 't'
-_DECODE_ERRORS = (
+DECODE_ERRORS = (
+    BaseValidationError,
     ValueError,
     KeyError,
     TypeError,
@@ -27,7 +28,8 @@
 
 
 def _strict(kind: type, raw: Any, _: type) -> Any:
-    if type(raw) is kind or (kind is float and type(raw) is int):
+    exact = raw.__class__
+    if exact is kind or (kind is float and exact is int):
         return kind(raw)
     raise ValueError(f'expected {kind.__name__}')
 
@@ -67,5 +69,5 @@
         """
         try:
             return self._converter.loads(raw, self._root)
-        except (BaseValidationError, *_DECODE_ERRORS) as error:
+        except DECODE_ERRORS as error:
             raise MalformedMessageError('Message not understood.') from error
--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -21,7 +21,7 @@
 
 
 class Channel(asyncio.Protocol):
-    """Feed a transport's bytes through an h11 connection, with back-pressure."""
+    """Join a transport with an h11 connection, with back-pressure."""
 
     __slots__ = (
         '_broken',
@@ -38,9 +38,7 @@
         'transport',
     )
 
-    def __init__(
-        self, role: type[h11.CLIENT | h11.SERVER], clock: Clock
-    ) -> None:
+    def __init__(self, role: Any, clock: Clock) -> None:
         """Prepare a connection in the role of client or server."""
         self.h11 = h11.Connection(
             role, max_incomplete_event_size=MAX_HEAD_BYTES
--- a/plantaingrade/http/client.py
+++ b/plantaingrade/http/client.py
@@ -7,8 +7,6 @@
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.pool import Pool
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
-
 
 @dataclass(slots=True, frozen=True)
 class Reply:
--- a/plantaingrade/http/pool.py
+++ b/plantaingrade/http/pool.py
@@ -50,6 +50,10 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        """Close every idle connection."""
+        self.close()
+
+    def close(self) -> None:
         """Close every idle connection."""
         for address in list(self._idle_by_address):
             self.forget(address)
--- a/plantaingrade/http/server.py
+++ b/plantaingrade/http/server.py
@@ -10,7 +10,7 @@
 from plantaingrade.http.channel import Channel, ChannelClosedError
 from plantaingrade.http.const import CALLER_IDLE_S
 
-Handler = Callable[[h11.Request, Channel], Awaitable[None]]
+RequestServer = Callable[[h11.Request, Channel], Awaitable[None]]
 Refuser = Callable[[Channel, h11.RemoteProtocolError], None]
 
 
@@ -21,17 +21,19 @@
         '_busy',
         '_channels',
         '_clock',
-        '_handler',
+        '_serve_request',
         '_refuse',
         '_server',
         '_tasks',
         'leaving',
     )
 
-    def __init__(self, clock: Clock, handler: Handler, refuse: Refuser) -> None:
-        """Prepare a server whose requests go to ``handler``."""
+    def __init__(
+        self, clock: Clock, serve: RequestServer, refuse: Refuser
+    ) -> None:
+        """Prepare a server whose requests go to ``serve``."""
         self._clock = clock
-        self._handler = handler
+        self._serve_request = serve
         self._refuse = refuse
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -114,7 +116,7 @@
         channel.last_answer = self.leaving
         self._busy += 1
         try:
-            await self._handler(event, channel)
+            await self._serve_request(event, channel)
         finally:
             self._busy -= 1
             channel.watch(None)
--- a/plantaingrade/journal/coordinator.py
+++ b/plantaingrade/journal/coordinator.py
@@ -11,6 +11,7 @@
 from plantaingrade.codec import Codec
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.journal.const import (
+    POLL_SPREAD,
     PULL_LIMIT,
     RETRY_BASE_S,
     SNAPSHOT_EVERY,
@@ -58,10 +59,10 @@
         '_available',
         '_listeners',
         '_lock',
-        '_objects',
         '_outcomes_by_write',
         '_recent',
         '_snapshot_generation',
+        '_store',
         '_table',
         'state',
     )
@@ -69,13 +70,13 @@
     def __init__(
         self,
         table: TableClient,
-        objects: ObjectClient,
+        store: ObjectClient,
         author: str,
     ) -> None:
         """Start from an empty map."""
         self.state = MapState()
         self._table = table
-        self._objects = objects
+        self._store = store
         self._author = author
         self._available = True
         self._lock = asyncio.Lock()
@@ -96,7 +97,7 @@
         """
         pointer = await self._table.async_get(PARTITION_SNAPSHOT, 0)
         if pointer is not None and int(pointer.body) > self.state.generation:
-            raw = await self._objects.async_get(f'map/{pointer.body}')
+            raw = await self._store.async_get(f'map/{pointer.body}')
             if raw is not None:
                 self.replace(STATE_CODEC.decode(raw))
         await self.async_catch_up()
@@ -117,7 +118,7 @@
     async def async_follow(self) -> None:
         """Look into the table now and then, in case gossip misses a record."""
         while True:
-            await asyncio.sleep(TABLE_POLL_S * random.uniform(0.5, 1.5))
+            await asyncio.sleep(TABLE_POLL_S * random.uniform(*POLL_SPREAD))
             try:
                 await self.async_catch_up()
             except PlatformUnavailableError:
@@ -178,7 +179,7 @@
         if generation < self._snapshot_generation + SNAPSHOT_EVERY:
             return
         raw = STATE_CODEC.encode(self.state)
-        await self._objects.async_put(f'map/{generation}', raw)
+        await self._store.async_put(f'map/{generation}', raw)
         row = Row(PARTITION_SNAPSHOT, 0, str(generation), generation)
         if pointer is None:
             await self._table.async_put_new(row)
--- a/plantaingrade/journal/rules.py
+++ b/plantaingrade/journal/rules.py
@@ -25,7 +25,6 @@
     MapState,
     MemberRow,
     MemberState,
-    Merged,
     Moving,
     OwnerWished,
     Proof,
@@ -49,6 +48,7 @@
 )
 
 APPLIED = Applied()
+STALE = Rejected(RejectReason.STALE)
 
 
 def apply_record(state: MapState, record: Record) -> list[ChangeOutcome]:
@@ -62,11 +62,10 @@
     for change in record.changes:
         outcome = apply_change(state, change)
         outcomes.append(outcome)
-        match change, outcome:
-            case Commanded(), Rejected():
-                rest = len(record.changes) - len(outcomes)
-                outcomes.extend([outcome] * rest)
-                break
+        if isinstance(change, Commanded) and isinstance(outcome, Rejected):
+            rest = record.changes[len(outcomes) :]
+            outcomes.extend(outcome for _ in rest)
+            break
     forget_ended(state)
     return outcomes
 
@@ -129,26 +128,31 @@
     if row is None or row.state is MemberState.OVER:
         return Rejected(RejectReason.UNKNOWN_MEMBER)
     match change:
-        case StateSet(state=new_state, expected=expected):
-            if expected not in {None, row.state}:
-                return Rejected(RejectReason.STALE)
-            if row.state is MemberState.RETIRED:
-                return Rejected(RejectReason.NOT_ELIGIBLE)
-            row.state = new_state
+        case StateSet():
+            return _set_state(row, change)
         case Witnessed(witnesses=witnesses, epoch=epoch):
             if epoch != row.epoch + 1:
-                return Rejected(RejectReason.STALE)
+                return STALE
             row.witnesses = witnesses
             row.epoch = epoch
         case Ended(proof=proof, epoch=epoch):
             # Failure: testimony of former witnesses arrives late and ends a
             # member that renews at others by now. It counts for its epoch.
             if proof is Proof.TESTIMONY and epoch != row.epoch:
-                return Rejected(RejectReason.STALE)
+                return STALE
             _end(state, row, proof)
     return APPLIED
 
 
+def _set_state(row: MemberRow, change: StateSet) -> ChangeOutcome:
+    if change.expected not in {None, row.state}:
+        return STALE
+    if row.state is MemberState.RETIRED:
+        return Rejected(RejectReason.NOT_ELIGIBLE)
+    row.state = change.state
+    return APPLIED
+
+
 def _end(state: MapState, row: MemberRow, proof: Proof) -> None:
     row.state = MemberState.OVER
     row.proof = proof
@@ -180,7 +184,7 @@
 
 def _declare(state: MapState, change: Declared) -> ChangeOutcome:
     if change.based_on != state.declaration_generation:
-        return Rejected(RejectReason.STALE)
+        return STALE
     for service in change.services:
         known = state.services.get(service.name)
         # The number of ranges is fixed once keys have owners: another number
@@ -253,7 +257,7 @@
     index = slice_index(change.key, service.slices)
     parent = state.slices[range_slice_id(change.service, index)]
     if parent.owner is None or parent.moving is not None:
-        return Rejected(RejectReason.STALE)
+        return STALE
     if _hot_count(state, change.service) >= MAX_HOT_KEYS_PER_SERVICE:
         return Rejected(RejectReason.HOT_LIST_FULL)
     state.slices[slice_id] = SliceRow(
@@ -293,9 +297,7 @@
             return _start_move(state, part, command_id)
         case Took():
             return _take(state, part, change)
-        case Merged():
-            return _merge(state, part)
-    raise AssertionError(change)
+    return _merge(state, part)
 
 
 def _assign(state: MapState, part: SliceRow, member: str) -> ChangeOutcome:
@@ -333,7 +335,7 @@
     member: str,
 ) -> ChangeOutcome:
     if part.successor is None or part.next_successor is not None:
-        return Rejected(RejectReason.STALE)
+        return STALE
     if member in {part.owner, part.successor}:
         return Rejected(RejectReason.NOT_ELIGIBLE)
     if not is_eligible(state, member) or part.moving is not None:
@@ -372,7 +374,7 @@
     if part.moving is not None:
         return Rejected(RejectReason.CONFLICT, part.moving)
     if part.next_successor is not None:
-        return Rejected(RejectReason.STALE)
+        return STALE
     if not is_eligible(state, part.successor) or is_over(state, part.owner):
         return Rejected(RejectReason.NOT_ELIGIBLE)
     part.moving = command_id
@@ -383,7 +385,7 @@
     if part.successor != change.member:
         return Rejected(RejectReason.NOT_SUCCESSOR)
     if part.successor_fence != change.fence:
-        return Rejected(RejectReason.STALE)
+        return STALE
     part.owner = change.member
     part.fence = change.fence
     _set_successor(state, part, None)
--- a/plantaingrade/leases/coordinator.py
+++ b/plantaingrade/leases/coordinator.py
@@ -117,10 +117,13 @@
             case EpochCheck(successor=self._row.member):
                 self._judge_by(message)
             case EpochAck(member=self._row.member):
-                if message.epoch == self.holder.epochs[-1]:
-                    self._epoch_acks.add(message.successor)
+                self._count_agreement(message)
         return None
 
+    def _count_agreement(self, ack: EpochAck) -> None:
+        if ack.epoch == self.holder.epochs[-1]:
+            self._epoch_acks.add(ack.successor)
+
     def on_new_epoch(self, epoch: int, witnesses: tuple[str, ...]) -> None:
         """Renew at new witnesses as well, until the successors know them."""
         self._epoch_acks.clear()
@@ -256,8 +259,9 @@
     chosen = list(kept)
     zones = {state.members[witness].zone for witness in kept} | {row.zone}
     while others and len(chosen) < WITNESS_COUNT:
-        others.sort(key=lambda other: other.zone in zones)
-        pick = others.pop(0)
+        elsewhere = [other for other in others if other.zone not in zones]
+        pick = (elsewhere or others)[0]
+        others.remove(pick)
         zones.add(pick.zone)
         chosen.append(pick.member)
     if len(chosen) % 2 == 0:
--- a/plantaingrade/membership/const.py
+++ b/plantaingrade/membership/const.py
@@ -6,3 +6,4 @@
 PULL_TIMEOUT_S = 2.0
 MAX_DATAGRAM_BYTES = 1400
 PULL_PATH = '/plantaingrade.Journal/Pull'
+BEAT_SPREAD = (0.8, 1.2)
--- a/plantaingrade/membership/coordinator.py
+++ b/plantaingrade/membership/coordinator.py
@@ -14,6 +14,7 @@
 from plantaingrade.membership.const import (
     BEAT_EVERY_S,
     BEAT_FANOUT,
+    BEAT_SPREAD,
     NEWS_FANOUT,
 )
 from plantaingrade.membership.datagrams import DatagramEndpoint
@@ -57,7 +58,7 @@
         """Gossip until cancelled."""
         while True:
             self.spread(BEAT_FANOUT)
-            await asyncio.sleep(BEAT_EVERY_S * random.uniform(0.8, 1.2))
+            await asyncio.sleep(BEAT_EVERY_S * random.uniform(*BEAT_SPREAD))
 
     def on_record(self, record: Record, _: list[ChangeOutcome]) -> None:
         """Pass news on at once."""
--- a/plantaingrade/membership/rpc.py
+++ b/plantaingrade/membership/rpc.py
@@ -22,6 +22,7 @@
 
 REQUEST_CODEC = Codec(PullRequest)
 REPLY_CODEC = Codec(PullReply, Change)
+NO_ANSWER = (OSError, TimeoutError, GRPCError, StreamTerminatedError)
 CODEC_BY_TYPE = {PullRequest: REQUEST_CODEC, PullReply: REPLY_CODEC}
 
 
@@ -52,7 +53,7 @@
         """Serve one journal."""
         self._journal = journal
 
-    def __mapping__(self) -> dict[str, Handler]:  # noqa: PLW3201
+    def __mapping__(self) -> dict[str, Handler]:
         """Return the methods that grpclib serves."""
         return {
             PULL_PATH: Handler(
@@ -91,7 +92,7 @@
     try:
         async with asyncio.timeout(PULL_TIMEOUT_S):
             return await method(PullRequest(after))
-    except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
+    except NO_ANSWER as error:
         raise PullFailedError('Peer did not answer a pull.') from error
     except MalformedMessageError as error:
         raise PullFailedError('Peer answered nonsense.') from error
--- a/plantaingrade/node/control.py
+++ b/plantaingrade/node/control.py
@@ -26,6 +26,7 @@
     MAX_DECLARATION_BYTES,
 )
 from plantaingrade.operators.coordinator import OperatorCoordinator
+from plantaingrade.operators.declarations import DeclarationError
 from plantaingrade.operators.entity import (
     Accepted,
     AlreadyDone,
@@ -110,7 +111,7 @@
 
     async def _statement(self, request: h11.Request, caller: Channel) -> None:
         # The parser is loaded only where an operator uses it.
-        from plantaingrade.operators.grammar import parse_statement  # noqa: PLC0415, WPS433, I001
+        from plantaingrade.operators import grammar  # noqa: WPS433
 
         raw = await read_body(caller)
         if len(raw) > MAX_COMMAND_BYTES:
@@ -118,7 +119,7 @@
             return
         text = raw.decode(errors='replace')
         try:
-            statement = parse_statement(text)
+            statement = grammar.parse_statement(text)
         except StatementError as error:
             _send_error(caller, STATUS_BAD_REQUEST, str(error))
             return
@@ -141,8 +142,6 @@
         _send_outcome(caller, outcome)
 
     async def _declaration(self, request: h11.Request, caller: Channel) -> None:
-        from plantaingrade.operators.declarations import DeclarationError  # noqa: PLC0415, WPS433, I001
-
         raw = await read_body(caller)
         if len(raw) > MAX_DECLARATION_BYTES:
             _send_error(caller, STATUS_TOO_LARGE, 'document too long')
--- /dev/null
+++ b/plantaingrade/node/loops.py
@@ -0,0 +1,136 @@
+"""The loops that keep one incarnation going."""
+
+import asyncio
+import os
+from collections.abc import Coroutine
+from typing import Any
+
+from absl import logging
+
+from plantaingrade.backends.entity import BackendState
+from plantaingrade.journal.coordinator import JournalUnavailableError
+from plantaingrade.journal.entity import (
+    Change,
+    ChangeOutcome,
+    MemberState,
+    StateSet,
+    Witnessed,
+)
+from plantaingrade.leases.const import RENEW_EVERY_S
+from plantaingrade.node.const import SUPERVISE_EVERY_S, TICK_S, WITNESS_EVERY_S
+from plantaingrade.node.parts import Parts
+
+SERVING = frozenset((BackendState.READY, BackendState.OVERLOADED))
+GONE = frozenset((BackendState.DOWN, BackendState.DRAINING))
+
+
+class Loops:
+    """Run the systems of one incarnation until cancelled."""
+
+    __slots__ = ('_parts', '_tasks', 'lost')
+
+    def __init__(self, parts: Parts) -> None:
+        """Start nothing yet."""
+        self._parts = parts
+        self._tasks: list[asyncio.Task[Any]] = []
+        self.lost = asyncio.Event()
+
+    def start_leases(self) -> None:
+        """Run what must run before this member is announced."""
+        self._start(self._tick_forever())
+
+    def start_rest(self) -> None:
+        """Run what an announced member does."""
+        parts = self._parts
+        self._start(self._supervise_forever())
+        self._start(self._witness_forever())
+        self._start(parts.backend.async_run())
+        self._start(parts.membership.async_run())
+        self._start(parts.journal.async_follow())
+        self._start(parts.decider.async_compete())
+        self._start(parts.decider.async_decide())
+        if parts.row.checks_fence:
+            self._start(self._extend_forever())
+
+    async def async_stop(self) -> None:
+        """Cancel every loop."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def async_try_append(self, *changes: Change) -> ChangeOutcome | None:
+        """Append a record; return its first outcome, or nothing."""
+        try:
+            outcomes = await self._parts.journal.async_append(*changes)
+        except JournalUnavailableError:
+            return None
+        return outcomes[0]
+
+    async def _tick_forever(self) -> None:
+        parts = self._parts
+        while True:
+            parts.leases.tick()
+            parts.ownership.tick()
+            for owner in parts.ownership.outdated_proofs():
+                parts.leases.prove_again(owner)
+            await asyncio.sleep(TICK_S)
+
+    async def _supervise_forever(self) -> None:
+        while True:
+            await asyncio.sleep(SUPERVISE_EVERY_S)
+            if self._parts.is_lost():
+                member = self._parts.row.member
+                logging.warning('Lease of %s is lost for good', member)
+                self.lost.set()
+                return
+            changes = self._parts.ownership.pending_changes()
+            if changes:
+                await self.async_try_append(*changes)
+            await self._follow_backend()
+
+    async def _follow_backend(self) -> None:
+        row = self._parts.own_row()
+        if row is None or self._parts.leaving:
+            return
+        if self._parts.backend.state in SERVING:
+            self._parts.ownership.stay()
+            if row.state is MemberState.STARTING:
+                await self._set_state(MemberState.READY, row.state)
+        elif self._parts.backend.state in GONE:
+            self._parts.ownership.leave()
+            if row.state is MemberState.READY:
+                await self._set_state(MemberState.STARTING, row.state)
+
+    async def _set_state(self, new: MemberState, old: MemberState) -> None:
+        change = StateSet(self._parts.row.member, new, old)
+        await self.async_try_append(change)
+
+    async def _witness_forever(self) -> None:
+        while True:
+            await asyncio.sleep(WITNESS_EVERY_S)
+            wanted = self._parts.leases.better_witnesses()
+            row = self._parts.own_row()
+            if wanted is not None and row is not None:
+                change = Witnessed(row.member, wanted, row.epoch + 1)
+                await self.async_try_append(change)
+
+    async def _extend_forever(self) -> None:
+        parts = self._parts
+        while True:
+            await asyncio.sleep(RENEW_EVERY_S)
+            if parts.ownership.work.total():
+                await parts.backend.async_extend(parts.leases.until())
+
+    def _start(self, loop: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(loop)
+        task.add_done_callback(_report_crash)
+        self._tasks.append(task)
+
+
+def _report_crash(task: asyncio.Task[Any]) -> None:
+    # Failure: a loop dies and the process lives on half: it serves while its
+    # lease or its view of the map no longer moves. The whole process ends
+    # instead; its lease runs out, and its successors take over.
+    if not task.cancelled() and task.exception() is not None:
+        logging.error('A loop failed', exc_info=task.exception())
+        os._exit(1)  # noqa: SLF001
--- /dev/null
+++ b/plantaingrade/node/parts.py
@@ -0,0 +1,220 @@
+"""The parts of one incarnation, built and joined."""
+
+import os
+from dataclasses import dataclass
+from typing import Any
+
+from plantaingrade.admission.queue import AdmissionQueue
+from plantaingrade.backends.coordinator import BackendCoordinator
+from plantaingrade.backends.dialects import DIALECT_BY_NAME
+from plantaingrade.backends.entity import BackendState
+from plantaingrade.clock import Clock
+from plantaingrade.http.pool import Pool, split_address
+from plantaingrade.journal.coordinator import JournalCoordinator
+from plantaingrade.journal.entity import (
+    ChangeOutcome,
+    MapState,
+    MemberRow,
+    MemberState,
+    Record,
+    Witnessed,
+)
+from plantaingrade.leases.coordinator import LeaseCoordinator
+from plantaingrade.membership.coordinator import MembershipCoordinator
+from plantaingrade.membership.datagrams import DatagramEndpoint
+from plantaingrade.membership.entity import Beat
+from plantaingrade.metrics import Metrics
+from plantaingrade.node.const import INCARNATION_BYTES
+from plantaingrade.node.settings import Settings
+from plantaingrade.ownership.coordinator import OwnershipCoordinator
+from plantaingrade.ownership.entity import Release
+from plantaingrade.placement.coordinator import DeciderCoordinator
+from plantaingrade.platform.objects import ObjectClient
+from plantaingrade.platform.table import TableClient
+from plantaingrade.routing.coordinator import RoutingCoordinator
+from plantaingrade.routing.targets import TargetChooser
+
+
+@dataclass(slots=True)
+class Platform:
+    """What this process uses of the platform."""
+
+    table: TableClient
+    journal: JournalCoordinator
+    pool: Pool
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        member: str,
+        clock: Clock,
+    ) -> 'Platform':
+        """Connect nothing yet; know the addresses."""
+        host, _ = split_address(settings.http)
+        pool = Pool(clock, host)
+        table = TableClient(pool, settings.table, settings.table_name)
+        store = ObjectClient(pool, settings.objects, settings.bucket)
+        return cls(table, JournalCoordinator(table, store, member), pool)
+
+
+def make_row(settings: Settings) -> MemberRow:
+    """Return the row of a new incarnation."""
+    nonce = os.urandom(INCARNATION_BYTES).hex()
+    return MemberRow(
+        member=f'{settings.server}#{nonce}',
+        server=settings.server,
+        service=settings.service,
+        zone=settings.zone,
+        http=settings.advertise_http or settings.http,
+        udp=settings.advertise_udp or settings.udp,
+        rpc=settings.advertise_rpc or settings.rpc,
+        slots=settings.slots,
+        checks_fence=settings.checks_fence,
+    )
+
+
+class Parts:
+    """The coordinators of one incarnation, listening to one another."""
+
+    __slots__ = (
+        'admission',
+        'backend',
+        'clock',
+        'decider',
+        'endpoint',
+        'joined',
+        'leases',
+        'leaving',
+        'membership',
+        'metrics',
+        'ownership',
+        'platform',
+        'router',
+        'row',
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        row: MemberRow,
+        platform: Platform,
+        clock: Clock,
+    ) -> None:
+        """Build every part; the row names its witnesses by now."""
+        self.row = row
+        self.clock = clock
+        self.platform = platform
+        self.joined = False
+        self.leaving = False
+        self.metrics = Metrics()
+        self.endpoint = DatagramEndpoint(self._on_datagram)
+        self.admission = AdmissionQueue(row.slots)
+        self.backend = BackendCoordinator(
+            platform.pool,
+            settings.backend,
+            DIALECT_BY_NAME[settings.dialect],
+        )
+        self._build_control()
+        self._build_data_path()
+
+    @property
+    def journal(self) -> JournalCoordinator:
+        """Return the journal."""
+        return self.platform.journal
+
+    def state(self) -> MapState:
+        """Return the map as this process knows it."""
+        return self.platform.journal.state
+
+    def own_row(self) -> MemberRow | None:
+        """Return this member's row as the journal has it."""
+        return self.state().members.get(self.row.member)
+
+    def accepts_work(self) -> bool:
+        """Tell whether work without a key may come here."""
+        row = self.own_row()
+        ready = row is not None and row.state is MemberState.READY
+        serving = self.backend.state is not BackendState.DOWN
+        return ready and serving and not self.leaving
+
+    def is_lost(self) -> bool:
+        """Tell whether this incarnation can never hold a lease again."""
+        row = self.own_row()
+        over = row is None or row.state is MemberState.OVER
+        return over or self.leases.holder.is_lost()
+
+    def is_empty(self) -> bool:
+        """Tell whether nothing is owned and nothing is in flight."""
+        return not self.ownership.held() and not self.ownership.work.total()
+
+    def _build_control(self) -> None:
+        clock, send = self.clock, self.endpoint.send
+        self.leases = LeaseCoordinator(self.row, self.state, clock, send)
+        self.ownership = OwnershipCoordinator(
+            self.row,
+            self.state,
+            clock,
+            send,
+            self.leases.until,
+        )
+        self.journal.listen(self._on_record)
+        self.membership = MembershipCoordinator(
+            self.journal,
+            self.endpoint,
+            self.row,
+            lambda: self.leaving,
+        )
+        self.decider = DeciderCoordinator(
+            self.platform.table,
+            self.journal,
+            self.row.member,
+            clock,
+            lambda: self.joined and not self.leaving,
+        )
+
+    def _build_data_path(self) -> None:
+        targets = TargetChooser(
+            self.row,
+            self.state,
+            self.ownership,
+            self.clock,
+            self.accepts_work,
+            self.membership.draining,
+        )
+        self.router = RoutingCoordinator(
+            self.row,
+            self.state,
+            self.ownership,
+            self.backend,
+            targets,
+            self.admission,
+            self.platform.pool,
+            self.metrics,
+            self.clock,
+        )
+
+    def _on_datagram(self, message: Any) -> None:
+        match message:
+            case Beat():
+                self.membership.on_beat(message)
+            case Release():
+                self.ownership.on_release(message)
+            case _:
+                proven = self.leases.on_message(message)
+                if proven is not None:
+                    self.ownership.on_proven(proven, message.epoch)
+
+    def _on_record(self, record: Record, outcomes: list[ChangeOutcome]) -> None:
+        self.ownership.on_record(record, outcomes)
+        self.leases.forget_ended()
+        for change in record.changes:
+            mine = isinstance(change, Witnessed)
+            if mine and change.member == self.row.member:
+                self._follow_witnesses(change)
+
+    def _follow_witnesses(self, change: Witnessed) -> None:
+        if change.epoch > self.leases.holder.epochs[-1]:
+            self.row.witnesses = change.witnesses
+            self.row.epoch = change.epoch
+            self.leases.on_new_epoch(change.epoch, change.witnesses)
--- a/plantaingrade/node/settings.py
+++ b/plantaingrade/node/settings.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 import re
-from dataclasses import dataclass, fields
+from dataclasses import asdict, dataclass, fields
 
 from plantaingrade.backends.dialects import DIALECT_BY_NAME
 from plantaingrade.errors import PlantaingradeError
@@ -42,7 +42,7 @@
     rpc: str
     backend: str
     table: str
-    objects: str
+    objects: str  # noqa: WPS110
     slots: int
     dialect: str
     checks_fence: bool
@@ -70,21 +70,22 @@
 
     def mistakes(self) -> list[str]:
         """Return what is wrong with the settings."""
+        text_by_name = asdict(self)
         found = [
-            f'{name}: {getattr(self, name)!r} is not an IP address and port'
-            for name in ADDRESSES
-            if not is_address(getattr(self, name))
+            f'{name}: {text!r} is not an IP address and port'
+            for name, text in text_by_name.items()
+            if name in ADDRESSES and not is_address(text)
         ]
         found.extend(
-            f'{name}: {getattr(self, name)!r} is not an IP address and port'
-            for name in OPTIONAL_ADDRESSES
-            if getattr(self, name) and not is_address(getattr(self, name))
+            f'{name}: {text!r} is not an IP address and port'
+            for name, text in text_by_name.items()
+            if name in OPTIONAL_ADDRESSES and text and not is_address(text)
         )
         found.extend(
-            f'{name}: {getattr(self, name)!r} may hold only letters, digits,'
-            ' dots, dashes and underscores'
-            for name in NAMES
-            if NAME.fullmatch(getattr(self, name)) is None
+            f'{name}: {text!r} may hold only letters, digits, dots, dashes and'
+            ' underscores'
+            for name, text in text_by_name.items()
+            if name in NAMES and NAME.fullmatch(text) is None
         )
         if not 1 <= self.slots <= MAX_SLOTS:
             found.append(
--- a/plantaingrade/operators/coordinator.py
+++ b/plantaingrade/operators/coordinator.py
@@ -148,9 +148,12 @@
         generation = self._journal.state.generation
         for outcome in outcomes:
             match outcome:
-                case Rejected(reason=RejectReason.DUPLICATE, winner=winner):
-                    if winner == command_id:
-                        return AlreadyDone(command_id, generation)
+                case Rejected(RejectReason.DUPLICATE, winner) if (
+                    winner == command_id
+                ):
+                    return AlreadyDone(command_id, generation)
+                case Rejected(reason=RejectReason.DUPLICATE):
+                    continue
                 case Rejected(reason=RejectReason.CONFLICT, winner=winner):
                     return Lost(command_id, winner)
                 case Rejected(reason=reason):
--- a/plantaingrade/operators/declarations.py
+++ b/plantaingrade/operators/declarations.py
@@ -165,7 +165,7 @@
         if node is None:
             return default
         number = _load(node)
-        if type(number) is not int or not low <= number <= high:
+        if not _is_whole(number) or not low <= number <= high:
             self._blame(node, f'must be a whole number, {low} to {high}')
             return default
         return number
@@ -174,7 +174,8 @@
         if node is None:
             return default
         number = _load(node)
-        if type(number) not in {int, float} or number < 0:
+        whole_or_float = _is_whole(number) or isinstance(number, float)
+        if not whole_or_float or number < 0:
             self._blame(node, 'must be a number, 0 or more')
             return default
         return float(number)
@@ -188,7 +189,7 @@
 
     def _flag(self, node: yaml.Node | None) -> bool:
         flag = True if node is None else _load(node)
-        if type(flag) is not bool:
+        if not isinstance(flag, bool):
             self._blame(node, 'must be true or false')
             return True
         return flag
@@ -207,5 +208,9 @@
         self.mistakes.append(Mistake(line, text))
 
 
+def _is_whole(number: Any) -> bool:
+    return isinstance(number, int) and not isinstance(number, bool)
+
+
 def _load(node: yaml.Node) -> Any:
     return yaml.safe_load(yaml.serialize(node))
--- a/plantaingrade/placement/coordinator.py
+++ b/plantaingrade/placement/coordinator.py
@@ -17,6 +17,7 @@
     DECIDER_LOOK_S,
     DECIDER_RENEW_S,
     DECIDER_ROW,
+    LOOK_SPREAD,
     PLAN_EVERY_S,
 )
 from plantaingrade.placement.policy import plan
@@ -85,7 +86,7 @@
                 self._held_until = EARLIEST
             held = self.is_decider()
             pause = DECIDER_RENEW_S if held else DECIDER_LOOK_S
-            await asyncio.sleep(pause * random.uniform(0.8, 1.2))
+            await asyncio.sleep(pause * random.uniform(*LOOK_SPREAD))
 
     async def async_decide(self) -> None:
         """Plan and append while holding the lease."""
--- a/plantaingrade/placement/policy.py
+++ b/plantaingrade/placement/policy.py
@@ -151,17 +151,27 @@
 
 def _drive_moves(view: ServiceView) -> Iterator[Change]:
     for part in view.slices:
-        if part.moving is not None or part.owner is None:
-            continue
-        if part.next_successor is not None or is_over(view.state, part.owner):
-            continue
-        if not is_eligible(view.state, part.successor):
+        if not _can_move(view, part):
             continue
         if part.wanted_owner == part.successor:
             yield Moving(part.slice_id, part.wanted_by)
-        elif part.wanted_owner is None:
-            if not is_eligible(view.state, part.owner):
-                yield Moving(part.slice_id, DRAIN_ID)
+        elif _must_leave(view, part):
+            yield Moving(part.slice_id, DRAIN_ID)
+
+
+def _can_move(view: ServiceView, part: SliceRow) -> bool:
+    """Tell whether owner and successor can hand the slice over now."""
+    if part.moving is not None or part.next_successor is not None:
+        return False
+    if part.owner is None or is_over(view.state, part.owner):
+        return False
+    return is_eligible(view.state, part.successor)
+
+
+def _must_leave(view: ServiceView, part: SliceRow) -> bool:
+    """Tell whether the slice has to leave a draining owner."""
+    unwanted = part.wanted_owner is None
+    return unwanted and not is_eligible(view.state, part.owner)
 
 
 def _balance(view: ServiceView) -> Iterator[Change]:
--- a/plantaingrade/routing/coordinator.py
+++ b/plantaingrade/routing/coordinator.py
@@ -13,7 +13,7 @@
 from plantaingrade.backends.dialects import judge
 from plantaingrade.backends.entity import FenceRefused, Ran, Shed
 from plantaingrade.clock import Clock
-from plantaingrade.http.channel import Channel, ChannelClosedError
+from plantaingrade.http.channel import Channel
 from plantaingrade.http.const import (
     HEADER_DEADLINE,
     HEADER_FENCE,
@@ -49,14 +49,12 @@
 from plantaingrade.routing.body import RequestBody
 from plantaingrade.routing.const import SILENT_AFTER_S
 from plantaingrade.routing.entity import (
-    GiveUp,
     Head,
     Headers,
     LocalTarget,
     PeerTarget,
     RetryAfter,
     RouteRequest,
-    Target,
 )
 from plantaingrade.routing.parse import parse_request
 from plantaingrade.routing.relay import discard, relay
@@ -65,6 +63,14 @@
 from plantaingrade.routing.targets import TargetChooser, Tries
 
 MS_PER_S = 1000
+# A redirect is no load on the server: it was refused by its process.
+FREE_OF_BUDGET = frozenset(
+    (
+        NotRunReason.NOT_OWNER,
+        NotRunReason.MOVING,
+        NotRunReason.LEASE_LAPSED,
+    )
+)
 
 
 class RoutingCoordinator:
@@ -142,14 +148,7 @@
             return outcome
 
     def _may_spend(self, outcome: NotRun | Unknown) -> bool:
-        match outcome.reason:
-            case (
-                NotRunReason.NOT_OWNER
-                | NotRunReason.MOVING
-                | NotRunReason.LEASE_LAPSED
-            ):
-                return True
-        return self._budget.try_spend()
+        return outcome.reason in FREE_OF_BUDGET or self._budget.try_spend()
 
     async def _try_in_time(
         self,
--- a/plantaingrade/routing/respond.py
+++ b/plantaingrade/routing/respond.py
@@ -69,10 +69,9 @@
     if status >= STATUS_UNAVAILABLE - 1:
         after = str(outcome.retry_after_s).encode()
         headers.append((HEADER_RETRY_AFTER, after))
-    match outcome:
-        case NotRun(owner_hint=hint) if hint:
-            headers.append((HEADER_OWNER, hint.encode()))
-            status = STATUS_MISDIRECTED if to_peer else status
+    if isinstance(outcome, NotRun) and outcome.owner_hint:
+        headers.append((HEADER_OWNER, outcome.owner_hint.encode()))
+        status = STATUS_MISDIRECTED if to_peer else status
     body = json.dumps(
         {
             'outcome': outcome_name(outcome),
--- a/plantaingrade/routing/retry.py
+++ b/plantaingrade/routing/retry.py
@@ -44,17 +44,20 @@
     tries.count += 1
     if tries.count >= MAX_TRIES or not body.is_replayable:
         return GiveUp()
-    match outcome:
-        case Unknown():
-            again = request.is_idempotent and not request.hop
-            return _in_time(0, left_s) if again else GiveUp()
-        case NotRun(reason=reason):
-            if reason in FINAL_FOR_KEY and (request.key or request.hop):
-                return GiveUp()
-            if request.hop and reason is NotRunReason.NOT_OWNER:
-                return GiveUp()
-            pause_s = PAUSE_S if _waits(reason, tries) else 0
-            return _in_time(pause_s, left_s)
+    if isinstance(outcome, Unknown):
+        again = request.is_idempotent and not request.hop
+        return _in_time(0, left_s) if again else GiveUp()
+    if _is_final(request, outcome.reason):
+        return GiveUp()
+    pause_s = PAUSE_S if _waits(outcome.reason, tries) else 0
+    return _in_time(pause_s, left_s)
+
+
+def _is_final(request: RouteRequest, reason: NotRunReason) -> bool:
+    """Tell whether another try can change nothing."""
+    if reason in FINAL_FOR_KEY and (request.key or request.hop):
+        return True
+    return bool(request.hop) and reason is NotRunReason.NOT_OWNER
 
 
 def _waits(reason: NotRunReason, tries: Tries) -> bool:
--- a/plantaingrade/routing/targets.py
+++ b/plantaingrade/routing/targets.py
@@ -32,6 +32,12 @@
     hint: str = ''
     avoided: set[str] = field(default_factory=set)
 
+    def take_hint(self) -> str:
+        """Return the hint of the last try, once."""
+        hint = self.hint
+        self.hint = ''
+        return hint
+
 
 class TargetChooser:
     """Know owners, suspects and the load of peers."""
@@ -109,20 +115,21 @@
         if request.hop:
             hint = '' if owner is None else owner.http
             return NotRun(NotRunReason.NOT_OWNER, owner_hint=hint)
-        if tries.hint and tries.hint != self._row.http:
+        hint = tries.take_hint()
+        if hint and hint != self._row.http:
             # A hint is good for one try; the owner itself decides.
-            hint, tries.hint = tries.hint, ''
             return PeerTarget('', hint)
-        successor = members.get(ownership.successor or '')
-        avoided = ownership.owner in tries.avoided
-        if successor is not None and (avoided or self._suspected(owner)):
-            if successor.member == self._row.member:
-                return NotRun(NotRunReason.NO_OWNER)
-            if successor.member not in tries.avoided:
-                return PeerTarget(successor.member, successor.http)
-        if owner is None or self._suspected(owner):
-            return NotRun(NotRunReason.NO_OWNER)
-        return PeerTarget(owner.member, owner.http)
+        candidates = [owner, members.get(ownership.successor or '')]
+        if self._suspected(owner):
+            # One broken connection is no proof: the owner is tried last.
+            candidates.reverse()
+        for row in candidates:
+            if row is not None and self._may_ask(row, tries):
+                return PeerTarget(row.member, row.http)
+        return NotRun(NotRunReason.NO_OWNER)
+
+    def _may_ask(self, row: MemberRow, tries: Tries) -> bool:
+        return row.member not in tries.avoided | {self._row.member}
 
     def _choose_any(
         self,
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -86,7 +86,7 @@
     def __init__(self, path: str) -> None:
         """Open the file for appending."""
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-        self._file = os.open(path, flags, 0o644)
+        self._fd = os.open(path, flags, 0o644)
 
     def write(self, event: str, work: Work, at: float, server: str) -> None:
         """Append one event; the kernel keeps it even if this process dies."""
@@ -102,7 +102,7 @@
                 'server': server,
             }
         )
-        os.write(self._file, f'{line}\n'.encode())
+        os.write(self._fd, f'{line}\n'.encode())
 
 
 @dataclass(slots=True)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -135,13 +135,13 @@
     return fields['pk']['S'], int(fields['sk']['N'])
 
 
-async def async_serve(table: str, objects: str) -> None:
+async def async_serve(table: str, store: str) -> None:
     """Serve both until cancelled."""
     clock = BootClock()
     servers = []
     for address, standin in (
         (table, TableStandIn()),
-        (objects, ObjectStandIn()),
+        (store, ObjectStandIn()),
     ):
         server = HttpServer(clock, standin.async_handle, refuse_malformed)
         await server.async_listen(*split_address(address))
@@ -151,10 +151,10 @@
 
 @click.command()
 @click.option('--table', required=True)
-@click.option('--objects', required=True)
-def main(table: str, objects: str) -> None:
+@click.option('--objects', 'store', required=True)
+def main(table: str, store: str) -> None:
     """Run the table service and the object store."""
-    asyncio.run(async_serve(table, objects))
+    asyncio.run(async_serve(table, store))
 
 
 if __name__ == '__main__':
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -128,7 +128,8 @@
     def resume(self) -> None:
         """Go on after a pause, with what has queued up meanwhile."""
         self.paused = False
-        queued, self.inbox = self.inbox, []
+        queued = self.inbox
+        self.inbox = []
         for message in queued:
             self.receive(message)
 
@@ -161,11 +162,12 @@
 
     def _follow(self, change: Change) -> None:
         newest = self.leases.holder.epochs[-1]
-        match change:
-            case Witnessed(member=self.name, epoch=epoch) if epoch > newest:
-                self.row.witnesses = change.witnesses
-                self.row.epoch = epoch
-                self.leases.on_new_epoch(epoch, change.witnesses)
+        if not isinstance(change, Witnessed) or change.member != self.name:
+            return
+        if change.epoch > newest:
+            self.row.witnesses = change.witnesses
+            self.row.epoch = change.epoch
+            self.leases.on_new_epoch(change.epoch, change.witnesses)
 
 
 @dataclass
@@ -258,7 +260,8 @@
 
     def deliver(self) -> None:
         """Deliver every letter, unless the network loses it."""
-        letters, self.network = self.network, []
+        letters = self.network
+        self.network = []
         by_address = {member.row.udp: member for member in self.members}
         for letter in letters:
             pair = frozenset((letter.sender, letter.address))
--- a/tests/http/test_edge.py
+++ b/tests/http/test_edge.py
@@ -130,8 +130,8 @@
     run(story)
 
 
-async def _serve(handler: object, clock: FakeClock) -> HttpServer:
-    server = HttpServer(clock, handler, refuse_malformed)
+async def _serve(respond: object, clock: FakeClock) -> HttpServer:
+    server = HttpServer(clock, respond, refuse_malformed)
     await server.async_listen('127.0.0.1', 0)
     return server
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -43,14 +43,14 @@
         self.requests: list[h11.Request] = []
         self.bodies: list[bytes] = []
         self.cancelled = asyncio.Event()
-        self.server = HttpServer(BootClock(), self._handle, refuse_malformed)
+        self.server = HttpServer(BootClock(), self._serve, refuse_malformed)
 
     async def async_start(self) -> str:
         """Listen on a free port; return the address."""
         await self.server.async_listen(HOST, 0)
         return listening_at(self.server)
 
-    async def _handle(self, request: h11.Request, channel: Channel) -> None:
+    async def _serve(self, request: h11.Request, channel: Channel) -> None:
         self.requests.append(request)
         try:
             body = await read_body(channel)
@@ -98,7 +98,7 @@
     def refuse_connections(self) -> None:
         """Point the router at a port where nobody listens."""
         self._build('127.0.0.1:1')
-        self.server._handler = self.router.async_handle  # noqa: SLF001
+        self.server._serve_request = self.router.async_handle  # noqa: SLF001
 
     def check_nothing(self) -> None:
         """Declare the server as one that does not check fences."""
