Void proofs that were made under replaced witnesses

Cause: the state machine found two owners after some hundred examples: a poll opened under a holder's former witnesses went on after the holder had replaced them, waiting only for those who were its successors then; named successor later, the poller believed the former witnesses, who saw no renewals. Release logic moved to its own module. Ruled out: refusing notices of former witnesses (an isolated owner that replaced its witnesses was then never suspected: three tests went red).

--- a/plantaingrade/journal/entity.py
+++ b/plantaingrade/journal/entity.py
@@ -42,7 +42,11 @@
 
 @dataclass(slots=True)
 class MemberRow:
-    """One incarnation of a process beside a backend server."""
+    """One incarnation of a process beside a backend server.
+
+    ``epoch`` counts the changes of its witnesses; ``epoch_at`` is the
+    generation of the last one.
+    """
 
     member: str
     server: str
@@ -55,6 +59,7 @@
     checks_fence: bool
     witnesses: tuple[str, ...] = ()
     epoch: int = 1
+    epoch_at: int = 0
     state: MemberState = MemberState.STARTING
     proof: Proof | None = None
 
--- a/plantaingrade/journal/rules.py
+++ b/plantaingrade/journal/rules.py
@@ -116,7 +116,8 @@
         return Rejected(RejectReason.SERVER_IN_USE)
     for other in earlier:
         _end(state, other, Proof.RESTART)
-    state.members[row.member] = replace(row)
+    joined = replace(row, epoch_at=state.generation)
+    state.members[row.member] = joined
     return APPLIED
 
 
@@ -135,6 +136,7 @@
                 return STALE
             row.witnesses = witnesses
             row.epoch = epoch
+            row.epoch_at = state.generation
         case Ended(proof=proof, epoch=epoch):
             # Failure: testimony of former witnesses arrives late and ends a
             # member that renews at others by now. It counts for its epoch.
--- a/plantaingrade/leases/const.py
+++ b/plantaingrade/leases/const.py
@@ -12,3 +12,5 @@
 EPOCH_SETTLE_S = 1.5
 ORPHAN_AFTER_S = 3.0
 EARLIEST = float('-inf')
+"""How long former witnesses tell of a lease that lapsed, in seconds."""
+FORMER_NOTICE_FOR_S = 3.0
--- a/plantaingrade/leases/polls.py
+++ b/plantaingrade/leases/polls.py
@@ -79,6 +79,17 @@
         poll.proven_at = now
         return True
 
+    def outdate(self, member: str, epoch: int) -> None:
+        """Drop what is not proven yet about an older epoch.
+
+        Failure: a poll goes on under witnesses that a member has left. They
+        see no renewals any more and testify to the end of a lease that is
+        renewed elsewhere. It shows as two owners.
+        """
+        poll = self._poll_by_member.get(member)
+        if poll is not None and poll.proven_at is None and poll.epoch < epoch:
+            self._poll_by_member.pop(member)
+
     def accept_epoch(self, member: str, epoch: int) -> bool:
         """Tell whether a holder may be judged by a new epoch alone.
 
--- a/plantaingrade/node/loops.py
+++ b/plantaingrade/node/loops.py
@@ -93,11 +93,11 @@
         if row is None or self._parts.leaving:
             return
         if self._parts.backend.state in SERVING:
-            self._parts.ownership.stay()
+            self._parts.ownership.handover.stay()
             if row.state is MemberState.STARTING:
                 await self._set_state(MemberState.READY, row.state)
         elif self._parts.backend.state in GONE:
-            self._parts.ownership.leave()
+            self._parts.ownership.handover.leave()
             if row.state is MemberState.READY:
                 await self._set_state(MemberState.STARTING, row.state)
 
--- a/plantaingrade/node/runtime.py
+++ b/plantaingrade/node/runtime.py
@@ -111,7 +111,7 @@
         began = self._clock.now()
         self.parts.leaving = True
         self._server.end_connections()
-        self.parts.ownership.leave()
+        self.parts.ownership.handover.leave()
         self.parts.membership.spread(len(self.state.members))
         draining = StateSet(self._row.member, MemberState.DRAINING)
         await self._loops.async_try_append(draining)
--- a/plantaingrade/routing/targets.py
+++ b/plantaingrade/routing/targets.py
@@ -79,7 +79,7 @@
         ownership = self._ownership.find(request.service, request.key)
         match ownership:
             case Owned(slice_id=slice_id):
-                if self._ownership.is_handing_over(slice_id):
+                if self._ownership.handover.is_under_way(slice_id):
                     return NotRun(NotRunReason.MOVING)
                 return LocalTarget(ownership)
             case OwnedElsewhere():
--- a/tests/leases/test_polls.py
+++ b/tests/leases/test_polls.py
@@ -80,3 +80,15 @@
     assert polls.asks(0.0, 'me')
     assert not polls.asks(10.0, 'me')
     assert not polls.members()
+
+
+def test_open_poll_ends_with_its_epoch() -> None:
+    """The owner has other witnesses now; the former see no renewals.
+
+    A poll that went on would prove the end of a lease that is renewed.
+    """
+    polls = _open()
+    polls.on_testimony(_testify('w1#1'), 1.0)
+    polls.outdate('owner#1', 3)
+    assert not polls.on_testimony(_testify('w2#1'), 1.0)
+    assert polls.proven_epoch('owner#1') is None
