Measure the path, the leases and the map; plan in logarithmic steps

Cause: the capacity of the design was unknown. The first run of the capacity benchmark did not end: choosing an owner or successor looked at every server for every slice.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test bench capacity binary format lint clean
+.PHONY: demo test guards bench capacity binary format lint clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -15,9 +15,24 @@
 test: lint
 	$(BIN)/python -m pytest -q
 
+guards: $(VENV)/.installed
+	$(BIN)/python -m tests.guards
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench.path
+	$(BIN)/python -m bench.leases
+	$(BIN)/python -m bench.failover
+
+capacity: $(VENV)/.installed
+	$(BIN)/python -m bench.capacity
+	$(BIN)/python -m bench.leases
+
+binary: $(VENV)/.installed
+	$(BIN)/python -m tools.binary
+
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 plantaingrade standins demo tests bench
+	$(BIN)/flake8 plantaingrade standins demo tests bench tools
 
 format: $(VENV)/.installed
 	$(BIN)/ruff format .
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; they measure and judge nothing."""
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -32,8 +32,14 @@
 class Cluster:
     """Processes of one deployment, by name."""
 
-    def __init__(self, deployment: Deployment, folder: Path) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        folder: Path,
+        work_ms: float = 4.0,
+    ) -> None:
         """Keep logs and the servers' records in a folder."""
+        self._work_ms = work_ms
         self.deployment = deployment
         self.folder = folder
         self._process_by_name: dict[str, subprocess.Popen[bytes]] = {}
@@ -72,6 +78,7 @@
             f'--slots={server.slots}',
             f'--dialect={server.dialect}',
             f'--{fence}-fence',
+            f'--work-ms={self._work_ms}',
             f'--log={self.folder / server.name}.jsonl',
         )
 
--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -11,6 +11,7 @@
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.http.const import MAX_HEAD_BYTES, MAX_UNREAD_BYTES
 
+MAX_UNSENT_CHUNKS = 4
 NO_LINGER = struct.pack('ii', 1, 0)
 
 
@@ -29,6 +30,7 @@
         '_clock',
         '_paused',
         '_unread',
+        '_unsent',
         '_wakeup',
         '_writable',
         'closed',
@@ -50,6 +52,7 @@
         self._clock = clock
         self.last_byte_at = clock.now()
         self._unread = 0
+        self._unsent: list[bytes] = []
         self._paused = False
         self._wakeup: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
@@ -112,6 +115,7 @@
                 return event
             if self.closed:
                 raise ChannelClosedError('Connection closed by the peer.')
+            self.flush()
             self._unread = 0
             if self._paused:
                 self._paused = False
@@ -135,10 +139,24 @@
             )
         raw = self.h11.send(event)
         if raw:
-            self.transport.write(raw)
+            self._unsent.append(raw)
+        if isinstance(event, h11.EndOfMessage | h11.InformationalResponse):
+            self.flush()
+
+    def flush(self) -> None:
+        """Hand what was sent to the transport, in one write.
+
+        A head, a short body and the end of a message thus cost one system
+        call instead of three.
+        """
+        if self._unsent and not self.transport.is_closing():
+            self.transport.write(b''.join(self._unsent))
+        self._unsent.clear()
 
     async def drain(self) -> None:
         """Wait until a slow reader has caught up."""
+        if len(self._unsent) > MAX_UNSENT_CHUNKS:
+            self.flush()
         if self._writable is not None:
             await self._writable
 
@@ -148,9 +166,10 @@
 
     def close(self) -> None:
         """Close after what is written has gone out."""
-        self.closed = True
         if self.transport is not None:
+            self.flush()
             self.transport.close()
+        self.closed = True
 
     def abort(self) -> None:
         """Break the connection off, so that no half answer looks whole.
--- a/plantaingrade/placement/coordinator.py
+++ b/plantaingrade/placement/coordinator.py
@@ -51,6 +51,7 @@
         '_member',
         '_seen',
         '_seen_at',
+        '_settled_at',
         '_table',
     )
 
@@ -71,6 +72,7 @@
         self._held_until = EARLIEST
         self._seen: Row | None = None
         self._seen_at = EARLIEST
+        self._settled_at = 0
 
     @property
     def holder(self) -> str:
@@ -97,10 +99,17 @@
             await asyncio.sleep(PLAN_EVERY_S)
             if not self.is_decider() or not self._may_decide():
                 continue
+            # Nothing to do stays so until the journal moves on; planning
+            # costs in proportion to the number of slices.
+            generation = self._journal.state.generation
+            if generation == self._settled_at:
+                continue
             changes = plan(self._journal.state)
             try:
                 if changes:
                     await self._journal.async_append(*changes)
+                else:
+                    self._settled_at = generation
                 await self._journal.async_snapshot()
             except (JournalUnavailableError, PlatformUnavailableError):
                 await asyncio.sleep(1)
--- a/plantaingrade/placement/policy.py
+++ b/plantaingrade/placement/policy.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, replace
+from itertools import islice
 
 from plantaingrade.journal.entity import (
     Assigned,
@@ -28,6 +29,7 @@
     MAX_MOVES_IN_PROGRESS,
     MOVE_THRESHOLD,
 )
+from plantaingrade.placement.loads import LoadHeaps
 
 
 @dataclass(slots=True)
@@ -39,6 +41,8 @@
     eligible: list[MemberRow]
     owned_by_member: Counter[str] = field(default_factory=Counter)
     backing_by_member: Counter[str] = field(default_factory=Counter)
+    by_share: LoadHeaps = field(init=False)
+    by_burden: LoadHeaps = field(init=False)
 
     @classmethod
     def from_state(cls, state: MapState, service: str) -> 'ServiceView':
@@ -55,16 +59,20 @@
         for part in slices:
             view.owned_by_member[part.wanted_owner or part.owner or ''] += 1
             view.backing_by_member[part.successor or ''] += 1
+        view.by_share = LoadHeaps(eligible, view.share)
+        view.by_burden = LoadHeaps(eligible, view.burden)
         return view
 
-    def least_owner(self) -> MemberRow:
-        """Return the server with the fewest slices per slot."""
-        return min(self.eligible, key=self.share)
-
     def share(self, row: MemberRow) -> float:
         """Return a server's slices per slot."""
         return self.owned_by_member[row.member] / row.slots
 
+    def burden(self, row: MemberRow) -> float:
+        """Return a server's slices per slot after all its takeovers."""
+        member = row.member
+        owned = self.owned_by_member[member]
+        return (owned + self.backing_by_member[member]) / row.slots
+
     def best_successor(self, part: SliceRow) -> MemberRow | None:
         """Return the server that should take over if the owner is lost.
 
@@ -73,39 +81,23 @@
         """
         owner = self.state.members.get(part.owner or '')
         zone = owner.zone if owner else ''
-        candidates = [
-            row
-            for row in self.eligible
-            if row.member not in {part.owner, part.successor}
-        ]
-        if not candidates:
-            return None
-        return min(
-            candidates,
-            key=lambda row: (
-                row.zone == zone,
-                (
-                    self.owned_by_member[row.member]
-                    + self.backing_by_member[row.member]
-                )
-                / row.slots,
-            ),
-        )
+        return self.by_burden.least((part.owner, part.successor), zone)
 
 
 def plan(state: MapState) -> list[Change]:
     """Return the next changes, at most one record full."""
-    changes: list[Change] = []
+    return list(islice(_gaps(state), MAX_CHANGES_PER_RECORD))
+
+
+def _gaps(state: MapState) -> Iterator[Change]:
     for service in state.services:
         view = ServiceView.from_state(state, service)
-        if not view.eligible:
-            continue
-        changes.extend(_assign_unowned(view))
-        changes.extend(_name_successors(view))
-        changes.extend(_replace_successors(view))
-        changes.extend(_drive_moves(view))
-        changes.extend(_balance(view))
-    return changes[:MAX_CHANGES_PER_RECORD]
+        if view.eligible:
+            yield from _assign_unowned(view)
+            yield from _name_successors(view)
+            yield from _replace_successors(view)
+            yield from _drive_moves(view)
+            yield from _balance(view)
 
 
 def name_own_successors(
@@ -137,7 +129,7 @@
 def _assign_unowned(view: ServiceView) -> Iterator[Change]:
     for part in view.slices:
         if part.owner is None:
-            target = view.least_owner()
+            target = view.by_share.least()
             view.owned_by_member[target.member] += 1
             yield Assigned(part.slice_id, target.member)
 
@@ -207,7 +199,7 @@
         for part in view.slices
     )
     for _ in range(MAX_MOVES_IN_PROGRESS - busy):
-        low = view.least_owner()
+        low = view.by_share.least()
         high = max(view.eligible, key=view.share)
         surplus = view.owned_by_member[high.member] * low.slots / high.slots
         if surplus - view.owned_by_member[low.member] < MOVE_THRESHOLD:
--- a/plantaingrade/routing/coordinator.py
+++ b/plantaingrade/routing/coordinator.py
@@ -22,7 +22,6 @@
     HEADER_LEASE_UNTIL,
     HEADER_OUTCOME,
     HEADER_OWNER,
-    HEADER_REASON,
     HEADER_REQUEST_ID,
     HEADER_SLICE,
     HEADER_TIMEOUT_MS,
@@ -342,7 +341,6 @@
         headers = [
             (HEADER_OUTCOME, b'answered'),
             (HEADER_OWNER, self._row.http.encode()),
-            (HEADER_REASON, b'-'),
         ]
         if owned is not None:
             generation = self._state().generation
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the developers."""
