Write proofs down without a lease, and let witnesses tell on

The successor of one loss had lost its own lease and waited for the end of the other, which only it had proven but, holding no lease, did not write down; the witnesses had told nobody since their promise.

--- a/plantaingrade/leases/witness.py
+++ b/plantaingrade/leases/witness.py
@@ -62,8 +62,11 @@
         grant = self._grant_by_lease.get(lease)
         over = lease in self._ended or grant is None or grant.ends_at <= now
         if over:
+            # Failure: the one who asked is lost before it writes the end
+            # down, and nobody else ever hears of it. The witness goes on
+            # telling until the journal shows the end.
             self._ended.add(lease)
-            self._grant_by_lease.pop(lease, None)
+            self._grant_by_lease.setdefault(lease, Grant(now))
         return Testimony(ask.member, ask.epoch, self.member, over)
 
     def lapsed(self, now: float) -> list[Lapsed]:
--- a/plantaingrade/ownership/coordinator.py
+++ b/plantaingrade/ownership/coordinator.py
@@ -159,6 +159,9 @@
         row = self._state().members.get(owner)
         if row is not None:
             self._plan_takeover(row, self._grace(row), Proof.TESTIMONY, epoch)
+            # A proof is one whoever holds it: without a lease of its own
+            # this member takes nothing, but others wait for the end.
+            self._to_append[Ended(owner, Proof.TESTIMONY, epoch)] = None
 
     def outdated_proofs(self) -> list[str]:
         """Return owners whose takeover is done but whose epoch has changed.
@@ -291,8 +294,6 @@
         ]
         for part in parts:
             self._note_take(part)
-        ended = Ended(takeover.owner, Proof.TESTIMONY, takeover.epoch)
-        self._to_append[ended] = None
         if parts:
             logging.info('Took %d slices of %s', len(parts), takeover.owner)
 
--- a/tests/leases/test_holder.py
+++ b/tests/leases/test_holder.py
@@ -93,3 +93,14 @@
     witness.on_renew(renew, 0.0)
     assert witness.lapsed(2.0)
     assert isinstance(witness.on_renew(renew, 2.0), RenewAck)
+
+
+def test_witness_tells_on_after_its_promise() -> None:
+    """The successor that asked is lost before it wrote the end down.
+
+    The next successor hears of the lapse from the same witness.
+    """
+    witness = WitnessTable('w1')
+    witness.on_renew(Renew('owner', 1, 'w1', 0.0, ''), 0.0)
+    assert witness.on_ask(Ask('owner', 1, 'w1', ''), 5.0).over
+    assert witness.lapsed(5.5)
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -389,3 +389,23 @@
     cluster.table_up = False
     heir.dead = True
     cluster.until(lambda: _moved_from(cluster, heir), SERVED_AGAIN_S)
+
+
+def test_member_without_lease_still_writes_a_proof_down(
+    cluster: FakeCluster,
+) -> None:
+    """Two losses at once block each other: each waits for the other's end.
+
+    A member that lost the majority of its own witnesses has proven the end
+    of another. It may take nothing, but the proof must reach the journal.
+    (Found by the replay: slices unserved for 13 s.)
+    """
+    owner = _owner(cluster)
+    successor = cluster.named(owner.state.slices[SLICE].successor)
+    owner.dead = True
+    cluster.isolate(successor)
+    successor.clock.true_now += LEASE_S
+    assert not successor.leases.is_held()
+    successor.ownership.on_proven(owner.name, owner.row.epoch)
+    assert successor.ownership.pending_changes()
+    assert SLICE not in successor.ownership.table.taken
