Freeze and cut real processes in the demo; stop waiting for the ended

Cause: the demo proved kills, a drain and an outage, but neither freezes nor cuts; and a request forwarded to a process that froze waited until its deadline although its key was served elsewhere.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -28,6 +28,7 @@
 RATE = 6.0
 DRAIN_LIMIT_S = 20.0
 RELAY_CLOSES_S = 1.7
+FAULT_S = 3.5
 
 
 @dataclass(slots=True)
@@ -42,7 +43,7 @@
 
 
 async def play(cluster: Cluster, callers: Callers) -> Story:
-    """Kill one server, drain another, kill a third while the table is down."""
+    """Kill, drain, freeze and cut off a server each; kill one in an outage."""
     story = Story()
     now = callers.clock.now
     servers = cluster.deployment.servers
@@ -54,6 +55,10 @@
     await asyncio.sleep(6)
     await _drain(cluster, story, callers, servers[1])
     await asyncio.sleep(3)
+    await _freeze(cluster, story, servers[3])
+    await asyncio.sleep(4)
+    await _cut(cluster, story, servers[4])
+    await asyncio.sleep(4)
     await cluster.async_order(cluster.deployment.table, {'down': True})
     await asyncio.sleep(2)
     await _kill(cluster, story, servers[2], now(), 'while the table is down')
@@ -81,6 +86,24 @@
     story.notes.append(f'killed {name} {how}')
 
 
+async def _freeze(cluster: Cluster, story: Story, server: ServerSpec) -> None:
+    names = (f'node {server.name}', f'backend {server.name}')
+    for name in names:
+        cluster.signal(name, signal.SIGSTOP)
+    await asyncio.sleep(FAULT_S)
+    for name in names:
+        cluster.signal(name, signal.SIGCONT)
+    story.notes.append(f'froze {server.name} for {FAULT_S} s')
+
+
+async def _cut(cluster: Cluster, story: Story, server: ServerSpec) -> None:
+    network = cluster.deployment.network
+    await cluster.async_order(network, {'cut_hosts': [server.host]})
+    await asyncio.sleep(FAULT_S)
+    await cluster.async_order(network, {})
+    story.notes.append(f'cut {server.name} off for {FAULT_S} s')
+
+
 async def _drain(
     cluster: Cluster,
     story: Story,
--- a/demo/callers.py
+++ b/demo/callers.py
@@ -18,7 +18,10 @@
 from standins.backend import digest
 
 CALLER_HOST = '127.3.0.1'
-TIMEOUT_S = 2.5
+TIMEOUT_MS = 2000
+"""What a caller waits beyond the time it asked for."""
+PATIENCE_MS = 100
+ASIDE_S = 3.0
 OK = 200
 
 
@@ -49,9 +52,11 @@
     """A caller's copy of the routes, corrected by every answer."""
 
     deployment: Deployment
+    clock: BootClock
     slices_by_service: dict[str, int] = field(default_factory=dict)
     owner_by_slice: dict[str, str] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
+    silent_until: dict[str, float] = field(default_factory=dict)
 
     def pick(self, service: str, key: str) -> tuple[str, str]:
         """Return the slice of a key and the process to contact."""
@@ -67,6 +72,7 @@
             server.http
             for server in self.deployment.servers
             if server.http not in self.refused
+            and self.silent_until.get(server.http, 0.0) < self.clock.now()
         ]
         return random.choice(servers)
 
@@ -86,7 +92,7 @@
     def __init__(self, deployment: Deployment, seed: int) -> None:
         """Prepare callers of one deployment."""
         self.clock = BootClock()
-        self.router = Router(deployment)
+        self.router = Router(deployment, self.clock)
         self.router.slices_by_service = {
             each.name: each.slices for each in deployment.services
         }
@@ -141,6 +147,7 @@
         slice_id, contacted = self.router.pick(service, key)
         request_id = uuid.uuid4().hex
         body = b'' if method == 'GET' else request_id.encode() * 8
+        limit_ms = PROBE_TIMEOUT_MS if probe else TIMEOUT_MS
         kind = 'availability' if method == 'GET' else 'default'
         call = Call(
             method,
@@ -150,7 +157,7 @@
                 ('x-request-id', request_id),
                 ('x-tenant', random.choice(self._deployment.tenants)),
                 ('x-request-class', kind),
-                ('x-request-timeout-ms', '2000'),
+                ('x-request-timeout-ms', str(limit_ms)),
             ),
             body,
         )
@@ -167,7 +174,7 @@
             contacted=contacted,
             probe=probe,
         )
-        await self._exchange(call, told)
+        await self._exchange(call, told, limit_ms + PATIENCE_MS)
         told.done_at = self.clock.now()
         self.told.append(told)
         if told.outcome == 'answered':
@@ -176,9 +183,9 @@
             self.router.forget(slice_id)
         return told
 
-    async def _exchange(self, call: Call, told: Told) -> None:
+    async def _exchange(self, call: Call, told: Told, limit_ms: int) -> None:
         try:
-            async with asyncio.timeout(TIMEOUT_S):
+            async with asyncio.timeout(limit_ms / 1000):
                 reply = await fetch(self._pool, call)
         except ConnectFailedError:
             # Like any client with several addresses: not this one again.
@@ -190,6 +197,9 @@
             told.reason = 'caller-broken'
             return
         except TimeoutError:
+            # Nor one that keeps silent, for a while.
+            until = self.clock.now() + ASIDE_S
+            self.router.silent_until[call.address] = until
             told.reason = 'caller-timeout'
             return
         self._judge(reply, told, call.body)
@@ -217,6 +227,7 @@
 
 
 PROBE_EVERY_S = 0.2
+PROBE_TIMEOUT_MS = 400
 
 
 def probe_key(service: str, index: int, count: int) -> str:
--- a/plantaingrade/journal/coordinator.py
+++ b/plantaingrade/journal/coordinator.py
@@ -97,23 +97,32 @@
         """
         pointer = await self._table.async_get(PARTITION_SNAPSHOT, 0)
         if pointer is not None and int(pointer.body) > self.state.generation:
-            raw = await self._store.async_get(f'map/{pointer.body}')
-            if raw is not None:
-                self.replace(STATE_CODEC.decode(raw))
+            await self._load_snapshot(pointer.body)
         await self.async_catch_up()
 
+    async def _load_snapshot(self, name: str) -> None:
+        """Start from a snapshot; without the object store, from record 1."""
+        try:
+            raw = await self._store.async_get(f'map/{name}')
+        except PlatformUnavailableError:
+            logging.warning('Object store is unavailable; reading all records')
+            return
+        if raw is not None:
+            self.replace(STATE_CODEC.decode(raw))
+
     async def async_catch_up(self) -> None:
         """Apply the records that the table holds beyond this copy.
 
         Raises:
             PlatformUnavailableError: the table service does not answer.
         """
-        rows = await self._table.async_query(
-            PARTITION_JOURNAL,
-            self.state.generation,
-        )
-        self._note_available(available=True)
-        self.on_records([RECORD_CODEC.decode(row.body) for row in rows])
+        while True:
+            known = self.state.generation
+            rows = await self._table.async_query(PARTITION_JOURNAL, known)
+            self._note_available(available=True)
+            self.on_records([RECORD_CODEC.decode(row.body) for row in rows])
+            if self.state.generation == known:
+                return
 
     async def async_follow(self) -> None:
         """Look into the table now and then, in case gossip misses a record."""
--- a/plantaingrade/node/parts.py
+++ b/plantaingrade/node/parts.py
@@ -193,6 +193,7 @@
             self.metrics,
             self.clock,
         )
+        self.journal.listen(self.router.waits.on_record)
 
     def _on_datagram(self, message: Any) -> None:
         match message:
--- a/plantaingrade/routing/coordinator.py
+++ b/plantaingrade/routing/coordinator.py
@@ -60,6 +60,7 @@
 from plantaingrade.routing.respond import send_outcome
 from plantaingrade.routing.retry import next_step
 from plantaingrade.routing.targets import TargetChooser, Tries
+from plantaingrade.routing.waits import WaitTable
 
 MS_PER_S = 1000
 # A redirect is no load on the server: it was refused by its process.
@@ -86,6 +87,7 @@
         '_row',
         '_state',
         'targets',
+        'waits',
     )
 
     def __init__(
@@ -111,6 +113,7 @@
         self._clock = clock
         self._budget = RetryBudget()
         self.targets = targets
+        self.waits = WaitTable()
 
     async def async_handle(self, raw: h11.Request, caller: Channel) -> None:
         """Serve one request."""
@@ -377,8 +380,9 @@
         )
         self.targets.begin(target.member)
         try:
-            async with asyncio.timeout(left_s):
-                head = await self._attempt(upstream, request, body)
+            async with asyncio.timeout(left_s) as limit:
+                with self.waits.waiting(target.member, limit):
+                    head = await self._attempt(upstream, request, body)
                 if not isinstance(head, Head):
                     self._note_failure(target, head, tries)
                     return head
@@ -389,6 +393,7 @@
                 self._note_failure(target, failure, tries)
                 return failure
         except TimeoutError:
+            tries.avoided.add(target.member)
             return Unknown(UnknownReason.TIMEOUT)
         finally:
             self.targets.end(target.member)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -88,8 +88,19 @@
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         self._fd = os.open(path, flags, 0o644)
 
-    def write(self, event: str, work: Work, at: float, server: str) -> None:
-        """Append one event; the kernel keeps it even if this process dies."""
+    def write(
+        self,
+        event: str,
+        work: Work,
+        at: float,
+        server: str,
+        limit: float = FOREVER,
+    ) -> None:
+        """Append one event; the kernel keeps it even if this process dies.
+
+        Work that was stopped did nothing after its limit, however late a
+        frozen server noticed.
+        """
         line = json.dumps(
             {
                 'event': event,
@@ -98,7 +109,7 @@
                 'key': work.key,
                 'slice': work.slice_id,
                 'fence': work.fence,
-                'at': at,
+                'at': min(at, limit),
                 'server': server,
             }
         )
@@ -167,7 +178,8 @@
                 await asyncio.sleep(min(CHECK_EVERY_S, ends_at - now))
                 now = self.clock.now()
                 if now > work.deadline or self._is_stale(work):
-                    self.log.write('stopped', work, now, name)
+                    limit = self._limit(work)
+                    self.log.write('stopped', work, now, name, limit)
                     return False
         except asyncio.CancelledError:
             self.log.write('cancelled', work, self.clock.now(), name)
@@ -175,6 +187,12 @@
         self.log.write('end', work, now, name)
         return True
 
+    def _limit(self, work: Work) -> float:
+        if self.settings.checks_fence and work.slice_id:
+            lease = max(work.lease_until, self.granted_until)
+            return min(work.deadline, lease)
+        return work.deadline
+
     def _is_stale(self, work: Work) -> bool:
         if not self.settings.checks_fence or not work.slice_id:
             return False
