Let owners name their own successors, and end lost successors soon

Slices whose successor had been lost had none when their owner was killed: 5.43 s unserved. A lost member that owned nothing was only ended after 3.8 s.

--- a/plantaingrade/leases/coordinator.py
+++ b/plantaingrade/leases/coordinator.py
@@ -22,6 +22,7 @@
     LEASE_S,
     ORPHAN_AFTER_S,
     RENEW_EVERY_S,
+    WITNESS_ASKS_AFTER_S,
     WITNESS_COUNT,
 )
 from plantaingrade.leases.entity import (
@@ -263,8 +264,9 @@
         }
         for successor in successors:
             self._send_to_member(notice, successor)
-        # A member that owns nothing has no successor to end it.
-        if now - since > ORPHAN_AFTER_S:
+        # A member that owns nothing has no successor to end it, but it may
+        # be a successor itself.
+        if now - since > WITNESS_ASKS_AFTER_S:
             self._suspect(notice.member, now)
 
     def _suspect(self, member: str, now: float) -> None:
--- a/plantaingrade/node/parts.py
+++ b/plantaingrade/node/parts.py
@@ -170,9 +170,14 @@
             self.journal,
             self.row.member,
             clock,
-            lambda: self.joined and not self.leaving,
+            self._may_decide,
         )
 
+    def _may_decide(self) -> bool:
+        # Who is cut off still reaches the table service, but hears nothing
+        # of its peers; somebody else decides better.
+        return self.joined and not self.leaving and self.leases.is_held()
+
     def _build_data_path(self) -> None:
         targets = TargetChooser(
             self.row,
--- a/plantaingrade/node/runtime.py
+++ b/plantaingrade/node/runtime.py
@@ -96,6 +96,7 @@
 
     async def async_unload(self) -> None:
         """Cancel the loops and close the sockets."""
+        await self.parts.decider.async_resign()
         await self._loops.async_stop()
         await self._server.async_close()
         self._rpc.close()
--- a/plantaingrade/ownership/coordinator.py
+++ b/plantaingrade/ownership/coordinator.py
@@ -67,6 +67,7 @@
         '_state',
         '_takeover_by_owner',
         '_to_append',
+        '_without_successor',
         'handover',
         'last_takeover',
         'table',
@@ -90,6 +91,7 @@
         self._lease_until = lease_until
         self._takeover_by_owner: dict[str, Takeover] = {}
         self._to_append: dict[Change, None] = {}
+        self._without_successor: list[str] = []
         self.table = OwnershipTable(row.member)
         self.work = WorkTable()
         self.handover = HandoverSystem(
@@ -149,6 +151,7 @@
         self._schedule_ended(state)
         self._answer_wishes(state)
         self._take_late(state)
+        self._find_without_successor(state)
         self.handover.plan()
 
     def on_proven(self, owner: str, epoch: int) -> None:
@@ -235,9 +238,23 @@
             for change in self._to_append
             if isinstance(change, Took)
         ]
-        named = name_own_successors(state, self._row.member, taken)
+        named = name_own_successors(
+            state,
+            self._row.member,
+            (*taken, *self._without_successor),
+        )
         return (*self._to_append, *named)
 
+    def _find_without_successor(self, state: MapState) -> None:
+        # Failure: a successor is lost while nobody decides, and then the
+        # owner; the slice is unserved until a decider is there. So owners
+        # name new successors themselves; the decider only helps.
+        self._without_successor = [
+            part.slice_id
+            for part in state.slices.values()
+            if part.owner == self._row.member and part.successor is None
+        ]
+
     def _may_take(self) -> bool:
         return self._lease_until() > self._clock.now()
 
--- a/plantaingrade/placement/const.py
+++ b/plantaingrade/placement/const.py
@@ -1,9 +1,9 @@
 """Constants of the placement."""
 
 DECIDER_ROW = 0
-DECIDER_LEASE_S = 4.0
-DECIDER_RENEW_S = 1.0
-DECIDER_LOOK_S = 1.0
+DECIDER_LEASE_S = 2.5
+DECIDER_RENEW_S = 0.8
+DECIDER_LOOK_S = 0.8
 DECIDER_LOOK_SELDOM_S = 10.0
 """So many members look often; the others leave the table service alone."""
 DECIDER_CANDIDATES = 6
--- a/plantaingrade/placement/coordinator.py
+++ b/plantaingrade/placement/coordinator.py
@@ -86,6 +86,8 @@
     async def async_compete(self) -> None:
         """Renew the lease, or take it when its holder stops renewing."""
         while True:
+            if self.is_decider() and not self._may_decide():
+                await self.async_resign()
             try:
                 await self._look()
             except (PlatformUnavailableError, PlatformOutcomeUnknownError):
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -409,3 +409,21 @@
     successor.ownership.on_proven(owner.name, owner.row.epoch)
     assert successor.ownership.pending_changes()
     assert SLICE not in successor.ownership.table.taken
+
+
+def test_owner_names_a_new_successor_without_decider(
+    cluster: FakeCluster,
+) -> None:
+    """The successor is lost while nobody decides, then the owner.
+
+    (Found in the demo: six slices unserved for the length of an outage.)
+    """
+    owner = _owner(cluster)
+    successor = cluster.named(owner.state.slices[SLICE].successor)
+    cluster.decide = lambda: None
+    successor.dead = True
+    cluster.run(2)
+    assert owner.state.slices[SLICE].successor not in {None, successor.name}
+    cluster.table_up = False
+    owner.dead = True
+    cluster.until(lambda: _moved_from(cluster, owner), SERVED_AGAIN_S)
