--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -427,3 +427,35 @@
     cluster.table_up = False
     owner.dead = True
     cluster.until(lambda: _moved_from(cluster, owner), SERVED_AGAIN_S)
+
+
+def test_old_witnesses_are_needed_until_the_successor_agrees(
+    cluster: FakeCluster,
+) -> None:
+    """An owner replaces a lost witness; its successor cannot be reached.
+
+    The successor may still judge it by the old witnesses. Dropping them would
+    let it prove the end of a lease that is renewed at the new ones.
+    """
+    owner = _owner(cluster)
+    successors = {
+        part.successor
+        for part in owner.state.slices.values()
+        if part.owner == owner.name
+    }
+    witness = next(
+        name
+        for name in owner.row.witnesses
+        if name not in {*successors, owner.name}
+    )
+    epoch = owner.row.epoch
+    for name in successors:
+        servers = (owner.row.server, cluster.named(name).row.server)
+        cluster.cut.add(frozenset(servers))
+    cluster.named(witness).dead = True
+    cluster.until(lambda: owner.row.epoch > epoch, 5)
+    cluster.run(0.1)
+    assert owner.leases.holder.epochs[0] == epoch
+    cluster.cut.clear()
+    cluster.until(lambda: len(owner.leases.holder.epochs) == 1, 5)
+    assert _owner(cluster) is owner
