--- a/tests/http/test_edge.py
+++ b/tests/http/test_edge.py
@@ -15,6 +15,7 @@
 from tests.routing.test_outcomes import run
 
 BIG = b'x' * 3_000_000
+CHUNK = b'y' * 262_144
 
 
 @pytest.mark.parametrize(
@@ -256,3 +257,41 @@
             writer.close()
 
     run(story)
+
+
+def test_slow_caller_holds_the_server_back_not_the_memory() -> None:
+    """A caller asks for much and reads nothing for a while.
+
+    The answer must not pile up in the process: the server is made to wait,
+    and the caller still gets all of it.
+    """
+    total = 256
+
+    async def story() -> None:
+        sent = 0
+
+        async def pour(_: h11.Request, __: bytes, channel: Channel) -> None:
+            nonlocal sent
+            length = str(total * len(CHUNK))
+            headers = [('content-length', length)]
+            channel.send(h11.Response(status_code=200, headers=headers))
+            while sent < total:
+                channel.send(h11.Data(data=CHUNK))
+                channel.flush()
+                await channel.drain()
+                sent += 1
+            channel.send(h11.EndOfMessage())
+
+        async with Rig(pour) as rig:
+            reader, writer = await rig.open()
+            writer.write(request('GET'))
+            before = -1
+            while before < sent or not sent:
+                before = sent
+                await asyncio.sleep(0.1)
+            assert sent < total
+            answer = await reader.read()
+            assert answer.count(b'y') == total * len(CHUNK)
+            writer.close()
+
+    run(story)
--- a/tests/routing/test_waits.py
+++ b/tests/routing/test_waits.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from plantaingrade.http.channel import Channel
-from plantaingrade.journal.entity import Ended, Proof, Record
+from plantaingrade.journal.entity import Ended, MemberState, Proof, Record
 from tests.rig import Rig, header, request, status, with_peer
 from tests.routing.test_outcomes import keep_silent, run
 
@@ -63,3 +63,22 @@
             writer.close()
 
     run(story)
+
+
+def test_owner_whose_end_is_proven_is_not_asked() -> None:
+    """The owner froze; its successor has not taken over yet.
+
+    A caller is told at once that nothing was run, and when to come back.
+    """
+
+    async def story() -> None:
+        async with Rig(keep_silent) as owner, Rig() as entry:
+            with_peer(entry, owner.address)
+            entry.state.members['b'].state = MemberState.OVER
+            entry.state.members['c'].state = MemberState.OVER
+            answer = await entry.send(request('POST'))
+            assert status(answer) == 503
+            assert header(answer, b'x-outcome') == b'not-run'
+            assert not owner.upstream.requests
+
+    run(story)
