Part the paths of a request: own server, other process

Change: Exchange holds a request with its caller, body and tries; local_path.py and peer_path.py hold the two paths; the search for silent connections stands with the tries it makes. Behaviour as before.

--- a/plantaingrade/routing/attempt.py
+++ b/plantaingrade/routing/attempt.py
@@ -1,7 +1,7 @@
 """One try to have a request answered by an upstream."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import h11
 
@@ -14,6 +14,7 @@
     HEADER_RETRY_AFTER,
 )
 from plantaingrade.http.pool import ConnectFailedError, Pool
+from plantaingrade.metrics import Metrics
 from plantaingrade.outcome import (
     NotRun,
     NotRunReason,
@@ -21,6 +22,7 @@
     UnknownReason,
 )
 from plantaingrade.routing.body import RequestBody
+from plantaingrade.routing.const import SILENT_AFTER_S
 from plantaingrade.routing.entity import Head, Headers, RouteRequest
 
 
@@ -37,6 +39,41 @@
 AttemptOutcome = Head | NotRun | Unknown
 
 
+class Attempts:
+    """Make tries on pooled connections, and find the silent ones."""
+
+    __slots__ = ('_metrics', 'pool')
+
+    def __init__(self, pool: Pool, metrics: Metrics) -> None:
+        """Use one pool."""
+        self.pool = pool
+        self._metrics = metrics
+
+    async def async_try(
+        self,
+        upstream: Upstream,
+        request: RouteRequest,
+        body: RequestBody,
+    ) -> AttemptOutcome:
+        """Try once; try again if the connection keeps silent.
+
+        Failure: a connection went silent for good while new ones work. It
+        shows as a request without answer. Idempotent work goes again on a
+        fresh connection; other work never takes a connection that idled.
+        """
+        if not request.is_idempotent:
+            return await attempt(self.pool, upstream, request, body)
+        try:
+            async with asyncio.timeout(SILENT_AFTER_S):
+                return await attempt(self.pool, upstream, request, body)
+        except TimeoutError:
+            self._metrics.on_event('silent connection')
+        if not body.is_replayable:
+            return Unknown(UnknownReason.TIMEOUT)
+        again = replace(upstream, fresh=True)
+        return await attempt(self.pool, again, request, body)
+
+
 async def attempt(
     pool: Pool,
     upstream: Upstream,
--- /dev/null
+++ b/plantaingrade/routing/local_path.py
@@ -0,0 +1,222 @@
+"""The path to the backend server beside this process."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from plantaingrade.admission.queue import AdmissionQueue, NotAdmittedError
+from plantaingrade.backends.coordinator import BackendCoordinator
+from plantaingrade.backends.dialects import judge
+from plantaingrade.backends.entity import FenceRefused, Ran, Shed
+from plantaingrade.clock import Clock
+from plantaingrade.http.const import (
+    HEADER_DEADLINE,
+    HEADER_FENCE,
+    HEADER_GENERATION,
+    HEADER_LEASE_UNTIL,
+    HEADER_OUTCOME,
+    HEADER_OWNER,
+    HEADER_REQUEST_ID,
+    HEADER_SLICE,
+)
+from plantaingrade.journal.entity import MapState, MemberRow
+from plantaingrade.outcome import (
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+from plantaingrade.ownership.coordinator import OwnershipCoordinator
+from plantaingrade.ownership.entity import Owned
+from plantaingrade.routing.attempt import AttemptOutcome, Attempts, Upstream
+from plantaingrade.routing.entity import (
+    Head,
+    Headers,
+    LocalTarget,
+    PeerTarget,
+    RouteRequest,
+)
+from plantaingrade.routing.exchange import Exchange
+from plantaingrade.routing.relay import discard
+from plantaingrade.routing.targets import TargetChooser, Tries
+
+MS_PER_S = 1000
+
+
+@dataclass(slots=True)
+class WorkNote:
+    """Whether a piece of work is known to have ended."""
+
+    ended: bool = False
+
+
+class LocalPath:
+    """Run requests on the own backend server, under fence and deadline."""
+
+    __slots__ = (
+        '_admission',
+        '_attempts',
+        '_backend',
+        '_clock',
+        '_ownership',
+        '_row',
+        '_state',
+        '_targets',
+    )
+
+    def __init__(
+        self,
+        row: MemberRow,
+        state: Callable[[], MapState],
+        ownership: OwnershipCoordinator,
+        backend: BackendCoordinator,
+        targets: TargetChooser,
+        admission: AdmissionQueue,
+        attempts: Attempts,
+        clock: Clock,
+    ) -> None:
+        """Use the parts of one process."""
+        self._row = row
+        self._state = state
+        self._ownership = ownership
+        self._backend = backend
+        self._targets = targets
+        self._admission = admission
+        self._attempts = attempts
+        self._clock = clock
+
+    async def async_try(
+        self, exchange: Exchange, target: LocalTarget
+    ) -> Outcome:
+        """Wait for a slot, run the request, pass the answer on."""
+        waiting = True
+        request_class = exchange.request.request_class
+        try:
+            async with asyncio.timeout(exchange.left_s(self._clock.now())):
+                async with self._admission.slot(request_class):
+                    waiting = False
+                    return await self._run(exchange, target)
+        except NotAdmittedError as refused:
+            return refused.outcome
+        except TimeoutError:
+            if waiting:
+                return NotRun(NotRunReason.EXPIRED)
+            return Unknown(UnknownReason.TIMEOUT)
+
+    async def _run(self, exchange: Exchange, target: LocalTarget) -> Outcome:
+        request = exchange.request
+        if target.owned is not None:
+            # The slice may have gone while the request waited for a slot.
+            choice = self._targets.choose(request, Tries())
+            if isinstance(choice, NotRun):
+                return choice
+            if isinstance(choice, PeerTarget):
+                return NotRun(NotRunReason.NOT_OWNER, owner_hint=choice.address)
+            target = choice
+        owned = target.owned
+        deadline = self._work_deadline(request, owned)
+        with self._working(owned, deadline) as work:
+            work.ended = request.is_safe
+            upstream = Upstream(
+                self._backend.address,
+                _order_headers(request, owned, deadline),
+                direct=True,
+            )
+            head = await self._attempts.async_try(
+                upstream,
+                request,
+                exchange.body,
+            )
+            outcome = await self._finish(exchange, head, owned)
+            work.ended = request.is_safe or not isinstance(outcome, Unknown)
+            return outcome
+
+    @contextmanager
+    def _working(
+        self,
+        owned: Owned | None,
+        deadline: float,
+    ) -> Iterator[WorkNote]:
+        note = WorkNote()
+        slice_id = '' if owned is None else owned.slice_id
+        table = self._ownership.work
+        table.begin(slice_id)
+        try:
+            yield note
+        finally:
+            may_run_until = None if note.ended else deadline
+            table.end(slice_id, may_run_until=may_run_until)
+
+    def _work_deadline(
+        self,
+        request: RouteRequest,
+        owned: Owned | None,
+    ) -> float:
+        """Return until when the backend server may work on the request.
+
+        Failure: the process pauses between its check of the lease and the
+        sending. It shows as a write by a server that is owner no more. Work
+        that changes state ends with the lease, on the clock that process and
+        server share; the successor waits out the declared grace.
+        """
+        if owned is None or request.is_safe or self._row.checks_fence:
+            return request.deadline
+        service = self._state().services[request.service]
+        grace = service.unfenced_grace_ms / MS_PER_S
+        return min(request.deadline, owned.until + grace)
+
+    async def _finish(
+        self,
+        exchange: Exchange,
+        head: AttemptOutcome,
+        owned: Owned | None,
+    ) -> Outcome:
+        if not isinstance(head, Head):
+            return head
+        response = head.response
+        verdict = judge(
+            self._backend.dialect,
+            response.status_code,
+            dict(response.headers),
+        )
+        pool = self._attempts.pool
+        match verdict:
+            case Ran():
+                replaced = self._answer_headers(owned)
+                return await exchange.async_answer(pool, head, replaced)
+            case Shed():
+                await discard(pool, head)
+                return NotRun(NotRunReason.SHED)
+            case FenceRefused():
+                await discard(pool, head)
+                return NotRun(NotRunReason.STALE_FENCE)
+
+    def _answer_headers(self, owned: Owned | None) -> Headers:
+        headers = [
+            (HEADER_OUTCOME, b'answered'),
+            (HEADER_OWNER, self._row.http.encode()),
+        ]
+        if owned is not None:
+            generation = self._state().generation
+            headers.append((HEADER_SLICE, owned.slice_id.encode()))
+            headers.append((HEADER_GENERATION, b'%d' % generation))
+        return tuple(headers)
+
+
+def _order_headers(
+    request: RouteRequest,
+    owned: Owned | None,
+    deadline: float,
+) -> Headers:
+    """Return what the backend server is told about who gives the order."""
+    headers = [
+        (HEADER_REQUEST_ID, request.request_id),
+        (HEADER_DEADLINE, b'%.6f' % deadline),
+    ]
+    if owned is not None:
+        headers.append((HEADER_SLICE, owned.slice_id.encode()))
+        headers.append((HEADER_FENCE, b'%d' % owned.fence))
+        headers.append((HEADER_LEASE_UNTIL, b'%.6f' % owned.until))
+    return tuple(headers)
--- /dev/null
+++ b/plantaingrade/routing/peer_path.py
@@ -0,0 +1,120 @@
+"""The path to another process."""
+
+import asyncio
+
+from plantaingrade.clock import Clock
+from plantaingrade.http.const import (
+    HEADER_HOP,
+    HEADER_REQUEST_ID,
+    HEADER_TIMEOUT_MS,
+)
+from plantaingrade.outcome import (
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+from plantaingrade.routing.attempt import Attempts, Upstream, peer_outcome
+from plantaingrade.routing.entity import Head, PeerTarget, RouteRequest
+from plantaingrade.routing.exchange import Exchange
+from plantaingrade.routing.relay import discard
+from plantaingrade.routing.targets import TargetChooser
+from plantaingrade.routing.waits import WaitTable
+
+MS_PER_S = 1000
+
+
+class PeerPath:
+    """Forward requests to the processes that own their keys."""
+
+    __slots__ = ('_attempts', '_clock', '_targets', '_waits')
+
+    def __init__(
+        self,
+        targets: TargetChooser,
+        waits: WaitTable,
+        attempts: Attempts,
+        clock: Clock,
+    ) -> None:
+        """Use the parts of one process."""
+        self._targets = targets
+        self._waits = waits
+        self._attempts = attempts
+        self._clock = clock
+
+    async def async_try(
+        self, exchange: Exchange, target: PeerTarget
+    ) -> Outcome:
+        """Forward the request, pass the answer on, learn from a failure."""
+        self._targets.begin(target.member)
+        try:
+            outcome = await self._forward(exchange, target)
+        finally:
+            self._targets.end(target.member)
+        if isinstance(outcome, NotRun | Unknown):
+            self._learn(exchange, target, outcome)
+        return outcome
+
+    async def _forward(
+        self,
+        exchange: Exchange,
+        target: PeerTarget,
+    ) -> Outcome:
+        request = exchange.request
+        left_s = exchange.left_s(self._clock.now())
+        upstream = _upstream(target, request, left_s)
+        try:
+            async with asyncio.timeout(left_s) as limit:
+                with self._waits.waiting(target.member, limit):
+                    head = await self._attempts.async_try(
+                        upstream,
+                        request,
+                        exchange.body,
+                    )
+                if isinstance(head, Head):
+                    return await self._finish(exchange, head)
+                return head
+        except TimeoutError:
+            return Unknown(UnknownReason.TIMEOUT)
+
+    async def _finish(self, exchange: Exchange, head: Head) -> Outcome:
+        pool = self._attempts.pool
+        failure = peer_outcome(head)
+        if failure is None:
+            return await exchange.async_answer(pool, head, ())
+        await discard(pool, head)
+        return failure
+
+    def _learn(
+        self,
+        exchange: Exchange,
+        target: PeerTarget,
+        outcome: NotRun | Unknown,
+    ) -> None:
+        tries = exchange.tries
+        match outcome:
+            case NotRun(reason=NotRunReason.NOT_OWNER, owner_hint=hint):
+                tries.hint = '' if hint == target.address else hint
+                return
+            case NotRun(reason=NotRunReason.CONNECT_FAILED):
+                self._targets.suspect(target.member)
+            case Unknown(reason=UnknownReason.BROKEN):
+                self._targets.suspect(target.member)
+        tries.avoided.add(target.member)
+
+
+def _upstream(
+    target: PeerTarget,
+    request: RouteRequest,
+    left_s: float,
+) -> Upstream:
+    return Upstream(
+        target.address,
+        (
+            (HEADER_REQUEST_ID, request.request_id),
+            (HEADER_TIMEOUT_MS, b'%d' % (left_s * MS_PER_S)),
+            (HEADER_HOP, b'%d' % (request.hop + 1)),
+        ),
+        direct=False,
+    )
--- a/plantaingrade/routing/retry.py
+++ b/plantaingrade/routing/retry.py
@@ -1,7 +1,6 @@
 """Decide whether a failed try may be repeated."""
 
 from plantaingrade.outcome import NotRun, NotRunReason, Unknown
-from plantaingrade.routing.body import RequestBody
 from plantaingrade.routing.const import MAX_TRIES, PAUSE_S
 from plantaingrade.routing.entity import (
     GiveUp,
@@ -9,6 +8,7 @@
     RetryAfter,
     RouteRequest,
 )
+from plantaingrade.routing.exchange import Exchange
 from plantaingrade.routing.targets import Tries
 
 PAUSED = frozenset(
@@ -30,19 +30,20 @@
 
 
 def next_step(
-    request: RouteRequest,
+    exchange: Exchange,
     outcome: NotRun | Unknown,
-    tries: Tries,
-    body: RequestBody,
-    left_s: float,
+    now: float,
 ) -> NextStep:
     """Repeat what certainly did not run or is idempotent, in time.
 
     Failure: a request whose answer was lost is sent again and runs twice. An
     unknown outcome of non-idempotent work is final.
     """
+    request = exchange.request
+    tries = exchange.tries
+    left_s = exchange.left_s(now)
     tries.count += 1
-    if tries.count >= MAX_TRIES or not body.is_replayable:
+    if tries.count >= MAX_TRIES or not exchange.body.is_replayable:
         return GiveUp()
     if isinstance(outcome, Unknown):
         again = request.is_idempotent and not request.hop
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -171,7 +171,7 @@
     ),
     Guard(
         'work carries a deadline no later than the lease',
-        'plantaingrade/routing/coordinator.py',
+        'plantaingrade/routing/local_path.py',
         'return min(request.deadline, owned.until + grace)',
         'return request.deadline',
         'tests/routing',
