--- a/plantaingrade/admission/queue.py
+++ b/plantaingrade/admission/queue.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import heapq
-from contextlib import asynccontextmanager
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from itertools import count
 
 from plantaingrade.admission.const import (
--- a/plantaingrade/journal/rules.py
+++ b/plantaingrade/journal/rules.py
@@ -7,14 +7,10 @@
 
 from dataclasses import replace
 
-from plantaingrade.journal.const import (
-    MAX_HOT_KEYS_PER_SERVICE,
-    MAX_REMEMBERED_COMMANDS,
-)
+from plantaingrade.journal.checks import APPLIED, STALE
+from plantaingrade.journal.const import MAX_REMEMBERED_COMMANDS
 from plantaingrade.journal.entity import (
     Announced,
-    Applied,
-    Assigned,
     Carved,
     Change,
     ChangeOutcome,
@@ -25,30 +21,16 @@
     MapState,
     MemberRow,
     MemberState,
-    Moving,
-    OwnerWished,
     Proof,
     Record,
     Rejected,
     RejectReason,
-    Renounced,
     SliceRow,
     StateSet,
-    SuccessorNamed,
-    SuccessorWished,
-    Took,
     Witnessed,
 )
-from plantaingrade.journal.keys import (
-    hot_slice_id,
-    is_hot,
-    parent_slice_id,
-    range_slice_id,
-    slice_index,
-)
-
-APPLIED = Applied()
-STALE = Rejected(RejectReason.STALE)
+from plantaingrade.journal.keys import range_slice_id
+from plantaingrade.journal.slice_rules import carve, change_slice
 
 
 def apply_record(state: MapState, record: Record) -> list[ChangeOutcome]:
@@ -82,20 +64,8 @@
         case Commanded():
             return _command(state, change)
         case Carved():
-            return _carve(state, change)
-    return _change_slice(state, change)
-
-
-def is_eligible(state: MapState, member: str | None) -> bool:
-    """Tell whether a member may be given ownership."""
-    row = state.members.get(member or '')
-    return row is not None and row.state is MemberState.READY
-
-
-def is_over(state: MapState, member: str | None) -> bool:
-    """Tell whether the journal proves that a member's lease has ended."""
-    row = state.members.get(member or '')
-    return row is None or row.state is MemberState.OVER
+            return carve(state, change)
+    return change_slice(state, change)
 
 
 def _announce(state: MapState, row: MemberRow) -> ChangeOutcome:
@@ -247,177 +217,3 @@
             newer = known.generation > change.based_on
             return known.command_id if newer else None
     return None
-
-
-def _carve(state: MapState, change: Carved) -> ChangeOutcome:
-    service = state.services.get(change.service)
-    if service is None:
-        return Rejected(RejectReason.UNKNOWN_SERVICE)
-    slice_id = hot_slice_id(change.service, change.key)
-    if slice_id in state.slices:
-        return Rejected(RejectReason.DUPLICATE)
-    index = slice_index(change.key, service.slices)
-    parent = state.slices[range_slice_id(change.service, index)]
-    if parent.owner is None or parent.moving is not None:
-        return STALE
-    if _hot_count(state, change.service) >= MAX_HOT_KEYS_PER_SERVICE:
-        return Rejected(RejectReason.HOT_LIST_FULL)
-    state.slices[slice_id] = SliceRow(
-        slice_id,
-        parent.service,
-        parent.owner,
-        parent.fence,
-        parent.successor,
-        parent.successor_fence,
-    )
-    return APPLIED
-
-
-def _hot_count(state: MapState, service: str) -> int:
-    return sum(
-        part.service == service and is_hot(part.slice_id)
-        for part in state.slices.values()
-    )
-
-
-def _change_slice(state: MapState, change: Change) -> ChangeOutcome:
-    part = state.slices.get(change.slice_id)
-    if part is None:
-        return Rejected(RejectReason.UNKNOWN_SLICE)
-    match change:
-        case Assigned(member=member):
-            return _assign(state, part, member)
-        case SuccessorNamed(member=member):
-            return _name_successor(state, part, member)
-        case SuccessorWished(member=member):
-            return _wish_successor(state, part, member)
-        case OwnerWished():
-            return _wish_owner(state, part, change)
-        case Renounced():
-            return _renounce(state, part, change)
-        case Moving(command_id=command_id):
-            return _start_move(state, part, command_id)
-        case Took():
-            return _take(state, part, change)
-    return _merge(state, part)
-
-
-def _assign(state: MapState, part: SliceRow, member: str) -> ChangeOutcome:
-    if part.owner is not None:
-        return Rejected(RejectReason.ALREADY_OWNED)
-    if not is_eligible(state, member):
-        return Rejected(RejectReason.NOT_ELIGIBLE)
-    part.owner = member
-    part.fence = state.generation
-    return APPLIED
-
-
-def _name_successor(
-    state: MapState,
-    part: SliceRow,
-    member: str,
-) -> ChangeOutcome:
-    if part.successor is not None or part.owner is None:
-        return Rejected(RejectReason.HAS_SUCCESSOR)
-    if part.owner == member or not is_eligible(state, member):
-        return Rejected(RejectReason.NOT_ELIGIBLE)
-    _set_successor(state, part, member)
-    return APPLIED
-
-
-def _set_successor(state: MapState, part: SliceRow, member: str | None) -> None:
-    part.successor = member
-    part.successor_fence = state.generation if member else 0
-    part.next_successor = None
-
-
-def _wish_successor(
-    state: MapState,
-    part: SliceRow,
-    member: str,
-) -> ChangeOutcome:
-    if part.successor is None or part.next_successor is not None:
-        return STALE
-    if member in {part.owner, part.successor}:
-        return Rejected(RejectReason.NOT_ELIGIBLE)
-    if not is_eligible(state, member) or part.moving is not None:
-        return Rejected(RejectReason.NOT_ELIGIBLE)
-    part.next_successor = member
-    return APPLIED
-
-
-def _wish_owner(
-    state: MapState,
-    part: SliceRow,
-    change: OwnerWished,
-) -> ChangeOutcome:
-    if part.wanted_owner is not None or part.moving is not None:
-        return Rejected(RejectReason.CONFLICT, part.wanted_by or part.moving)
-    if part.owner == change.member or not is_eligible(state, change.member):
-        return Rejected(RejectReason.NOT_ELIGIBLE)
-    part.wanted_owner = change.member
-    part.wanted_by = change.command_id
-    return APPLIED
-
-
-def _renounce(
-    state: MapState,
-    part: SliceRow,
-    change: Renounced,
-) -> ChangeOutcome:
-    if part.successor != change.member:
-        return Rejected(RejectReason.NOT_SUCCESSOR)
-    # Failure: a renunciation written late cancels a newer naming, under which
-    # the member has taken the slice over by now. It shows as two owners.
-    if part.successor_fence != change.fence:
-        return STALE
-    wanted = part.next_successor
-    _set_successor(state, part, wanted if is_eligible(state, wanted) else None)
-    return APPLIED
-
-
-def _start_move(
-    state: MapState,
-    part: SliceRow,
-    command_id: str,
-) -> ChangeOutcome:
-    if part.moving is not None:
-        return Rejected(RejectReason.CONFLICT, part.moving)
-    if part.next_successor is not None:
-        return STALE
-    if not is_eligible(state, part.successor) or is_over(state, part.owner):
-        return Rejected(RejectReason.NOT_ELIGIBLE)
-    part.moving = command_id
-    return APPLIED
-
-
-def _take(state: MapState, part: SliceRow, change: Took) -> ChangeOutcome:
-    if part.successor != change.member:
-        return Rejected(RejectReason.NOT_SUCCESSOR)
-    if part.successor_fence != change.fence:
-        return STALE
-    part.owner = change.member
-    part.fence = change.fence
-    _set_successor(state, part, None)
-    part.moving = None
-    part.wanted_owner = None
-    return APPLIED
-
-
-def _merge(state: MapState, part: SliceRow) -> ChangeOutcome:
-    if not is_hot(part.slice_id):
-        return Rejected(RejectReason.UNKNOWN_SLICE)
-    parent = state.slices[parent_slice_id(state, part.slice_id)]
-    # Failure: after the merge, the successor of the slice takes over with a
-    # fence below one the key has been served under, and a checking server
-    # refuses it. The fence reserved for the successor must be the newest.
-    fits = (
-        parent.owner == part.owner
-        and parent.successor == part.successor
-        and parent.successor_fence > part.fence
-    )
-    if not fits or parent.moving or part.moving or part.next_successor:
-        return Rejected(RejectReason.NOT_MERGEABLE)
-    parent.fence = max(parent.fence, part.fence)
-    state.slices.pop(part.slice_id)
-    return APPLIED
--- a/plantaingrade/leases/coordinator.py
+++ b/plantaingrade/leases/coordinator.py
@@ -7,13 +7,13 @@
 from absl import logging
 
 from plantaingrade.clock import Clock
+from plantaingrade.journal.checks import is_over
 from plantaingrade.journal.entity import (
     MapState,
     MemberRow,
     MemberState,
     Witnessed,
 )
-from plantaingrade.journal.rules import is_over
 from plantaingrade.leases.const import (
     EARLIEST,
     EPOCH_CHECK_EVERY_S,
--- a/plantaingrade/ownership/handover.py
+++ b/plantaingrade/ownership/handover.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from plantaingrade.clock import Clock
+from plantaingrade.journal.checks import is_over
 from plantaingrade.journal.entity import MapState, MemberRow, SliceRow
-from plantaingrade.journal.rules import is_over
 from plantaingrade.leases.const import EARLIEST
 from plantaingrade.ownership.const import ACCEPTANCE_S, RELEASE_EVERY_S
 from plantaingrade.ownership.entity import Offer, OfferAccepted, Release
--- a/plantaingrade/placement/policy.py
+++ b/plantaingrade/placement/policy.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 from itertools import islice
 
+from plantaingrade.journal.checks import is_eligible, is_over
 from plantaingrade.journal.entity import (
     Assigned,
     Change,
@@ -21,7 +22,6 @@
     SuccessorNamed,
     SuccessorWished,
 )
-from plantaingrade.journal.rules import is_eligible, is_over
 from plantaingrade.placement.const import (
     BALANCE_ID,
     DRAIN_ID,
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -86,7 +86,7 @@
     ),
     Guard(
         'a renunciation is of one naming',
-        'plantaingrade/journal/rules.py',
+        'plantaingrade/journal/slice_rules.py',
         'if part.successor_fence != change.fence:\n        return STALE\n'
         '    wanted',
         'wanted',
