--- a/plantaingrade/leases/coordinator.py
+++ b/plantaingrade/leases/coordinator.py
@@ -118,6 +118,7 @@
         match message:
             case Renew(witness=self._row.member):
                 reply = self.witness.on_renew(message, now)
+                self._lapsed_since.pop(message.member, None)
                 self._send(reply, message.reply_to)
             case RenewAck():
                 self.holder.on_ack(message)
@@ -317,6 +318,10 @@
             self._send(message, row.udp)
 
 
+def _is_unready(row: MemberRow) -> bool:
+    return row.state is not MemberState.READY
+
+
 def choose_witnesses(
     state: MapState,
     row: MemberRow,
@@ -324,8 +329,9 @@
 ) -> tuple[str, ...]:
     """Choose up to three witnesses, spread over availability zones.
 
-    With fewer than three other members, an own vote fills the place of the
-    third, so that one lost witness does not cost the lease.
+    Members that are ready go first: the others may be cut off. With fewer than
+    three other members, an own vote fills the place of the third, so that one
+    lost witness does not cost the lease.
     """
     others = [
         other
@@ -335,6 +341,7 @@
         and other.member not in kept
     ]
     random.shuffle(others)
+    others.sort(key=_is_unready)
     chosen = list(kept)
     zones = {state.members[witness].zone for witness in kept} | {row.zone}
     while others and len(chosen) < WITNESS_COUNT:
--- a/tests/leases/test_holder.py
+++ b/tests/leases/test_holder.py
@@ -1,6 +1,8 @@
 """A holder's view of its lease ends before any witness's."""
 
+from plantaingrade.journal.entity import MapState, MemberRow, MemberState
 from plantaingrade.leases.const import LEASE_S
+from plantaingrade.leases.coordinator import choose_witnesses
 from plantaingrade.leases.entity import Ask, Renew, RenewAck, RenewRefused
 from plantaingrade.leases.holder import LeaseHolder
 from plantaingrade.leases.witness import WitnessTable
@@ -104,3 +106,28 @@
     witness.on_renew(Renew('owner', 1, 'w1', 0.0, ''), 0.0)
     assert witness.on_ask(Ask('owner', 1, 'w1', ''), 5.0).over
     assert witness.lapsed(5.5)
+
+
+def test_ready_members_are_chosen_as_witnesses_first() -> None:
+    """A member that is cut off still stands in the journal.
+
+    As a witness it would never answer, and the lease would hang on two.
+    """
+    state = MapState()
+    for number in range(6):
+        ready = number % 2 == 0
+        state.members[f's{number}'] = MemberRow(
+            f's{number}',
+            f's{number}',
+            'casebook',
+            'zone',
+            '',
+            '',
+            '',
+            6,
+            checks_fence=True,
+            state=MemberState.READY if ready else MemberState.STARTING,
+        )
+    row = state.members['s5']
+    for _ in range(20):
+        assert set(choose_witnesses(state, row)) == {'s0', 's2', 's4'}
