Retire the neighbours of a silent connection; silence real connections

Cause: silent connections were proved one at a time in tests, not between real processes; each old connection would have swallowed a request of its own, and a lookup with less than a second left never got its second try. Change: a silent connection takes the idle ones to its address with it; the second try starts after half of the time left; the demo silences every open connection of one instance.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -43,7 +43,7 @@
 
 
 async def play(cluster: Cluster, callers: Callers) -> Story:
-    """Kill, drain, freeze and cut off a server each; kill one in an outage."""
+    """Kill, drain, freeze, cut off, silence a server; kill in an outage."""
     story = Story()
     now = callers.clock.now
     servers = cluster.deployment.servers
@@ -59,6 +59,8 @@
     await asyncio.sleep(4)
     await _cut(cluster, story, servers[4])
     await asyncio.sleep(4)
+    await _silence(cluster, story, servers[5])
+    await asyncio.sleep(4)
     await cluster.async_order(cluster.deployment.table, {'down': True})
     await asyncio.sleep(2)
     await _kill(cluster, story, servers[2], now(), 'while the table is down')
@@ -104,6 +106,16 @@
     story.notes.append(f'cut {server.name} off for {FAULT_S} s')
 
 
+async def _silence(
+    cluster: Cluster,
+    story: Story,
+    server: ServerSpec,
+) -> None:
+    network = cluster.deployment.network
+    await cluster.async_order(network, {'silence': [server.host]})
+    story.notes.append(f'silenced the open connections of {server.name}')
+
+
 async def _drain(
     cluster: Cluster,
     story: Story,
--- a/plantaingrade/routing/attempt.py
+++ b/plantaingrade/routing/attempt.py
@@ -54,25 +54,36 @@
         upstream: Upstream,
         request: RouteRequest,
         body: RequestBody,
+        left_s: float,
     ) -> AttemptOutcome:
         """Try once; try again if the connection keeps silent.
 
         Failure: a connection went silent for good while new ones work. It
         shows as a request without answer. Idempotent work goes again on a
-        fresh connection; other work never takes a connection that idled.
+        fresh connection, while half of its time is left at least; other work
+        never takes a connection that idled.
         """
         if not request.is_idempotent:
             return await attempt(self.pool, upstream, request, body)
         try:
-            async with asyncio.timeout(SILENT_AFTER_S):
+            async with asyncio.timeout(min(SILENT_AFTER_S, left_s / 2)):
                 return await attempt(self.pool, upstream, request, body)
         except TimeoutError:
-            self._metrics.on_event('silent connection')
+            self.distrust(upstream.address)
         if not body.is_replayable:
             return Unknown(UnknownReason.TIMEOUT)
         again = replace(upstream, fresh=True)
         return await attempt(self.pool, again, request, body)
 
+    def distrust(self, address: str) -> None:
+        """Close the idle connections beside one that kept silent.
+
+        What lost track of one connection has often lost track of all; each
+        would swallow a request of its own.
+        """
+        self._metrics.on_event('silent connection')
+        self.pool.forget(address)
+
 
 async def attempt(
     pool: Pool,
--- a/plantaingrade/routing/local_path.py
+++ b/plantaingrade/routing/local_path.py
@@ -103,6 +103,7 @@
         except TimeoutError:
             if waiting:
                 return NotRun(NotRunReason.EXPIRED)
+            self._attempts.distrust(self._backend.address)
             return Unknown(UnknownReason.TIMEOUT)
 
     async def _run(self, exchange: Exchange, target: LocalTarget) -> Outcome:
@@ -128,6 +129,7 @@
                 upstream,
                 request,
                 exchange.body,
+                exchange.left_s(self._clock.now()),
             )
             outcome = await self._finish(exchange, head, owned)
             work.ended = request.is_safe or not isinstance(outcome, Unknown)
--- a/plantaingrade/routing/peer_path.py
+++ b/plantaingrade/routing/peer_path.py
@@ -71,11 +71,13 @@
                         upstream,
                         request,
                         exchange.body,
+                        left_s,
                     )
                 if isinstance(head, Head):
                     return await self._finish(exchange, head)
                 return head
         except TimeoutError:
+            self._attempts.distrust(target.address)
             return Unknown(UnknownReason.TIMEOUT)
 
     async def _finish(self, exchange: Exchange, head: Head) -> Outcome:
--- a/standins/network.py
+++ b/standins/network.py
@@ -33,7 +33,7 @@
     zone_delay_s: float
     caller_delay_s: float
     cut_hosts: set[str] = field(default_factory=set)
-    silent_hosts: set[str] = field(default_factory=set)
+    silenced_at: dict[str, float] = field(default_factory=dict)
 
     def delay(self, source: str, target: str) -> float:
         """Return the one-way delay in seconds."""
@@ -42,6 +42,12 @@
         same = source.split('.')[2] == target.split('.')[2]
         return 0.0 if same else self.zone_delay_s
 
+    def is_silent(self, opened_at: float, *hosts: str) -> bool:
+        """Tell whether a connection was open when its host was silenced."""
+        return any(
+            self.silenced_at.get(host, opened_at) > opened_at for host in hosts
+        )
+
     def is_cut(self, *hosts: str) -> bool:
         """Tell whether nothing passes between these hosts."""
         return not self.cut_hosts.isdisjoint(hosts)
@@ -112,12 +118,11 @@
         hosts: tuple[str, str],
     ) -> None:
         loop = asyncio.get_running_loop()
+        opened_at = loop.time()
         silent = False
         try:
             while chunk := await reader.read(CHUNK_BYTES):
-                silent = silent or not self._links.silent_hosts.isdisjoint(
-                    hosts
-                )
+                silent = silent or self._links.is_silent(opened_at, *hosts)
                 if silent or self._links.is_cut(*hosts):
                     silent = True
                     continue
@@ -145,7 +150,10 @@
         """Serve one order, such as ``{"cut_hosts": ["127.1.0.1"]}``."""
         wanted = json.loads(await read_body(channel))
         self.links.cut_hosts = set(wanted.get('cut_hosts', ()))
-        self.links.silent_hosts = set(wanted.get('silent_hosts', ()))
+        # Connections open now go silent for good; new ones work.
+        now = asyncio.get_running_loop().time()
+        for host in wanted.get('silence', ()):
+            self.links.silenced_at[host] = now
         # Nobody listens where a process was killed, so connecting to it is
         # refused; a relay that accepted first would hide that.
         for target in wanted.get('refused', ()):
--- a/tests/routing/test_outcomes.py
+++ b/tests/routing/test_outcomes.py
@@ -393,3 +393,41 @@
         await upstream.server.async_close()
 
     run(story)
+
+
+def test_silent_connection_is_found_in_half_the_time_left() -> None:
+    """A lookup with little time: half of it is kept for a fresh connection."""
+
+    async def story() -> None:
+        async with Rig() as rig:
+
+            async def once(raw: h11.Request, body: bytes, to: Channel) -> None:
+                rig.upstream.script = echo
+                await asyncio.sleep(NEVER)
+
+            rig.upstream.script = once
+            answer = await rig.send(request('GET', x_request_timeout_ms=800))
+            assert status(answer) == 200
+            assert len(rig.upstream.requests) == 2
+
+    run(story)
+
+
+def test_one_silent_connection_retires_its_neighbours() -> None:
+    """A device forgot every open connection to the server at once.
+
+    The first booking is lost to its deadline; the next takes no old one.
+    """
+
+    async def story() -> None:
+        async with Rig() as rig:
+            await rig.send(request('GET'))
+            opened = rig.pool.opened
+            rig.upstream.script = keep_silent
+            lost = await rig.send(request('POST', x_request_timeout_ms=50))
+            assert header(lost, b'x-outcome') == b'unknown'
+            rig.upstream.script = echo
+            assert status(await rig.send(request('POST'))) == 200
+            assert rig.pool.opened == opened + 1
+
+    run(story)
