Leave the grace after a renewed proof; accept nothing while leaving

Cause: reading ownership/coordinator.py: a takeover planned under an epoch that the owner outlived kept its time in the past, so a later end left no grace for work on servers that check nothing; a successor that is leaving itself accepted slices.

--- a/plantaingrade/ownership/coordinator.py
+++ b/plantaingrade/ownership/coordinator.py
@@ -195,6 +195,9 @@
         part = self._state().slices.get(offer.slice_id)
         if part is None or part.successor != self._row.member:
             return
+        # Two that leave at once would pass slices to and fro.
+        if self.handover.is_leaving:
+            return
         named = offer.successor == self._row.member
         same = part.owner == offer.owner and part.fence == offer.fence
         if named and same and self._may_take() and not part.next_successor:
@@ -283,18 +286,26 @@
             self._takeover_by_owner[row.member] = takeover
 
     def _schedule_ended(self, state: MapState) -> None:
-        for member, row in state.members.items():
-            if row.state is not MemberState.OVER:
-                continue
-            wait = self._grace(row)
-            if row.proof is Proof.RESTART:
-                wait += LEASE_S * (1 + DRIFT)
-            proof = row.proof or Proof.TESTIMONY
-            self._plan_takeover(row, wait, proof, row.epoch)
+        for row in state.members.values():
+            if row.state is MemberState.OVER:
+                self._schedule_end(row)
         for owner in list(self._takeover_by_owner):
             if owner not in state.members:
                 self._takeover_by_owner.pop(owner)
 
+    def _schedule_end(self, row: MemberRow) -> None:
+        # Failure: this member once proved the end under an epoch that the
+        # owner outlived. Its plan lies in the past, and would leave no grace
+        # for work that the owner ordered since.
+        known = self._takeover_by_owner.get(row.member)
+        if known is not None and known.epoch != row.epoch:
+            self._takeover_by_owner.pop(row.member)
+        wait = self._grace(row)
+        if row.proof is Proof.RESTART:
+            wait += LEASE_S * (1 + DRIFT)
+        proof = row.proof or Proof.TESTIMONY
+        self._plan_takeover(row, wait, proof, row.epoch)
+
     def _take_over(self, takeover: Takeover) -> None:
         if not self._may_take():
             return
--- a/plantaingrade/ownership/handover.py
+++ b/plantaingrade/ownership/handover.py
@@ -58,6 +58,11 @@
         self._leaving = False
         self._next_offer_at = EARLIEST
 
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether this member lets go of everything."""
+        return self._leaving
+
     def is_under_way(self, slice_id: str) -> bool:
         """Tell whether new work on a slice must wait for its next owner.
 
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -4,9 +4,11 @@
 
 from plantaingrade.journal.entity import (
     Carved,
+    Ended,
     MemberState,
     Moving,
     OwnerWished,
+    Proof,
     Renounced,
     StateSet,
     SuccessorNamed,
@@ -460,3 +462,40 @@
     cluster.cut.clear()
     cluster.until(lambda: len(owner.leases.holder.epochs) == 1, 5)
     assert _owner(cluster) is owner
+
+
+def test_old_proof_leaves_the_grace_for_newer_work() -> None:
+    """A server that checks nothing works on while its key is taken over.
+
+    A member once proved the owner's end under witnesses that the owner then
+    replaced and outlived. When the owner really ends, its last work still has
+    its grace; the old plan lies in the past and must not shorten it.
+    """
+    cluster = FakeCluster.from_size(6, checks_fence=False)
+    owner = _owner(cluster)
+    epoch = owner.row.epoch
+    owner.append(Witnessed(owner.name, owner.row.witnesses, epoch + 1))
+    part = owner.state.slices[SLICE]
+    heir = cluster.named(part.successor)
+    heir.append(Renounced(SLICE, heir.name, part.successor_fence))
+    heir.append(SuccessorNamed(SLICE, heir.name))
+    _prove(heir, owner.name, epoch)
+    assert SLICE not in heir.ownership.table.taken
+    heir.append(Ended(owner.name, Proof.TESTIMONY, epoch + 1))
+    heir.ownership.tick()
+    assert SLICE not in heir.ownership.table.taken
+
+
+def test_leaving_successor_accepts_nothing(cluster: FakeCluster) -> None:
+    """Owner and successor are stopped at the same moment.
+
+    They must not pass slices to and fro; the owner waits for a successor
+    that stays.
+    """
+    owner = _owner(cluster)
+    successor = cluster.named(owner.state.slices[SLICE].successor)
+    cluster.table_up = False
+    successor.ownership.handover.leave()
+    owner.ownership.handover.leave()
+    cluster.run(2)
+    assert _owner(cluster) is owner
