--- a/bench/leases.py
+++ b/bench/leases.py
@@ -30,7 +30,6 @@
 TABLE = '127.0.0.1:9600'
 STORE = '127.0.0.1:9601'
 RPC_PORT = 9602
-TABLE_WRITES_PER_S = 400
 
 
 @dataclass(slots=True)
--- a/plantaingrade/http/const.py
+++ b/plantaingrade/http/const.py
@@ -20,7 +20,6 @@
 HEADER_REQUEST_ID = b'x-request-id'
 HEADER_TENANT = b'x-tenant'
 HEADER_CLASS = b'x-request-class'
-HEADER_LOAD = b'x-load'
 HEADER_RETRY_AFTER = b'retry-after'
 
 HOP_BY_HOP = frozenset(
@@ -50,4 +49,3 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
-STATUS_SERVER_ERROR = 500
--- a/plantaingrade/journal/entity.py
+++ b/plantaingrade/journal/entity.py
@@ -99,7 +99,6 @@
     slices: int
     keyed: bool
     unfenced_grace_ms: int
-    spread_ms: int = 0
     tenants: tuple[str, ...] = ()
     weight_imbalance: float = 1.0
     weight_churn: float = 1.0
--- a/plantaingrade/ownership/const.py
+++ b/plantaingrade/ownership/const.py
@@ -1,8 +1,6 @@
 """Constants of the ownership subsystem."""
 
 RELEASE_EVERY_S = 0.05
-APPEND_EVERY_S = 0.1
-WISH_ANSWER_S = 0.05
 """Extra wait for clock drift over one lease, in seconds."""
 DRIFT_WAIT_S = 0.05
 """How long a successor's acceptance holds, in seconds."""
