Write notes on constants as comments

Cause: a string before a constant reads as the docstring of the one above it. Change: comments. Behaviour as before; tests of routing and leases pass.

--- a/demo/callers.py
+++ b/demo/callers.py
@@ -19,7 +19,7 @@
 
 CALLER_HOST = '127.3.0.1'
 TIMEOUT_MS = 2000
-"""What a caller waits beyond the time it asked for."""
+# What a caller waits beyond the time it asked for.
 PATIENCE_MS = 100
 ASIDE_S = 3.0
 OK = 200
--- a/plantaingrade/leases/const.py
+++ b/plantaingrade/leases/const.py
@@ -12,7 +12,7 @@
 EPOCH_SETTLE_S = 1.5
 ORPHAN_AFTER_S = 3.0
 EARLIEST = float('-inf')
-"""How long former witnesses tell of a lease that lapsed, in seconds."""
+# How long former witnesses tell of a lease that lapsed, in seconds.
 FORMER_NOTICE_FOR_S = 3.0
-"""When a witness asks by itself, since it first told, in seconds."""
+# When a witness asks by itself, since it first told, in seconds.
 WITNESS_ASKS_AFTER_S = 0.4
--- a/plantaingrade/placement/const.py
+++ b/plantaingrade/placement/const.py
@@ -5,7 +5,7 @@
 DECIDER_RENEW_S = 0.8
 DECIDER_LOOK_S = 0.8
 DECIDER_LOOK_SELDOM_S = 10.0
-"""So many members look often; the others leave the table service alone."""
+# So many members look often; the others leave the table service alone.
 DECIDER_CANDIDATES = 6
 NOBODY = ''
 PLAN_EVERY_S = 0.25
