Keep one MS_PER_S, one path of server commands, one test script

Cause: reading the whole change: the constant stood six times, retire had a case beside the table that already held it, and three tests wrote the same script for an upstream that fails once. Change: plantaingrade/const.py; one case for drain, resume and retire; Rig.script_once. Assertions unchanged.

--- /dev/null
+++ b/plantaingrade/const.py
@@ -0,0 +1,3 @@
+"""Constants that several packages share."""
+
+MS_PER_S = 1000
--- a/plantaingrade/operators/coordinator.py
+++ b/plantaingrade/operators/coordinator.py
@@ -177,12 +177,11 @@
             slice_id = range_slice_id(service, index)
             member = find_member(state, server)
             return slice_id, [OwnerWished(slice_id, member, command_id)]
-        case Drain(server=server) | Resume(server=server):
+        case (
+            Drain(server=server) | Resume(server=server) | Retire(server=server)
+        ):
             member = find_member(state, server)
             return server, [StateSet(member, STATE_BY_COMMAND[type(command)])]
-        case Retire(server=server):
-            member = find_member(state, server)
-            return server, [StateSet(member, MemberState.RETIRED)]
 
 
 def find_member(state: MapState, server: str) -> str:
--- a/plantaingrade/ownership/coordinator.py
+++ b/plantaingrade/ownership/coordinator.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from plantaingrade.clock import Clock
+from plantaingrade.const import MS_PER_S
 from plantaingrade.journal.entity import (
     Carved,
     Change,
@@ -40,8 +41,6 @@
 from plantaingrade.ownership.work import WorkTable
 from plantaingrade.placement.policy import name_own_successors
 
-MS_PER_S = 1000
-
 
 @dataclass(slots=True)
 class Takeover:
--- a/plantaingrade/routing/coordinator.py
+++ b/plantaingrade/routing/coordinator.py
@@ -9,6 +9,7 @@
 from plantaingrade.admission.queue import AdmissionQueue
 from plantaingrade.backends.coordinator import BackendCoordinator
 from plantaingrade.clock import Clock
+from plantaingrade.const import MS_PER_S
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.pool import Pool
 from plantaingrade.journal.entity import MapState, MemberRow
@@ -32,7 +33,6 @@
 from plantaingrade.routing.targets import TargetChooser
 from plantaingrade.routing.waits import WaitTable
 
-MS_PER_S = 1000
 # A redirect is no load on the server: it was refused by its process.
 FREE_OF_BUDGET = frozenset(
     (
--- a/plantaingrade/routing/local_path.py
+++ b/plantaingrade/routing/local_path.py
@@ -10,6 +10,7 @@
 from plantaingrade.backends.dialects import judge
 from plantaingrade.backends.entity import FenceRefused, Ran, Shed
 from plantaingrade.clock import Clock
+from plantaingrade.const import MS_PER_S
 from plantaingrade.http.const import (
     HEADER_DEADLINE,
     HEADER_FENCE,
@@ -42,8 +43,6 @@
 from plantaingrade.routing.relay import discard
 from plantaingrade.routing.targets import TargetChooser, Tries
 
-MS_PER_S = 1000
-
 
 @dataclass(slots=True)
 class WorkNote:
--- a/plantaingrade/routing/parse.py
+++ b/plantaingrade/routing/parse.py
@@ -7,6 +7,7 @@
 import h11
 
 from plantaingrade.admission.const import CLASS_DEFAULT, PRIORITY_BY_CLASS
+from plantaingrade.const import MS_PER_S
 from plantaingrade.http.const import (
     HEADER_CLASS,
     HEADER_DEADLINE,
@@ -27,7 +28,6 @@
 from plantaingrade.routing.const import DEFAULT_TIMEOUT_MS, MAX_TIMEOUT_MS
 from plantaingrade.routing.entity import Headers, RouteRequest
 
-MS_PER_S = 1000
 MAX_HOP = 1
 REQUEST_ID_BYTES = 12
 SET_HERE = frozenset(
--- a/plantaingrade/routing/peer_path.py
+++ b/plantaingrade/routing/peer_path.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from plantaingrade.clock import Clock
+from plantaingrade.const import MS_PER_S
 from plantaingrade.http.const import (
     HEADER_HOP,
     HEADER_REQUEST_ID,
@@ -22,8 +23,6 @@
 from plantaingrade.routing.targets import TargetChooser
 from plantaingrade.routing.waits import WaitTable
 
-MS_PER_S = 1000
-
 
 class PeerPath:
     """Forward requests to the processes that own their keys."""
--- a/standins/network.py
+++ b/standins/network.py
@@ -14,6 +14,7 @@
 import h11
 
 from plantaingrade.clock import BootClock
+from plantaingrade.const import MS_PER_S
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.client import read_body
 from plantaingrade.http.pool import split_address
@@ -23,7 +24,6 @@
 OK = 200
 CHUNK_BYTES = 65536
 CALLER_PREFIX = '127.3.'
-MS_PER_S = 1000
 
 
 @dataclass(slots=True)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -100,6 +100,15 @@
         self._build('127.0.0.1:1')
         self.server._serve_request = self.router.async_handle  # noqa: SLF001
 
+    def script_once(self, first: Script) -> None:
+        """Let the upstream do one thing once, and echo from then on."""
+
+        async def once(raw: h11.Request, body: bytes, to: Channel) -> None:
+            self.upstream.script = echo
+            await first(raw, body, to)
+
+        self.upstream.script = once
+
     def check_nothing(self) -> None:
         """Declare the server as one that does not check fences."""
         self.row.checks_fence = False
--- a/tests/routing/test_outcomes.py
+++ b/tests/routing/test_outcomes.py
@@ -128,12 +128,7 @@
 
     async def story() -> None:
         async with Rig() as rig:
-
-            async def once(raw: h11.Request, body: bytes, to: Channel) -> None:
-                rig.upstream.script = echo
-                to.abort()
-
-            rig.upstream.script = once
+            rig.script_once(break_off)
             answer = await rig.send(request('GET'))
             assert status(answer) == 200
             assert len(rig.upstream.requests) == 2
@@ -146,12 +141,7 @@
 
     async def story() -> None:
         async with Rig() as rig:
-
-            async def once(raw: h11.Request, body: bytes, to: Channel) -> None:
-                rig.upstream.script = echo
-                await asyncio.sleep(NEVER)
-
-            rig.upstream.script = once
+            rig.script_once(keep_silent)
             answer = await rig.send(request('GET'))
             assert status(answer) == 200
 
@@ -400,12 +390,7 @@
 
     async def story() -> None:
         async with Rig() as rig:
-
-            async def once(raw: h11.Request, body: bytes, to: Channel) -> None:
-                rig.upstream.script = echo
-                await asyncio.sleep(NEVER)
-
-            rig.upstream.script = once
+            rig.script_once(keep_silent)
             answer = await rig.send(request('GET', x_request_timeout_ms=800))
             assert status(answer) == 200
             assert len(rig.upstream.requests) == 2
