--- a/bench/leases.py
+++ b/bench/leases.py
@@ -20,8 +20,8 @@
 from plantaingrade.leases.coordinator import LeaseCoordinator, choose_witnesses
 from plantaingrade.membership.datagrams import DATAGRAM_CODEC, DatagramEndpoint
 from plantaingrade.membership.rpc import async_pull, make_server
-from plantaingrade.platform.entity import Row
-from plantaingrade.platform.table import TableClient
+from plantaingrade.cloud.entity import Row
+from plantaingrade.cloud.table import TableClient
 from standins.platform import async_serve
 
 SECONDS = 4.0
--- a/plantaingrade/platform/objects.py
+++ b/plantaingrade/cloud/objects.py
@@ -9,8 +9,8 @@
 from plantaingrade.http.client import Call, fetch
 from plantaingrade.http.const import STATUS_NOT_FOUND, STATUS_OK
 from plantaingrade.http.pool import ConnectFailedError, Pool
-from plantaingrade.platform.const import OBJECT_TIMEOUT_S
-from plantaingrade.platform.entity import PlatformUnavailableError
+from plantaingrade.cloud.const import OBJECT_TIMEOUT_S
+from plantaingrade.cloud.entity import PlatformUnavailableError
 
 
 class ObjectClient:
--- a/plantaingrade/platform/table.py
+++ b/plantaingrade/cloud/table.py
@@ -13,7 +13,7 @@
 from plantaingrade.http.client import Call, Reply, fetch
 from plantaingrade.http.const import STATUS_OK
 from plantaingrade.http.pool import ConnectFailedError, Pool
-from plantaingrade.platform.const import (
+from plantaingrade.cloud.const import (
     ATTR_BODY,
     ATTR_PARTITION,
     ATTR_SORT,
@@ -23,7 +23,7 @@
     TABLE_TIMEOUT_S,
     TARGET_PREFIX,
 )
-from plantaingrade.platform.entity import (
+from plantaingrade.cloud.entity import (
     Conflicted,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
--- a/plantaingrade/journal/coordinator.py
+++ b/plantaingrade/journal/coordinator.py
@@ -25,19 +25,19 @@
     Record,
 )
 from plantaingrade.journal.rules import apply_record
-from plantaingrade.platform.const import (
+from plantaingrade.cloud.const import (
     PARTITION_JOURNAL,
     PARTITION_SNAPSHOT,
 )
-from plantaingrade.platform.entity import (
+from plantaingrade.cloud.entity import (
     Conflicted,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
     Row,
     Stored,
 )
-from plantaingrade.platform.objects import ObjectClient
-from plantaingrade.platform.table import TableClient
+from plantaingrade.cloud.objects import ObjectClient
+from plantaingrade.cloud.table import TableClient
 
 RECORD_CODEC = Codec(Record, Change)
 STATE_CODEC = Codec(MapState)
--- a/plantaingrade/node/parts.py
+++ b/plantaingrade/node/parts.py
@@ -29,8 +29,8 @@
 from plantaingrade.ownership.coordinator import OwnershipCoordinator
 from plantaingrade.ownership.entity import Offer, OfferAccepted, Release
 from plantaingrade.placement.coordinator import DeciderCoordinator
-from plantaingrade.platform.objects import ObjectClient
-from plantaingrade.platform.table import TableClient
+from plantaingrade.cloud.objects import ObjectClient
+from plantaingrade.cloud.table import TableClient
 from plantaingrade.routing.coordinator import RoutingCoordinator
 from plantaingrade.routing.targets import TargetChooser
 
--- a/plantaingrade/node/runtime.py
+++ b/plantaingrade/node/runtime.py
@@ -35,7 +35,7 @@
 from plantaingrade.node.parts import Parts, Platform, make_row
 from plantaingrade.node.settings import Settings
 from plantaingrade.operators.coordinator import OperatorCoordinator
-from plantaingrade.platform.entity import PlatformUnavailableError
+from plantaingrade.cloud.entity import PlatformUnavailableError
 from plantaingrade.routing.const import CONTROL_PREFIX
 from plantaingrade.routing.respond import refuse_malformed
 
--- a/plantaingrade/placement/coordinator.py
+++ b/plantaingrade/placement/coordinator.py
@@ -25,14 +25,14 @@
     PLAN_EVERY_S,
 )
 from plantaingrade.placement.policy import plan
-from plantaingrade.platform.const import PARTITION_DECIDER
-from plantaingrade.platform.entity import (
+from plantaingrade.cloud.const import PARTITION_DECIDER
+from plantaingrade.cloud.entity import (
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
     Row,
     Stored,
 )
-from plantaingrade.platform.table import TableClient
+from plantaingrade.cloud.table import TableClient
 
 
 class DeciderCoordinator:
--- a/tests/platform/test_table.py
+++ b/tests/cloud/test_table.py
@@ -13,15 +13,15 @@
     JournalUnavailableError,
 )
 from plantaingrade.journal.entity import Applied, Declared, ServiceRow
-from plantaingrade.platform.entity import (
+from plantaingrade.cloud.entity import (
     Conflicted,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
     Row,
     Stored,
 )
-from plantaingrade.platform.objects import ObjectClient
-from plantaingrade.platform.table import TableClient
+from plantaingrade.cloud.objects import ObjectClient
+from plantaingrade.cloud.table import TableClient
 from plantaingrade.routing.respond import refuse_malformed
 from standins.platform import ObjectStandIn, TableStandIn
 from tests.rig import listening_at
--- a/tests/journal/test_coordinator.py
+++ b/tests/journal/test_coordinator.py
@@ -11,7 +11,7 @@
     JournalUnavailableError,
 )
 from plantaingrade.journal.entity import Applied, Declared, ServiceRow
-from plantaingrade.platform.entity import (
+from plantaingrade.cloud.entity import (
     Conflicted,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
