--- /dev/null
+++ b/plantaingrade/admission/gate.py
@@ -0,0 +1,93 @@
+"""Let requests wait for the slots of the server beside this process."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from plantaingrade.admission.slots import (
+    Refuse,
+    SlotQueue,
+    Start,
+    Ticket,
+    Verdict,
+    Wait,
+)
+from plantaingrade.clock import Clock
+from plantaingrade.errors import PlantaingradeError
+from plantaingrade.requests.entity import NotRun, NotRunReason
+
+
+class RefusedError(PlantaingradeError):
+    """Report a request that was refused before it was sent to the server."""
+
+    advice = 'Come back after the time given.'
+
+    def __init__(self, outcome: NotRun) -> None:
+        """Keep the typed outcome."""
+        super().__init__(outcome.reason)
+        self.outcome = outcome
+
+
+class Gate:
+    """Act on the decisions of a slot queue."""
+
+    __slots__ = ('_clock', '_turn_by_ticket', 'queue')
+
+    def __init__(self, queue: SlotQueue, clock: Clock) -> None:
+        """Use a queue."""
+        self.queue = queue
+        self._clock = clock
+        self._turn_by_ticket: dict[Ticket, asyncio.Future[Verdict]] = {}
+
+    @asynccontextmanager
+    async def slot(self, ticket: Ticket) -> AsyncIterator[None]:
+        """Hold a slot while the body of the ``async with`` runs.
+
+        Raises:
+            RefusedError: the request would not end in time.
+        """
+        verdict = self.queue.offer(ticket, self._clock.now())
+        if isinstance(verdict, Wait):
+            verdict = await self._wait(verdict)
+        if isinstance(verdict, Refuse):
+            raise RefusedError(verdict.outcome)
+        try:
+            yield
+        finally:
+            self._act(self.queue.release(self._clock.now()))
+
+    def resize(self, slots: int) -> None:
+        """Follow the server's number of slots."""
+        self.queue.slots = slots
+        self._act(self.queue.fill(self._clock.now()))
+
+    async def _wait(self, wait: Wait) -> Verdict:
+        turn = asyncio.get_running_loop().create_future()
+        self._turn_by_ticket[wait.ticket] = turn
+        try:
+            async with asyncio.timeout(wait.give_up_at - self._clock.now()):
+                return await turn
+        except TimeoutError:
+            self._leave(wait.ticket, turn)
+            return Refuse(wait.ticket, NotRun(NotRunReason.TOO_LATE))
+        except asyncio.CancelledError:
+            self._leave(wait.ticket, turn)
+            raise
+        finally:
+            self._turn_by_ticket.pop(wait.ticket, None)
+
+    def _leave(self, ticket: Ticket, turn: asyncio.Future[Verdict]) -> None:
+        """Give up a place, or the slot that came at the same moment."""
+        self.queue.withdraw(ticket)
+        if turn.done() and not turn.cancelled():
+            if isinstance(turn.result(), Start):
+                self._act(self.queue.release(self._clock.now()))
+
+    def _act(self, verdicts: list[Verdict]) -> None:
+        for verdict in verdicts:
+            turn = self._turn_by_ticket.get(verdict.ticket)
+            if turn is not None and not turn.done():
+                turn.set_result(verdict)
+            elif isinstance(verdict, Start):
+                # The waiter left at this very moment.
+                self.queue.running -= 1
--- /dev/null
+++ b/plantaingrade/config/__init__.py
@@ -0,0 +1,1 @@
+"""Routing configuration in force: routes, services, limits."""
--- /dev/null
+++ b/plantaingrade/config/coordinator.py
@@ -0,0 +1,128 @@
+"""Follow the operator's configuration."""
+
+import asyncio
+from collections.abc import Callable
+
+from plantaingrade.config.entity import RoutingConfig
+from plantaingrade.config.lookup import RouteTable
+from plantaingrade.errors import PlantaingradeError
+from plantaingrade.eventlog import EventLog
+from plantaingrade.store.entity import (
+    Changes,
+    HistoryGone,
+    NotDone,
+    RangeRead,
+    Row,
+)
+from plantaingrade.store.interface import Store
+
+# Length of one wait for changes; the platform allows 30 s.
+WAIT_S = 20.0
+RETRY_S = 0.2
+# Pause after a change: several changes in quick succession then cost one call.
+# The platform gives 2 s until a change must be in force.
+SETTLE_S = 0.3
+
+Decode = Callable[[bytes], RoutingConfig]
+
+
+class ConfigFollower:
+    """Keep the newest configuration; never go back to an older one."""
+
+    __slots__ = (
+        '_decode',
+        '_key',
+        '_listeners',
+        '_log',
+        '_store',
+        '_table',
+        'config',
+        'routes',
+    )
+
+    def __init__(
+        self,
+        store: Store,
+        table: str,
+        key: str,
+        decode: Decode,
+        log: EventLog,
+    ) -> None:
+        """Follow one row, whose body ``decode`` understands."""
+        self._store = store
+        self._table = table
+        self._key = key
+        self._decode = decode
+        self._log = log
+        self._listeners: list[Callable[[RoutingConfig], None]] = []
+        self.config: RoutingConfig | None = None
+        self.routes: RouteTable | None = None
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        return 0 if self.config is None else self.config.version
+
+    def listen(self, listener: Callable[[RoutingConfig], None]) -> None:
+        """Call back after each change."""
+        self._listeners.append(listener)
+
+    async def async_run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            after = await self._async_read()
+            while after is not None:
+                after = await self._async_follow(after)
+            await asyncio.sleep(RETRY_S)
+
+    async def _async_read(self) -> int | None:
+        outcome = await self._store.async_read(self._table, '')
+        if not isinstance(outcome, RangeRead):
+            self._log.write('config-not-read', why=outcome.failure)
+            return None
+        self._take(outcome.rows)
+        return outcome.version
+
+    async def _async_follow(self, after: int) -> int | None:
+        """Wait for changes once; return the version to go on from."""
+        outcome = await self._store.async_follow(self._table, after, WAIT_S)
+        match outcome:
+            case Changes(rows=rows, version=version):
+                if rows:
+                    self._take(rows)
+                    await asyncio.sleep(SETTLE_S)
+                return version
+            case HistoryGone():
+                self._log.write('config-history-gone', after=after)
+                return None
+            case NotDone(failure=failure):
+                self._log.write('config-feed-failed', why=failure, after=after)
+                await asyncio.sleep(RETRY_S)
+                return after
+
+    def _take(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if row.name.key == self._key and not row.is_deleted:
+                self._take_config(row)
+
+    def _take_config(self, row: Row) -> None:
+        """Put a configuration in force, unless it cannot be used."""
+        try:
+            config = self._decode(row.body)
+        except PlantaingradeError as error:
+            self._log.write(
+                'config-rejected', row_version=row.version, why=str(error)
+            )
+            return
+        if config.version <= self.version:
+            return
+        self._log.write(
+            'config-in-force',
+            version=config.version,
+            before=self.version,
+            routes=len(config.routes),
+        )
+        self.config = config
+        self.routes = RouteTable(config)
+        for listener in self._listeners:
+            listener(config)
--- /dev/null
+++ b/plantaingrade/config/entity.py
@@ -0,0 +1,65 @@
+"""Typed routing configuration.
+
+All times are seconds.
+"""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceShare:
+    """One service of a route and its weight among the others."""
+
+    service: str
+    weight: float
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """Where requests of one host and path prefix go, and within what limits.
+
+    ``objective_s`` is the latency objective, ``priority`` ranks classes of
+    requests with 0 as the most urgent, and ``max_servers`` bounds the backend
+    servers to which one request may be sent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    shares: tuple[ServiceShare, ...]
+    is_idempotent: bool
+    timeout_s: float
+    objective_s: float
+    priority: int
+    max_servers: int
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceConfig:
+    """One service as the operator declares it."""
+
+    name: str
+    is_keyed: bool
+    health_path: str
+    max_connections: int
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Bounds on what callers may send, in bytes and seconds."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class RoutingConfig:
+    """One version of the configuration, whole."""
+
+    version: int
+    routes: tuple[Route, ...]
+    service_by_name: dict[str, ServiceConfig]
+    limits: Limits
+    source: bytes = field(default=b'', repr=False)
--- /dev/null
+++ b/plantaingrade/holds/const.py
@@ -0,0 +1,40 @@
+"""Times of leases and grants, in seconds."""
+
+# A member's lease in the store. The platform's store may be away for up to
+# 10 s, and a lease that outlasts that keeps keys served meanwhile; the price
+# is that the keys of a lost instance wait for the rest of the lease.
+LEASE_S = 13.0
+# Renewal, so that 10 s of a lease are left when an outage begins.
+RENEW_S = 3.0
+# Pause after a failed renewal: an outage's end is found within this time.
+RETRY_S = 0.25
+# Hold of a grant. It is renewed from here without the store, so it can be
+# short; a server that no longer answers is waited out for this long before
+# its keys pass on.
+HOLD_S = 3.0
+# Renewal of grants: two may fail before a hold ends.
+GRANT_PERIOD_S = 1.0
+# A server's clock may run 2 % slow, so a hold may last longer by that much.
+CLOCK_RATE_MARGIN = 1.03
+# Time an order may be under way on one instance before it arrives.
+ARRIVAL_SLACK_S = 0.3
+# A grant must outlast this to let a request begin under it.
+MIN_HOLD_LEFT_S = 0.4
+# An order that is not answered in this time may be carried out later.
+ORDER_TIMEOUT_S = 0.7
+# A release is answered when running work ends, at the latest at its deadline.
+RELEASE_TIMEOUT_S = 2.5
+# A lapsed lease is left alone for this long after the store's clock passed
+# its end: a holder's own time and the store's are related within
+# CLOCK_MARGIN_S, and the rest is spare.
+TAKEOVER_MARGIN_S = 0.3
+# After an outage of the store, members renew within one pause and one call;
+# whoever has not renewed after this time is gone.
+RETURN_GRACE_S = 2.0
+# How often all processes of a service together look for lapsed leases.
+SCAN_PERIOD_S = 1.0
+# Looks are spread by this much around their period, so that they do not fall
+# together.
+SCAN_SPREAD = (0.5, 1.5)
+# The first map waits for the processes that start together.
+BOOTSTRAP_WAIT_S = 3.0
--- /dev/null
+++ b/plantaingrade/holds/coordinator.py
@@ -0,0 +1,303 @@
+"""Own keys: join, keep the lease and the grants, take over, give away."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextlib import suppress
+
+from plantaingrade.backends.life import BackendLife
+from plantaingrade.clock import Clock
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.const import (
+    BOOTSTRAP_WAIT_S,
+    GRANT_PERIOD_S,
+    RENEW_S,
+    RETRY_S,
+    RETURN_GRACE_S,
+    SCAN_PERIOD_S,
+    SCAN_SPREAD,
+)
+from plantaingrade.holds.granter import Granter
+from plantaingrade.holds.orders import ServerOrders
+from plantaingrade.holds.plans import (
+    plan_first_map,
+    plan_outrank,
+    plan_takeover,
+    plan_transfer,
+)
+from plantaingrade.holds.registry import (
+    RENEWAL,
+    Change,
+    CommitResult,
+    Registry,
+)
+from plantaingrade.keyspace.directory import KeyMaps
+from plantaingrade.keyspace.entity import Assignment, KeyRange
+from plantaingrade.peers.entity import Member
+from plantaingrade.store.interface import Store
+
+JOIN_LIMIT_S = 1.0
+RENEW_LIMIT_S = 1.0
+MOVE_LIMIT_S = 2.0
+
+
+class HoldCoordinator:
+    """Hold keys for one member and its backend server."""
+
+    def __init__(
+        self,
+        store: Store,
+        maps: KeyMaps,
+        member: Member,
+        life: BackendLife,
+        orders: ServerOrders,
+        clock: Clock,
+        log: EventLog,
+        on_joined: Callable[[], None],
+    ) -> None:
+        """Hold nothing yet; ``on_joined`` is called once a lease is held."""
+        self._on_joined = on_joined
+        self._clock = clock
+        self._log = log
+        self._life = life
+        self._member = member
+        self.registry = Registry(store, maps, member, clock, log)
+        self.granter = Granter(self.registry, orders, clock, log, self._notify)
+        self._changed = asyncio.Event()
+        self._wake = asyncio.Event()
+        self._started_at = clock.now()
+        self._store_ok_since = 0.0
+        self._must_refence = False
+        self._random = random.Random(member.name)
+
+    def on_map(self, service: str) -> None:
+        """Act on a changed map at once."""
+        if service == self._member.service:
+            self._wake.set()
+            self._notify()
+
+    def on_new_life(self) -> None:
+        """Grant to a new life of the server under new fences."""
+        self.granter.on_new_life()
+        self._must_refence = True
+        self._wake.set()
+
+    def expect_handover(self, keys: KeyRange, fence: int, token: str) -> None:
+        """Use a token that the last holder of a range sent."""
+        self.granter.expect_handover(keys, fence, token)
+
+    def find_own(self, key: int) -> Assignment | None:
+        """Return the assignment of a key if this member owns it."""
+        assignment = self.registry.key_map.find(key)
+        if assignment is None or assignment.owner != self._member.name:
+            return None
+        return assignment
+
+    def is_held(self, key: int) -> bool:
+        """Tell whether work on a key may begin at the server now."""
+        now = self._clock.now()
+        assignment = self.find_own(key)
+        if assignment is None or self.granter.is_moving(key):
+            return False
+        if not self.registry.has_lease(now):
+            return False
+        return self.granter.is_held(assignment, key, now)
+
+    async def async_wait_change(self, limit_s: float) -> None:
+        """Wait until holds may have changed."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._changed.wait()
+
+    async def async_run(self) -> None:
+        """Join, then hold keys until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._async_lease_loop())
+                tasks.create_task(self._async_grant_loop())
+                tasks.create_task(self._async_scan_loop())
+        finally:
+            await self.granter.async_stop()
+
+    async def async_give_away(
+        self,
+        keys: KeyRange,
+        target: str,
+        tell: Callable[[Assignment, str], None],
+    ) -> bool:
+        """Pass a range to another member; tell it the token of handover."""
+        self.granter.moving.add(keys)
+        try:
+            return await self._async_transfer(keys, target, tell)
+        finally:
+            self._end_move(keys)
+
+    def _end_move(self, keys: KeyRange) -> None:
+        self.granter.moving.discard(keys)
+        self._wake.set()
+        self._notify()
+
+    async def _async_transfer(
+        self,
+        keys: KeyRange,
+        target: str,
+        tell: Callable[[Assignment, str], None],
+    ) -> bool:
+        await self.granter.async_settle(keys)
+        pieces = self._owned_within(keys)
+        if not pieces:
+            return False
+        tokens = await asyncio.gather(
+            *(self.granter.async_release(piece) for piece in pieces)
+        )
+        self.granter.ledger.on_released(keys)
+        await self._async_wait_out(keys, is_released=None not in tokens)
+        committed = await self.registry.async_commit(
+            lambda registry: plan_transfer(registry, pieces, target),
+            MOVE_LIMIT_S,
+        )
+        self._log.write(
+            'keys-given',
+            first=keys.first,
+            last=keys.last,
+            to=target,
+            outcome=committed,
+        )
+        if committed is not CommitResult.DONE:
+            return False
+        self.granter.ledger.forget(keys)
+        for piece, token in zip(pieces, tokens, strict=True):
+            given = self.registry.key_map.find(piece.keys.first)
+            if given is not None and token:
+                tell(Assignment(piece.keys, target, given.fence), token)
+        return True
+
+    async def _async_wait_out(
+        self, keys: KeyRange, *, is_released: bool
+    ) -> None:
+        """Wait until no grant on these keys can still be in force.
+
+        Failure: a grant without answer is carried out seconds later, or the
+        server does not answer the release, and the next owner's server works
+        on the same keys. After the end of every hold that may exist, no late
+        order brings one back.
+        """
+        ledger = self.granter.ledger
+        if is_released:
+            ends = ledger.unsure_until(keys)
+        else:
+            ends = ledger.ends_by(keys)
+        left_s = ends - self._clock.now()
+        if left_s > 0:
+            await asyncio.sleep(left_s)
+
+    def _owned_within(self, keys: KeyRange) -> list[Assignment]:
+        pieces = []
+        for assignment in self.registry.key_map.owned_by(self._member.name):
+            part = assignment.keys.overlap(keys)
+            if part is not None:
+                pieces.append(
+                    Assignment(part, assignment.owner, assignment.fence)
+                )
+        return pieces
+
+    async def _async_lease_loop(self) -> None:
+        while True:
+            pause_s = await self._async_keep_lease()
+            await asyncio.sleep(pause_s)
+
+    async def _async_keep_lease(self) -> float:
+        """Join or renew once; return the pause until the next time."""
+        if not self._life.takes_work and not self.registry.is_joined:
+            return RETRY_S
+        if not self.registry.is_joined:
+            return await self._async_join()
+        committed = await self.registry.async_commit(
+            _plan_renewal, RENEW_LIMIT_S
+        )
+        self._note_store(is_ok=committed is not CommitResult.FAILED)
+        if committed is CommitResult.DONE:
+            return RENEW_S
+        return RETRY_S
+
+    async def _async_join(self) -> float:
+        """Take up what an earlier run owned, under new fences.
+
+        An earlier run may have sent grants that are carried out later. Under
+        a new fence, which the server sees first, those are refused.
+        """
+        is_read = await self.registry.async_read()
+        self._note_store(is_ok=is_read)
+        if not is_read:
+            return RETRY_S
+        committed = await self.registry.async_commit(plan_outrank, JOIN_LIMIT_S)
+        if committed is CommitResult.NOT_WANTED:
+            committed = await self.registry.async_commit(
+                _plan_renewal, JOIN_LIMIT_S
+            )
+        self._log.write(
+            'joined' if committed is CommitResult.DONE else 'join-failed',
+            outcome=committed,
+            keys_of=len(self.registry.key_map.owned_by(self._member.name)),
+            map_version=self.registry.key_map.version,
+        )
+        if committed is not CommitResult.DONE:
+            return RETRY_S
+        self._must_refence = False
+        self._wake.set()
+        self._on_joined()
+        return RENEW_S
+
+    async def _async_grant_loop(self) -> None:
+        while True:
+            if self.registry.is_joined and self._life.takes_work:
+                await self._async_refence()
+                self.granter.start_grants()
+            self._wake.clear()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(GRANT_PERIOD_S):
+                    await self._wake.wait()
+
+    async def _async_refence(self) -> None:
+        if not self._must_refence and not self.granter.must_outrank:
+            return
+        committed = await self.registry.async_commit(plan_outrank, JOIN_LIMIT_S)
+        if committed in {CommitResult.DONE, CommitResult.NOT_WANTED}:
+            self._must_refence = False
+            self.granter.must_outrank = False
+
+    async def _async_scan_loop(self) -> None:
+        """Make the first map; later take over the keys of the lost."""
+        await asyncio.sleep(BOOTSTRAP_WAIT_S)
+        while True:
+            if self.registry.is_joined:
+                await self._async_scan()
+            members = max(1, len(self.registry.row_by_name))
+            spread = self._random.uniform(*SCAN_SPREAD)
+            await asyncio.sleep(SCAN_PERIOD_S * members * spread)
+
+    async def _async_scan(self) -> None:
+        is_read = await self.registry.async_read()
+        self._note_store(is_ok=is_read)
+        if not is_read:
+            return
+        if not self.registry.key_map.version:
+            await self.registry.async_commit(plan_first_map, JOIN_LIMIT_S)
+            return
+        if self._clock.now() - self._store_ok_since < RETURN_GRACE_S:
+            return
+        await self.registry.async_commit(plan_takeover, JOIN_LIMIT_S)
+
+    def _note_store(self, *, is_ok: bool) -> None:
+        if not is_ok:
+            self._store_ok_since = float('inf')
+        elif self._store_ok_since == float('inf'):
+            self._store_ok_since = self._clock.now()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _plan_renewal(_: Registry) -> Change:
+    return RENEWAL
--- /dev/null
+++ b/plantaingrade/holds/entity.py
@@ -0,0 +1,57 @@
+"""Typed orders to the backend server beside this process."""
+
+from dataclasses import dataclass
+
+from plantaingrade.keyspace.entity import KeyRange
+
+
+@dataclass(slots=True, frozen=True)
+class Grant:
+    """Order to hold a range for some seconds from the order's arrival.
+
+    ``handover`` is the token that the last holder gave when it released the
+    range; with it the server need not warm up again.
+    """
+
+    keys: KeyRange
+    fence: int
+    hold_s: float
+    handover: str = ''
+
+
+@dataclass(slots=True, frozen=True)
+class Release:
+    """Order to stop work on a range; answered when what ran has ended."""
+
+    keys: KeyRange
+    fence: int
+
+
+@dataclass(slots=True, frozen=True)
+class Accepted:
+    """The server carried the order out."""
+
+    handover: str = ''
+
+
+@dataclass(slots=True, frozen=True)
+class Outranked:
+    """The server has seen a higher fence on one of these keys."""
+
+
+@dataclass(slots=True, frozen=True)
+class Unanswered:
+    """The server may have carried the order out, or may do so later."""
+
+
+@dataclass(slots=True, frozen=True)
+class Unsent:
+    """No connection was made, so the server never saw the order.
+
+    ``is_refused`` tells that nothing listens at the server's address.
+    """
+
+    is_refused: bool
+
+
+OrderOutcome = Accepted | Outranked | Unanswered | Unsent
--- /dev/null
+++ b/plantaingrade/holds/granter.py
@@ -0,0 +1,188 @@
+"""Grant the keys that this member owns to the backend server, and renew."""
+
+import asyncio
+from collections.abc import Callable
+
+from plantaingrade.clock import Clock
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.const import (
+    ARRIVAL_SLACK_S,
+    CLOCK_RATE_MARGIN,
+    HOLD_S,
+    MIN_HOLD_LEFT_S,
+    ORDER_TIMEOUT_S,
+    RELEASE_TIMEOUT_S,
+)
+from plantaingrade.holds.entity import (
+    Accepted,
+    Grant,
+    Outranked,
+    Release,
+    Unanswered,
+    Unsent,
+)
+from plantaingrade.holds.ledger import GrantLedger
+from plantaingrade.holds.orders import ServerOrders
+from plantaingrade.holds.registry import Registry
+from plantaingrade.keyspace.entity import Assignment, KeyRange
+
+
+class Granter:
+    """Keep the server's grants in step with what this member owns."""
+
+    __slots__ = (
+        '_clock',
+        '_grants_by_keys',
+        '_handover_by_keys',
+        '_log',
+        '_on_change',
+        '_orders',
+        '_registry',
+        'ledger',
+        'moving',
+        'must_outrank',
+    )
+
+    def __init__(
+        self,
+        registry: Registry,
+        orders: ServerOrders,
+        clock: Clock,
+        log: EventLog,
+        on_change: Callable[[], None],
+    ) -> None:
+        """Grant nothing yet; ``on_change`` is called when a hold begins."""
+        self._registry = registry
+        self._orders = orders
+        self._clock = clock
+        self._log = log
+        self._on_change = on_change
+        self._grants_by_keys: dict[KeyRange, asyncio.Task[None]] = {}
+        self._handover_by_keys: dict[tuple[KeyRange, int], str] = {}
+        self.ledger = GrantLedger()
+        self.moving: set[KeyRange] = set()
+        self.must_outrank = False
+
+    def is_held(self, assignment: Assignment, key: int, now: float) -> bool:
+        """Tell whether work on a key may begin now."""
+        ends = self.ledger.held_until(key, assignment.fence)
+        return ends - now > MIN_HOLD_LEFT_S
+
+    def is_moving(self, key: int) -> bool:
+        """Tell whether a key is being given away."""
+        return any(key in keys for keys in self.moving)
+
+    def expect_handover(self, keys: KeyRange, fence: int, token: str) -> None:
+        """Use a token with the first grant of a range."""
+        self._handover_by_keys[(keys, fence)] = token
+
+    def on_new_life(self) -> None:
+        """Forget what an earlier life of the server was granted."""
+        self.ledger.clear()
+
+    def start_grants(self) -> None:
+        """Send a grant for each range owned, unless one is under way."""
+        member = self._registry.member.name
+        for assignment in self._registry.key_map.owned_by(member):
+            if assignment.keys in self._grants_by_keys:
+                continue
+            if self._overlaps_moving(assignment.keys):
+                continue
+            hold_s = self._hold_s()
+            if hold_s <= MIN_HOLD_LEFT_S:
+                return
+            self._start(assignment, hold_s)
+
+    async def async_settle(self, keys: KeyRange) -> None:
+        """Wait until no grant on these keys is under way."""
+        tasks = [
+            task
+            for granted, task in self._grants_by_keys.items()
+            if granted.overlap(keys)
+        ]
+        if tasks:
+            await asyncio.wait(tasks)
+
+    async def async_release(self, assignment: Assignment) -> str | None:
+        """Take a range back; return the token, or nothing if unanswered."""
+        order = Release(assignment.keys, assignment.fence)
+        outcome = await self._orders.async_release(order, RELEASE_TIMEOUT_S)
+        self._log.write(
+            'keys-released',
+            first=assignment.keys.first,
+            last=assignment.keys.last,
+            fence=assignment.fence,
+            outcome=type(outcome).__name__,
+        )
+        if isinstance(outcome, Accepted):
+            return outcome.handover
+        return None
+
+    async def async_stop(self) -> None:
+        """Cancel what is under way."""
+        tasks = list(self._grants_by_keys.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _overlaps_moving(self, keys: KeyRange) -> bool:
+        return any(keys.overlap(moving) for moving in self.moving)
+
+    def _hold_s(self) -> float:
+        """Return a hold that ends before this member's lease does.
+
+        The order may arrive late, and the server's clock may run slow.
+        """
+        left_s = self._registry.lease_until - self._clock.now()
+        return min(HOLD_S, (left_s - ARRIVAL_SLACK_S) / CLOCK_RATE_MARGIN)
+
+    def _start(self, assignment: Assignment, hold_s: float) -> None:
+        keys, fence = assignment.keys, assignment.fence
+        token = ''
+        if not self.ledger.is_confirmed(keys, fence):
+            token = self._handover_by_keys.get((keys, fence), '')
+        grant = Grant(keys, fence, hold_s, token)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._async_grant(grant))
+        self._grants_by_keys[keys] = task
+
+    async def _async_grant(self, grant: Grant) -> None:
+        try:
+            await self._async_send(grant)
+        finally:
+            self._grants_by_keys.pop(grant.keys, None)
+
+    async def _async_send(self, grant: Grant) -> None:
+        sent_at = self._clock.now()
+        first = not self.ledger.is_confirmed(grant.keys, grant.fence)
+        self.ledger.on_sent(grant, sent_at)
+        try:
+            outcome = await self._orders.async_grant(grant, ORDER_TIMEOUT_S)
+        except asyncio.CancelledError:
+            self.ledger.on_unanswered(grant, sent_at)
+            raise
+        match outcome:
+            case Accepted():
+                self.ledger.on_confirmed(grant, sent_at)
+                self._handover_by_keys.pop((grant.keys, grant.fence), None)
+                if first:
+                    self._on_change()
+            case Unanswered():
+                self.ledger.on_unanswered(grant, sent_at)
+            case Outranked():
+                self.must_outrank = True
+        if first or not isinstance(outcome, Accepted):
+            self._log_grant(grant, outcome)
+
+    def _log_grant(
+        self, grant: Grant, outcome: Accepted | Outranked | Unanswered | Unsent
+    ) -> None:
+        self._log.write(
+            'keys-granted',
+            first=grant.keys.first,
+            last=grant.keys.last,
+            fence=grant.fence,
+            hold_s=round(grant.hold_s, 3),
+            warm=bool(grant.handover),
+            outcome=type(outcome).__name__,
+        )
--- /dev/null
+++ b/plantaingrade/holds/plans.py
@@ -0,0 +1,102 @@
+"""Pure plans of changes to a service's rows, made anew after a conflict."""
+
+from collections import Counter
+
+from plantaingrade.holds.const import TAKEOVER_MARGIN_S
+from plantaingrade.holds.lease import MemberRow
+from plantaingrade.holds.registry import Change, Registry
+from plantaingrade.keyspace.assign import reassign, split_evenly
+from plantaingrade.keyspace.entity import Assignment, KeyMap, KeyRange
+
+# A transaction of the platform holds at most 100 entries.
+MAX_REMOVED = 40
+
+
+def plan_outrank(registry: Registry) -> Change | None:
+    """Give all keys of this member a fence above every earlier one."""
+    own = registry.key_map.owned_by(registry.member.name)
+    if not own:
+        return None
+    owner_by_keys = {each.keys: each.owner for each in own}
+    return Change(reassign(registry.key_map, owner_by_keys))
+
+
+def plan_first_map(registry: Registry) -> Change | None:
+    """Divide all keys among the members that hold leases."""
+    if registry.key_map.version:
+        return None
+    live = live_members(registry)
+    return Change(split_evenly(live)) if live else None
+
+
+def plan_takeover(registry: Registry) -> Change | None:
+    """Spread the keys of members whose leases have lapsed."""
+    lapsed = lapsed_rows(registry)
+    names = {row.member.name for row in lapsed}
+    known = set(registry.row_by_name) | {registry.member.name}
+    lost = names | (registry.key_map.owners() - known)
+    live = live_members(registry)
+    if not lost or not live:
+        return None
+    removed = tuple(lapsed[:MAX_REMOVED])
+    lost -= {row.member.name for row in lapsed[MAX_REMOVED:]}
+    owner_by_keys = spread(registry.key_map, lost, live)
+    if not owner_by_keys:
+        return Change(removed=removed) if removed else None
+    return Change(reassign(registry.key_map, owner_by_keys), removed)
+
+
+def plan_transfer(
+    registry: Registry, pieces: list[Assignment], target: str
+) -> Change | None:
+    """Pass ranges on, unless they are not this member's any more."""
+    for piece in pieces:
+        present = registry.key_map.find(piece.keys.first)
+        if present is None or present.owner != registry.member.name:
+            return None
+    owner_by_keys = {piece.keys: target for piece in pieces}
+    return Change(reassign(registry.key_map, owner_by_keys))
+
+
+def live_members(registry: Registry) -> list[str]:
+    """Return the members with a lease by the store's clock, this one too."""
+    now_s = registry.store_now()
+    if now_s is None:
+        return []
+    names = {
+        name
+        for name, row in registry.row_by_name.items()
+        if row.until_s > now_s
+    }
+    return sorted(names | {registry.member.name})
+
+
+def lapsed_rows(registry: Registry) -> list[MemberRow]:
+    """Return the rows of members whose leases are over for certain.
+
+    They are judged by the store's clock as it was when they were read, which
+    is earlier than now, and not by an estimate.
+    """
+    return [
+        row
+        for name, row in sorted(registry.row_by_name.items())
+        if name != registry.member.name
+        and row.until_s + TAKEOVER_MARGIN_S < registry.read_now_s
+    ]
+
+
+def spread(
+    key_map: KeyMap, lost: set[str], live: list[str]
+) -> dict[KeyRange, str]:
+    """Give each range of lost members to the live one with fewest keys."""
+    keys_by_owner: Counter[str] = Counter({name: 0 for name in live})
+    for assignment in key_map.assignments:
+        keys_by_owner[assignment.owner] += len(assignment.keys)
+    owner_by_keys = {}
+    for assignment in key_map.assignments:
+        if assignment.owner not in lost:
+            continue
+        target = min(live, key=keys_by_owner.__getitem__)
+        owner_by_keys[assignment.keys] = target
+        keys_by_owner[target] += len(assignment.keys)
+    return owner_by_keys
--- /dev/null
+++ b/plantaingrade/holds/registry.py
@@ -0,0 +1,328 @@
+"""This member's row and the key map in the store, changed together.
+
+Every change goes through one transaction that expects this member's own row
+as it wrote it last. Whoever takes this member's keys removes that row, so a
+member that was given up can change nothing any more.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from itertools import count
+
+from plantaingrade.clock import Clock
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.const import LEASE_S, RETRY_S
+from plantaingrade.holds.lease import (
+    MemberRow,
+    UnreadableLeaseError,
+    decode_member_row,
+    encode_member_row,
+)
+from plantaingrade.keyspace.codec import (
+    UnreadableMapError,
+    decode_map,
+    encode_map,
+)
+from plantaingrade.keyspace.directory import KeyMaps
+from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.peers.entity import Member
+from plantaingrade.store.entity import (
+    Committed,
+    Conflict,
+    Expected,
+    NotDone,
+    OutcomeUnknown,
+    Put,
+    RangeRead,
+    Row,
+    RowName,
+    StoreFailure,
+    Transaction,
+    TransactionOutcome,
+)
+from plantaingrade.store.interface import Store
+
+TABLE = 'plantaingrade'
+KEY_MAP = 'map'
+KEY_MEMBER = 'member/'
+
+
+class CommitResult(StrEnum):
+    """What came of a change."""
+
+    DONE = 'done'
+    NOT_WANTED = 'not-wanted'
+    LOST = 'lease-lost'
+    FAILED = 'store-failed'
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """A change beside the renewal of the own row.
+
+    ``key_map`` replaces the map, if given; ``removed`` are rows of members
+    whose leases have lapsed.
+    """
+
+    key_map: KeyMap | None = None
+    removed: tuple[MemberRow, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class SentWrite:
+    """A row and a change that were sent together."""
+
+    row: MemberRow
+    change: Change
+
+
+RENEWAL = Change()
+Planner = Callable[['Registry'], Change | None]
+
+
+def map_row(service: str) -> RowName:
+    """Return the name of a service's map."""
+    return RowName(TABLE, service, KEY_MAP)
+
+
+def member_row(service: str, name: str) -> RowName:
+    """Return the name of a member's row."""
+    return RowName(TABLE, service, KEY_MEMBER + name)
+
+
+class Registry:
+    """Read and change the rows of one service."""
+
+    __slots__ = (
+        '_clock',
+        '_log',
+        '_maps',
+        '_store',
+        '_write_numbers',
+        '_writing',
+        'is_joined',
+        'lease_until',
+        'member',
+        'own',
+        'read_now_s',
+        'row_by_name',
+    )
+
+    def __init__(
+        self,
+        store: Store,
+        maps: KeyMaps,
+        member: Member,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        """Know the member; read nothing yet."""
+        self._store = store
+        self._maps = maps
+        self._clock = clock
+        self._log = log
+        self._write_numbers = count(1)
+        self._writing = asyncio.Lock()
+        self.member = member
+        self.own: MemberRow | None = None
+        self.is_joined = False
+        self.lease_until = 0.0
+        # The store's clock at the last read: a moment that has passed.
+        self.read_now_s = 0.0
+        self.row_by_name: dict[str, MemberRow] = {}
+
+    @property
+    def key_map(self) -> KeyMap:
+        """Return the map of this member's service."""
+        return self._maps.find(self.member.service)
+
+    def has_lease(self, now: float) -> bool:
+        """Tell whether this member may grant keys now."""
+        return self.is_joined and now < self.lease_until
+
+    def store_now(self) -> float | None:
+        """Return about what the store's clock reads now."""
+        return self._store.clock.estimate(self._clock.now())
+
+    async def async_read(self) -> bool:
+        """Read the rows of the service; tell whether that worked."""
+        service = self.member.service
+        outcome = await self._store.async_read(TABLE, service)
+        if not isinstance(outcome, RangeRead):
+            self._log.write('store-read-failed', why=outcome.failure)
+            return False
+        self.row_by_name = {}
+        for row in outcome.rows:
+            self._take_row(row)
+        self.read_now_s = outcome.now_s
+        return True
+
+    async def async_commit(self, plan: Planner, limit_s: float) -> CommitResult:
+        """Renew the own row, together with what the plan makes of the state.
+
+        A transaction whose answer was lost may be applied at any later time
+        while its condition holds. So it is sent again with the same condition
+        until the own row has changed: either the earlier one shows there by
+        its write id, or its condition can hold no more.
+        """
+        async with self._writing:
+            return await self._commit(plan, self._clock.now() + limit_s)
+
+    async def _commit(self, plan: Planner, until: float) -> CommitResult:
+        sent_by_id: dict[str, SentWrite] = {}
+        ended = None
+        while ended is None:
+            change = plan(self)
+            if change is None and not sent_by_id:
+                return CommitResult.NOT_WANTED
+            write = SentWrite(self._next_row(), change or RENEWAL)
+            ended = await self._async_send(write, sent_by_id, until)
+        if ended is CommitResult.DONE and change is None:
+            return CommitResult.NOT_WANTED
+        return ended
+
+    async def _async_send(
+        self,
+        write: SentWrite,
+        sent_by_id: dict[str, SentWrite],
+        until: float,
+    ) -> CommitResult | None:
+        """Send one transaction; return nothing if another must be sent."""
+        outcome = await self._store.async_commit(self._transaction(write))
+        ended = self._take_outcome(write, outcome, sent_by_id)
+        if ended is not None:
+            return ended
+        if self._clock.now() > until:
+            return self._give_up(outcome, len(sent_by_id))
+        if not isinstance(outcome, Conflict):
+            await asyncio.sleep(RETRY_S)
+        return None
+
+    def _give_up(
+        self, outcome: TransactionOutcome, unknown: int
+    ) -> CommitResult:
+        self._log.write('store-write-failed', why=str(outcome), unknown=unknown)
+        return CommitResult.FAILED
+
+    def _take_outcome(
+        self,
+        write: SentWrite,
+        outcome: TransactionOutcome,
+        sent_by_id: dict[str, SentWrite],
+    ) -> CommitResult | None:
+        """Act on an outcome; tell whether that ends the attempt."""
+        match outcome:
+            case Committed(version=version):
+                self._on_committed(write, version)
+                return CommitResult.DONE
+            case Conflict():
+                return self._on_conflict(outcome, sent_by_id)
+            case OutcomeUnknown():
+                sent_by_id[write.row.write_id] = write
+            case NotDone(failure=StoreFailure.REFUSED):
+                self._log.write('store-refused', write=write.row.write_id)
+        return None
+
+    def _next_row(self) -> MemberRow:
+        now_s = self.store_now() or 0.0
+        write_id = f'{self.member.boot}.{next(self._write_numbers)}'
+        return MemberRow(self.member, now_s + LEASE_S, write_id)
+
+    def _transaction(self, write: SentWrite) -> Transaction:
+        service = self.member.service
+        row, change = write.row, write.change
+        own = member_row(service, self.member.name)
+        expected = [Expected(own, self.own.version if self.own else 0)]
+        puts = [Put(own, encode_member_row(row))]
+        if change.key_map is not None:
+            name = map_row(service)
+            expected.append(Expected(name, self.key_map.version))
+            puts.append(Put(name, encode_map(change.key_map)))
+        deletes = []
+        for lapsed in change.removed:
+            name = member_row(service, lapsed.member.name)
+            expected.append(Expected(name, lapsed.version))
+            deletes.append(name)
+        return Transaction(tuple(expected), tuple(puts), tuple(deletes))
+
+    def _on_committed(self, write: SentWrite, version: int) -> None:
+        row, change = write.row, write.change
+        self.own = replace(row, version=version)
+        self.row_by_name[self.member.name] = self.own
+        self.lease_until = self._store.clock.earliest_local(row.until_s)
+        self.is_joined = True
+        for lapsed in change.removed:
+            self.row_by_name.pop(lapsed.member.name, None)
+        if change.key_map is not None:
+            key_map = change.key_map.at_version(version)
+            self._maps.offer(self.member.service, key_map)
+
+    def _on_conflict(
+        self,
+        conflict: Conflict,
+        sent_by_id: dict[str, SentWrite],
+    ) -> CommitResult | None:
+        """Take the rows as they stand; tell whether that ends the attempt."""
+        own_name = member_row(self.member.service, self.member.name)
+        found = None
+        for row in conflict.rows:
+            if row.name == own_name and row.version and not row.is_deleted:
+                found = row
+            else:
+                self._take_row(row)
+        if found is None:
+            return self._on_own_row_gone()
+        own = self._decode_own(found)
+        if own is None:
+            return self._lose('own row unreadable')
+        earlier = sent_by_id.get(own.write_id)
+        if earlier is not None:
+            self._on_committed(earlier, found.version)
+            return CommitResult.DONE
+        if own.member.boot != self.member.boot and self.is_joined:
+            return self._lose('own row taken by another run')
+        self.own = own
+        return None
+
+    def _on_own_row_gone(self) -> CommitResult | None:
+        if self.own is None:
+            # It was not there before either, so something else conflicted.
+            return None
+        return self._lose('own row removed')
+
+    def _lose(self, why: str) -> CommitResult:
+        self._log.write('lease-lost', why=why, until=self.lease_until)
+        self.own = None
+        self.is_joined = False
+        self.lease_until = 0.0
+        return CommitResult.LOST
+
+    def _decode_own(self, row: Row) -> MemberRow | None:
+        try:
+            return decode_member_row(self.member.name, row.body, row.version)
+        except UnreadableLeaseError:
+            return None
+
+    def _take_row(self, row: Row) -> None:
+        """Keep what a row says; a row that cannot be read is left out."""
+        try:
+            self._keep(row)
+        except (UnreadableMapError, UnreadableLeaseError) as error:
+            self._log.write('row-unreadable', row=row.name.key, why=str(error))
+
+    def _keep(self, row: Row) -> None:
+        if row.name.key == KEY_MAP:
+            if row.version:
+                key_map = decode_map(row.body, row.version)
+                self._maps.offer(self.member.service, key_map)
+            return
+        name = row.name.key.removeprefix(KEY_MEMBER)
+        if not row.version or row.is_deleted:
+            self.row_by_name.pop(name, None)
+            return
+        found = decode_member_row(name, row.body, row.version)
+        self.row_by_name[name] = found
+        if name == self.member.name and not self.is_joined:
+            self.own = found
--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -169,10 +169,35 @@
         if self._writable is not None:
             await self._writable
 
+    def expect_another_answer(self, request: h11.Request) -> None:
+        """Read on for the answer to a request after one that was not its own.
+
+        A parser takes one answer to a request. A new one is told of the same
+        request, whose bytes have gone out already, and of the bytes that came
+        after the answer that was skipped.
+        """
+        rest, is_at_end = self.h11.trailing_data
+        self.h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self.h11.send(request)
+        if rest:
+            self.h11.receive_data(rest)
+        if is_at_end:
+            self.h11.receive_data(b'')
+
     def has_unread_input(self) -> bool:
         """Tell whether bytes of a further message wait."""
         return bool(self.h11.trailing_data[0])
 
+    def is_reusable(self) -> bool:
+        """Tell whether another request may be sent.
+
+        Bytes that came while nothing was asked for belong to no request, so
+        a connection that has any is of no use.
+        """
+        return not self.closed and not self.has_unread_input()
+
     def close(self) -> None:
         """Close after what is written has gone out."""
         if self.transport is not None:
--- /dev/null
+++ b/plantaingrade/http/exchange.py
@@ -0,0 +1,74 @@
+"""One request and its whole answer on a client's connection."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+
+from plantaingrade.http.channel import Channel, ChannelClosedError
+from plantaingrade.http.client import read_body
+
+Accept = Callable[[h11.Response], bool]
+
+
+@dataclass(slots=True, frozen=True)
+class WholeAnswer:
+    """Head and body of an answer that came to its end."""
+
+    head: h11.Response
+    body: bytes
+
+
+def send_request(
+    channel: Channel,
+    method: bytes,
+    target: bytes,
+    headers: tuple[tuple[bytes, bytes], ...],
+    body: bytes,
+) -> h11.Request:
+    """Write a whole request; nothing is written if the connection is gone.
+
+    Raises:
+        ChannelClosedError: the connection was known to be closed.
+    """
+    request = h11.Request(method=method, target=target, headers=list(headers))
+    channel.send(request)
+    if body:
+        channel.send(h11.Data(data=body))
+    channel.send(h11.EndOfMessage())
+    return request
+
+
+async def read_answer(
+    channel: Channel,
+    request: h11.Request,
+    accept: Accept,
+    max_skipped: int = 0,
+) -> WholeAnswer | None:
+    """Return the answer that belongs to the request.
+
+    Failure: a server sends a second answer to an earlier request, and it
+    arrives where the answer to this one is due. It shows as one caller
+    getting another's answer. Answers that ``accept`` turns down are skipped.
+
+    Raises:
+        ChannelClosedError: the connection ended before the whole answer.
+    """
+    for _ in range(max_skipped + 1):
+        head = await _read_head(channel)
+        body = await read_body(channel)
+        if accept(head):
+            return WholeAnswer(head, body)
+        channel.expect_another_answer(request)
+    return None
+
+
+async def _read_head(channel: Channel) -> h11.Response:
+    while True:
+        event = await channel.next_event()
+        match event:
+            case h11.Response():
+                return event
+            case h11.InformationalResponse():
+                continue
+        raise ChannelClosedError('Connection closed without an answer.')
--- a/plantaingrade/http/pool.py
+++ b/plantaingrade/http/pool.py
@@ -58,9 +58,17 @@
         for address in list(self._idle_by_address):
             self.forget(address)
 
-    async def acquire(self, address: str, *, fresh: bool = False) -> Channel:
+    async def acquire(
+        self,
+        address: str,
+        *,
+        fresh: bool = False,
+        max_idle_s: float | None = None,
+    ) -> Channel:
         """Return a connection on which nothing is in flight.
 
+        One that idled for longer than ``max_idle_s`` is passed over.
+
         Failure: a device between the ends has forgotten an idle connection.
         It shows as a request that is never answered, and nobody can tell
         whether it ran. A connection that was silent for more than
@@ -70,13 +78,13 @@
             ConnectFailedError: no connection could be made.
         """
         idle = self._idle_by_address[address]
+        oldest = IDLE_TRUSTED_S if max_idle_s is None else max_idle_s
         while idle:
             channel = idle.pop()
             age = self._clock.now() - channel.last_byte_at
-            if fresh or channel.closed or age > IDLE_TRUSTED_S:
-                channel.close()
-            else:
+            if channel.is_reusable() and not fresh and age <= oldest:
                 return channel
+            channel.close()
         return await self._connect(address)
 
     def give_back(self, address: str, channel: Channel) -> None:
--- a/plantaingrade/http/server.py
+++ b/plantaingrade/http/server.py
@@ -25,13 +25,22 @@
         '_refuse',
         '_server',
         '_tasks',
+        'idle_s',
         'leaving',
     )
 
     def __init__(
-        self, clock: Clock, serve: RequestServer, refuse: Refuser
+        self,
+        clock: Clock,
+        serve: RequestServer,
+        refuse: Refuser,
+        idle_s: float = CALLER_IDLE_S,
     ) -> None:
-        """Prepare a server whose requests go to ``serve``."""
+        """Prepare a server whose requests go to ``serve``.
+
+        A connection without a request for ``idle_s`` is closed.
+        """
+        self.idle_s = idle_s
         self._clock = clock
         self._serve_request = serve
         self._refuse = refuse
@@ -106,7 +115,7 @@
     async def _serve_one(self, channel: Channel) -> bool:
         """Serve one request; tell whether the connection can take more."""
         try:
-            async with asyncio.timeout(CALLER_IDLE_S):
+            async with asyncio.timeout(self.idle_s):
                 event = await channel.next_event()
         except TimeoutError:
             return False
--- /dev/null
+++ b/plantaingrade/keyspace/assign.py
@@ -0,0 +1,100 @@
+"""Pure changes of a key map.
+
+Each change gives the keys it touches a fence above all that were used before,
+so that a backend server refuses whatever an earlier owner still sends.
+"""
+
+from collections.abc import Iterable
+from itertools import pairwise
+
+from plantaingrade.keyspace.entity import (
+    ALL_KEYS,
+    KEY_COUNT,
+    Assignment,
+    KeyMap,
+    KeyRange,
+)
+
+FIRST_FENCE = 1
+
+
+def split_evenly(owners: Iterable[str]) -> KeyMap:
+    """Return a first map that gives each owner as many keys."""
+    names = sorted(owners)
+    if not names:
+        return KeyMap((), 0)
+    ranges = cut(ALL_KEYS, len(names))
+    return KeyMap(
+        tuple(
+            Assignment(keys, owner, FIRST_FENCE)
+            for keys, owner in zip(ranges, names, strict=False)
+        ),
+        FIRST_FENCE,
+    )
+
+
+def cut(keys: KeyRange, pieces: int) -> list[KeyRange]:
+    """Return a range cut into pieces of about the same number of keys."""
+    pieces = min(pieces, len(keys))
+    size = len(keys)
+    edges = [keys.first + size * place // pieces for place in range(pieces + 1)]
+    return [KeyRange(first, after - 1) for first, after in pairwise(edges)]
+
+
+def reassign(
+    key_map: KeyMap,
+    owner_by_keys: dict[KeyRange, str],
+) -> KeyMap:
+    """Return the map after ranges have passed to their new owners."""
+    fence = key_map.fence + 1
+    changes = [
+        Assignment(keys, owner, fence) for keys, owner in owner_by_keys.items()
+    ]
+    return overlay(key_map, changes, fence)
+
+
+def overlay(
+    key_map: KeyMap, changes: Iterable[Assignment], fence: int
+) -> KeyMap:
+    """Return the map with assignments in place of what they cover."""
+    pieces: list[Assignment] = list(key_map.assignments)
+    for change in changes:
+        pieces = [
+            Assignment(rest, piece.owner, piece.fence)
+            for piece in pieces
+            for rest in piece.keys.without(change.keys)
+        ]
+        pieces.append(change)
+    pieces.sort(key=_first_key)
+    return KeyMap(tuple(_joined(pieces)), fence, key_map.version)
+
+
+def is_complete(key_map: KeyMap) -> bool:
+    """Tell whether each key has exactly one assignment."""
+    expected = 0
+    for assignment in key_map.assignments:
+        if assignment.keys.first != expected:
+            return False
+        expected = assignment.keys.last + 1
+    return expected == KEY_COUNT
+
+
+def _first_key(assignment: Assignment) -> int:
+    return assignment.keys.first
+
+
+def _joined(assignments: list[Assignment]) -> list[Assignment]:
+    """Join neighbours that one owner holds under one fence."""
+    joined: list[Assignment] = []
+    for assignment in assignments:
+        before = joined[-1] if joined else None
+        if before and _is_same_grant(before, assignment):
+            keys = KeyRange(before.keys.first, assignment.keys.last)
+            joined[-1] = Assignment(keys, before.owner, before.fence)
+        else:
+            joined.append(assignment)
+    return joined
+
+
+def _is_same_grant(one: Assignment, other: Assignment) -> bool:
+    return one.owner == other.owner and one.fence == other.fence
--- a/plantaingrade/membership/datagrams.py
+++ b/plantaingrade/membership/datagrams.py
@@ -16,6 +16,7 @@
     """Send and receive typed datagrams on one UDP socket."""
 
     __slots__ = (
+        '_codec',
         '_receive',
         '_transport',
         'bytes_received',
@@ -25,9 +26,14 @@
         'sent',
     )
 
-    def __init__(self, receive: Callable[[Any], None]) -> None:
+    def __init__(
+        self,
+        receive: Callable[[Any], None],
+        codec: Codec = DATAGRAM_CODEC,
+    ) -> None:
         """Hand each message to ``receive``."""
         self._receive = receive
+        self._codec = codec
         self._transport: Any = None
         self.sent = 0
         self.received = 0
@@ -52,7 +58,7 @@
         self.received += 1
         self.bytes_received += len(data)
         try:
-            message = DATAGRAM_CODEC.decode(data)
+            message = self._codec.decode(data)
         except MalformedMessageError:
             self.malformed += 1
             return
@@ -60,7 +66,7 @@
 
     def send(self, message: Any, address: str) -> None:
         """Send a message; like any datagram it may be lost."""
-        raw = DATAGRAM_CODEC.encode(message)
+        raw = self._codec.encode(message)
         if self._transport is None or len(raw) > MAX_DATAGRAM_BYTES:
             return
         self.sent += 1
--- /dev/null
+++ b/plantaingrade/peers/coordinator.py
@@ -0,0 +1,276 @@
+"""Find the other processes, and keep the key maps of all services fresh."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from plantaingrade.clock import Clock
+from plantaingrade.codec import Codec
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.lease import (
+    MemberRow,
+    UnreadableLeaseError,
+    decode_member_row,
+    encode_member_row,
+)
+from plantaingrade.holds.registry import (
+    KEY_MAP,
+    KEY_MEMBER,
+    TABLE,
+    member_row,
+)
+from plantaingrade.http.channel import ChannelClosedError
+from plantaingrade.http.client import Call, fetch
+from plantaingrade.http.pool import ConnectFailedError, Pool
+from plantaingrade.keyspace.codec import (
+    UnreadableMapError,
+    decode_map,
+    encode_map,
+)
+from plantaingrade.keyspace.directory import KeyMaps, differences
+from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.membership.datagrams import DatagramEndpoint
+from plantaingrade.peers.directory import Directory
+from plantaingrade.peers.entity import (
+    Datagram,
+    Goodbye,
+    Hello,
+    MapChanged,
+    Member,
+    Welcome,
+)
+from plantaingrade.store.entity import (
+    Committed,
+    Expected,
+    Put,
+    RangeRead,
+    Row,
+    Transaction,
+)
+from plantaingrade.store.interface import Store
+
+CODEC = Codec(Datagram, Datagram)
+PATH_MAP = '/-/map/'
+PULL_TIMEOUT_S = 0.5
+HELLO_PAUSES_S = (0.2, 0.4, 0.8, 1.6, 3.2)
+JOIN_RETRY_S = 0.25
+# A lost datagram about a map is made up for by a redirect; what even that
+# does not repair is repaired by this.
+REFRESH_S = 20.0
+STATUS_OK = 200
+HEADER_VERSION = b'v'
+
+
+class PeerCoordinator:
+    """Join the other processes on behalf of one member."""
+
+    __slots__ = (
+        '_clock',
+        '_directory',
+        '_endpoint',
+        '_known_maps',
+        '_log',
+        '_maps',
+        '_pool',
+        '_pulls',
+        '_services',
+        '_store',
+        '_welcomed',
+        'has_joined',
+        'own',
+    )
+
+    def __init__(
+        self,
+        own: Member,
+        directory: Directory,
+        maps: KeyMaps,
+        store: Store,
+        pool: Pool,
+        clock: Clock,
+        log: EventLog,
+        services: Callable[[], Iterable[str]],
+    ) -> None:
+        """Know nobody yet; ``services`` names all that are configured."""
+        self.own = own
+        self.has_joined = False
+        self._directory = directory
+        self._maps = maps
+        self._store = store
+        self._pool = pool
+        self._clock = clock
+        self._log = log
+        self._services = services
+        self._endpoint = DatagramEndpoint(self._on_datagram, CODEC)
+        self._welcomed: set[str] = set()
+        self._pulls: dict[str, asyncio.Task[None]] = {}
+
+    @property
+    def endpoint(self) -> DatagramEndpoint:
+        """Return the socket for datagrams."""
+        return self._endpoint
+
+    async def async_join(self, *, is_keyed: bool) -> None:
+        """Make this member known and learn of the others."""
+        self._directory.add(self.own)
+        while not await self._async_register(is_keyed=is_keyed):
+            await asyncio.sleep(JOIN_RETRY_S)
+        while not await self.async_refresh():
+            await asyncio.sleep(JOIN_RETRY_S)
+        self.has_joined = True
+        self._log.write('members-known', count=len(self._directory.members()))
+
+    async def async_run(self) -> None:
+        """Greet the others, and repair what was missed, until cancelled."""
+        for pause_s in HELLO_PAUSES_S:
+            self._greet()
+            await asyncio.sleep(pause_s)
+        while True:
+            await asyncio.sleep(REFRESH_S)
+            await self.async_refresh()
+            self._greet()
+
+    async def async_refresh(self) -> bool:
+        """Read the members and maps of every service from the store."""
+        for service in self._services():
+            outcome = await self._store.async_read(TABLE, service)
+            if not isinstance(outcome, RangeRead):
+                self._log.write('members-not-read', why=outcome.failure)
+                return False
+            for row in outcome.rows:
+                self._take_row(service, row)
+        return True
+
+    def say_goodbye(self) -> None:
+        """Tell every member that this one leaves."""
+        self._send_all(Goodbye(self.own.name, self.own.boot))
+
+    def spread_map(self, service: str, before: KeyMap, after: KeyMap) -> None:
+        """Tell every member how a map changed."""
+        message = MapChanged(
+            service,
+            before.version,
+            after.version,
+            after.fence,
+            differences(before, after),
+        )
+        self._send_all(message)
+
+    def pull_map(self, service: str, source: Member) -> None:
+        """Ask a member for a whole map, once at a time."""
+        if service in self._pulls:
+            return
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._async_pull(service, source))
+        self._pulls[service] = task
+        task.add_done_callback(lambda _: self._pulls.pop(service, None))
+
+    def encode_known_map(self, service: str) -> tuple[int, bytes]:
+        """Return version and body of the map of a service."""
+        key_map = self._maps.find(service)
+        return key_map.version, encode_map(key_map)
+
+    async def _async_register(self, *, is_keyed: bool) -> bool:
+        """Write the row of a member that holds no keys."""
+        if is_keyed:
+            return True
+        outcome = await self._store.async_read(TABLE, self.own.service)
+        if not isinstance(outcome, RangeRead):
+            return False
+        name = member_row(self.own.service, self.own.name)
+        version = next(
+            (row.version for row in outcome.rows if row.name == name), 0
+        )
+        row = MemberRow(self.own, 0.0, self.own.boot)
+        written = await self._store.async_commit(
+            Transaction(
+                (Expected(name, version),),
+                (Put(name, encode_member_row(row)),),
+            )
+        )
+        return isinstance(written, Committed)
+
+    def _take_row(self, service: str, row: Row) -> None:
+        try:
+            self._keep(service, row)
+        except (UnreadableLeaseError, UnreadableMapError) as error:
+            self._log.write('row-unreadable', row=row.name.key, why=str(error))
+
+    def _keep(self, service: str, row: Row) -> None:
+        if row.name.key == KEY_MAP:
+            self._maps.offer(service, decode_map(row.body, row.version))
+            return
+        name = row.name.key.removeprefix(KEY_MEMBER)
+        if name == self.own.name:
+            return
+        self._meet(decode_member_row(name, row.body, row.version).member)
+
+    def _meet(self, member: Member) -> None:
+        if member.name == self.own.name:
+            return
+        if self._directory.add(member):
+            self._welcomed.discard(member.name)
+            self._log.write(
+                'member-met',
+                member=member.name,
+                service=member.service,
+                boot=member.boot,
+            )
+
+    def _greet(self) -> None:
+        for member in self._directory.members():
+            unknown = member.name not in self._welcomed
+            if unknown and member.name != self.own.name:
+                self._endpoint.send(Hello(self.own), member.address)
+
+    def _send_all(self, message: Datagram) -> None:
+        for member in self._directory.members():
+            if member.name != self.own.name:
+                self._endpoint.send(message, member.address)
+
+    def _on_datagram(self, message: Datagram) -> None:
+        match message:
+            case Hello(member):
+                self._meet(member)
+                self._endpoint.send(Welcome(self.own), member.address)
+            case Welcome(member):
+                self._meet(member)
+                self._welcomed.add(member.name)
+            case Goodbye(name, boot):
+                self._directory.remove(name, boot)
+                self._log.write('member-left', member=name, boot=boot)
+            case MapChanged():
+                self._on_map_changed(message)
+
+    def _on_map_changed(self, message: MapChanged) -> None:
+        service = message.service
+        is_known = self._maps.apply(
+            service,
+            message.before,
+            message.version,
+            message.fence,
+            message.changes,
+        )
+        if is_known:
+            return
+        owner = message.changes[0].owner if message.changes else ''
+        source = self._directory.find(owner)
+        if source is not None and source.name != self.own.name:
+            self.pull_map(service, source)
+
+    async def _async_pull(self, service: str, source: Member) -> None:
+        call = Call('GET', source.address, f'{PATH_MAP}{service}')
+        try:
+            async with asyncio.timeout(PULL_TIMEOUT_S):
+                reply = await fetch(self._pool, call)
+        except (TimeoutError, ConnectFailedError, ChannelClosedError):
+            self._log.write('map-not-pulled', source=source.name)
+            return
+        version = reply.headers.get(HEADER_VERSION, b'0')
+        if reply.status != STATUS_OK or not version.isdigit():
+            return
+        try:
+            key_map = decode_map(reply.body, int(version))
+        except UnreadableMapError as error:
+            self._log.write('map-unreadable', why=str(error))
+            return
+        self._maps.offer(service, key_map)
--- /dev/null
+++ b/plantaingrade/platform/headers.py
@@ -0,0 +1,178 @@
+"""Headers of callers and backend servers."""
+
+import h11
+
+from plantaingrade.const import MS_PER_S
+from plantaingrade.http.const import HOP_BY_HOP
+from plantaingrade.keyspace.entity import KEY_COUNT
+from plantaingrade.platform.const import (
+    HEADER_CALLER,
+    HEADER_DEADLINE,
+    HEADER_EXPECTED,
+    HEADER_INSTANCE,
+    HEADER_KEY,
+    HEADER_LOAD,
+    HEADER_NOT_RUN,
+    HEADER_REQUEST_ID,
+)
+from plantaingrade.platform.units import UnreadableFieldError
+from plantaingrade.requests.entity import (
+    CallerRequest,
+    Headers,
+    RoutedRequest,
+    ServerLoad,
+    ServerReply,
+)
+
+# A caller that gives no deadline is answered within this time; callers of the
+# platform always give one.
+DEFAULT_DEADLINE_S = 10.0
+STATUS_MISDIRECTED = 421
+
+# Set by each process on the way, or meant for it alone.
+SET_HERE = frozenset(
+    (
+        b'host',
+        b'content-length',
+        HEADER_REQUEST_ID,
+        HEADER_DEADLINE,
+        HEADER_EXPECTED,
+        HEADER_CALLER,
+        HEADER_KEY,
+    )
+)
+# Headers of an answer that concern only this process, or that it sets anew.
+FOR_ROUTER = frozenset(
+    (
+        b'content-length',
+        b'date',
+        HEADER_REQUEST_ID,
+        HEADER_LOAD,
+        HEADER_INSTANCE,
+    )
+)
+
+
+class MalformedRequestError(UnreadableFieldError):
+    """Report a header of a caller that cannot be used."""
+
+    advice = 'Send the headers in the form that the platform documents.'
+
+
+def decode_request(
+    raw: h11.Request, body: bytes, arrived: float
+) -> CallerRequest:
+    """Return a caller's request in typed form.
+
+    Raises:
+        MalformedRequestError: a header that is needed cannot be used.
+    """
+    text_by_name = dict(raw.headers)
+    key = text_by_name.get(HEADER_KEY)
+    return CallerRequest(
+        request_id=text_by_name.get(HEADER_REQUEST_ID, b''),
+        method=raw.method,
+        target=raw.target,
+        host=text_by_name.get(b'host', b''),
+        key=None if key is None else _parse_key(key),
+        headers=_forwardable(raw.headers, SET_HERE),
+        body=body,
+        arrived=arrived,
+        deadline=arrived + _deadline_s(text_by_name.get(HEADER_DEADLINE)),
+    )
+
+
+def encode_to_server(
+    routed: RoutedRequest, instance: str, left_s: float
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a request to the backend server."""
+    caller = routed.caller
+    headers = [
+        (b'host', caller.host),
+        (HEADER_REQUEST_ID, caller.request_id),
+        (HEADER_DEADLINE, str(int(left_s * MS_PER_S)).encode()),
+        (HEADER_CALLER, routed.caller_service.encode()),
+    ]
+    if instance:
+        headers.append((HEADER_EXPECTED, instance.encode()))
+    if caller.key is not None:
+        headers.append((HEADER_KEY, str(caller.key).encode()))
+    headers.extend(caller.headers)
+    if caller.body or caller.method not in {b'GET', b'HEAD', b'DELETE'}:
+        length = str(len(caller.body)).encode()
+        headers.append((b'content-length', length))
+    return headers
+
+
+def decode_reply(response: h11.Response) -> ServerReply:
+    """Return the head of a backend server's answer in typed form."""
+    text_by_name = dict(response.headers)
+    instance = text_by_name.get(HEADER_INSTANCE, b'')
+    not_run = (
+        HEADER_NOT_RUN in text_by_name
+        or response.status_code == STATUS_MISDIRECTED
+    )
+    connection = text_by_name.get(b'connection', b'').lower()
+    return ServerReply(
+        status=response.status_code,
+        headers=_forwardable(response.headers, FOR_ROUTER),
+        request_id=text_by_name.get(HEADER_REQUEST_ID, b''),
+        instance=instance.decode('ascii', 'replace'),
+        is_not_run=not_run,
+        load=_parse_load(text_by_name.get(HEADER_LOAD)),
+        closes=b'close' in connection,
+        idle_s=_parse_idle(text_by_name.get(b'keep-alive', b'')),
+    )
+
+
+def answer_headers(request_id: bytes) -> Headers:
+    """Return the headers that every answer to a caller bears."""
+    return ((HEADER_REQUEST_ID, request_id),) if request_id else ()
+
+
+def _forwardable(
+    headers: h11._headers.Headers, dropped: frozenset[bytes]
+) -> Headers:
+    named: set[bytes] = set()
+    for name, text in headers:
+        if name == b'connection':
+            named.update(word.strip().lower() for word in text.split(b','))
+    return tuple(
+        (name, text)
+        for name, text in headers
+        if name not in HOP_BY_HOP and name not in dropped and name not in named
+    )
+
+
+def _parse_key(text: bytes) -> int:
+    if not text.isdigit() or not 0 <= int(text) < KEY_COUNT:
+        raise MalformedRequestError(f'{text!r} is no key.')
+    return int(text)
+
+
+def _deadline_s(text: bytes | None) -> float:
+    if text is None:
+        return DEFAULT_DEADLINE_S
+    try:
+        return max(0.0, float(text) / MS_PER_S)
+    except ValueError as error:
+        raise MalformedRequestError(f'{text!r} is no deadline.') from error
+
+
+def _parse_load(text: bytes | None) -> ServerLoad | None:
+    if text is None:
+        return None
+    try:
+        running, waiting, slots = (int(part) for part in text.split(b','))
+    except ValueError:
+        return None
+    return ServerLoad(running, waiting, slots)
+
+
+def _parse_idle(text: bytes) -> float | None:
+    """Return the idle timeout in a ``Keep-Alive`` header."""
+    for part in text.split(b','):
+        name, _, amount = part.strip().partition(b'=')
+        if name.lower() == b'timeout' and amount.isdigit():
+            return float(amount)
+    return None
--- /dev/null
+++ b/plantaingrade/platform/settings.py
@@ -0,0 +1,176 @@
+"""Read the settings file that the platform writes for a process."""
+
+import ipaddress
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from plantaingrade.platform.units import UnreadableFieldError, parse_time
+from plantaingrade.sidecar.settings import (
+    Bounds,
+    InstanceSettings,
+    InstanceSettingsError,
+    Listeners,
+)
+
+MAX_PORT = 65_535
+MISSING = object()
+# Offsets into the range of internal ports.
+PEERS_PORT = 0
+METRICS_PORT = 1
+DEFAULT_ROW_BYTES = 65_536
+DEFAULT_WINDOW_S = 10.0
+
+
+class FieldReader:
+    """Take fields by their path and collect what is wrong with them."""
+
+    __slots__ = ('_fields', 'mistakes')
+
+    def __init__(self, fields: Any) -> None:
+        """Read from the tables of a settings file."""
+        self._fields = fields
+        self.mistakes: list[str] = []
+
+    def take(
+        self,
+        path: str,
+        parse: Callable[[Any], Any],
+        default: Any = MISSING,
+    ) -> Any:
+        """Return the field at a dotted path, or its default.
+
+        A field that is missing or cannot be used is noted, and nothing is
+        returned for it.
+        """
+        raw = self._find(path)
+        if raw is None or raw is MISSING:
+            if default is MISSING:
+                self.mistakes.append(f'{path}: missing')
+                return None
+            return default
+        try:
+            return parse(raw)
+        except (UnreadableFieldError, ValueError, TypeError) as error:
+            self.mistakes.append(f'{path}: {error}')
+            return None
+
+    def _find(self, path: str) -> Any:
+        found = self._fields
+        for name in path.split('.'):
+            if isinstance(found, dict):
+                found = found.get(name, MISSING)
+            elif isinstance(found, list) and name.isdigit():
+                place = int(name)
+                found = found[place] if place < len(found) else MISSING
+            else:
+                return MISSING
+        return found
+
+
+def load_settings(path: str) -> InstanceSettings:
+    """Read and check a settings file.
+
+    Raises:
+        InstanceSettingsError: names each field that cannot be used, and why.
+    """
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except OSError as error:
+        raise InstanceSettingsError([f'{path}: {error.strerror}']) from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> InstanceSettings:
+    """Check the text of a settings file.
+
+    Raises:
+        InstanceSettingsError: names each field that cannot be used, and why.
+    """
+    try:
+        fields = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise InstanceSettingsError([f'not YAML: {error}']) from error
+    if not isinstance(fields, dict):
+        raise InstanceSettingsError(['the file holds no tables'])
+    reader = FieldReader(fields)
+    settings = _read(reader)
+    if reader.mistakes:
+        raise InstanceSettingsError(reader.mistakes)
+    return settings
+
+
+def _read(reader: FieldReader) -> InstanceSettings:
+    return InstanceSettings(
+        name=reader.take('self.nodeName', _text),
+        zone=reader.take('self.zone', _text),
+        ip=reader.take('self.ip', _ip),
+        service=reader.take('self.service', _text),
+        backend=reader.take('self.appAddr', _address),
+        store=reader.take('platform.platform.address', _address),
+        listeners=_read_listeners(reader),
+        bounds=_read_bounds(reader),
+        max_row_bytes=reader.take(
+            'platform.platform.rowBytes', int, DEFAULT_ROW_BYTES
+        ),
+    )
+
+
+def _read_listeners(reader: FieldReader) -> Listeners:
+    ip = reader.take('self.ip', _ip, '')
+    first_port = reader.take('network.internalPortRange.0', _port)
+    last_port = reader.take('network.internalPortRange.1', _port)
+    if first_port and last_port and last_port - first_port < METRICS_PORT:
+        reader.mistakes.append('network.internalPortRange: needs two ports')
+    base = first_port or 0
+    return Listeners(
+        # The platform calls callers' traffic outbound: it leaves from here.
+        callers=reader.take('network.listenAddrs.outbound', _address),
+        peers=f'{ip}:{base + PEERS_PORT}',
+        ready=reader.take('network.listenAddrs.ready', _address),
+        # Named for control, but it takes only the own server's heartbeats.
+        reports=reader.take('network.listenAddrs.controlPlane', _address),
+        metrics=f'{ip}:{base + METRICS_PORT}',
+    )
+
+
+def _read_bounds(reader: FieldReader) -> Bounds:
+    bounds = 'terms.bounds.'
+    return Bounds(
+        drain_s=reader.take(f'{bounds}drain', parse_time),
+        stop_grace_s=reader.take(f'{bounds}grace', parse_time),
+        max_hold_s=reader.take(f'{bounds}maxHold', parse_time, 0.0),
+        address_reuse_s=reader.take(f'{bounds}addrReuse', parse_time, 0.0),
+        heartbeat_s=reader.take('platform.heartbeat', parse_time),
+        retry_ratio=reader.take(f'{bounds}retryBudgetRatio', float, 0.0),
+        retry_window_s=reader.take(
+            f'{bounds}budgetWindow', parse_time, DEFAULT_WINDOW_S
+        ),
+        retry_slack=reader.take(f'{bounds}retryBudgetSlack', float, 0.0),
+    )
+
+
+def _text(raw: Any) -> str:
+    if not isinstance(raw, str) or not raw:
+        raise ValueError(f'{raw!r} is not a text')
+    return raw
+
+
+def _ip(raw: Any) -> str:
+    return str(ipaddress.ip_address(raw))
+
+
+def _port(raw: Any) -> int:
+    if isinstance(raw, int) and 0 < raw <= MAX_PORT:
+        return raw
+    raise ValueError(f'{raw!r} is not a port')
+
+
+def _address(raw: Any) -> str:
+    host, _, port = _text(raw).rpartition(':')
+    ipaddress.ip_address(host)
+    if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f'{raw!r} has no port')
+    return raw
--- /dev/null
+++ b/plantaingrade/platform/store.py
@@ -0,0 +1,231 @@
+"""Client of the platform's metadata store."""
+
+import asyncio
+import base64
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+from plantaingrade.clock import Clock
+from plantaingrade.http.channel import ChannelClosedError
+from plantaingrade.http.client import Call, Reply, fetch
+from plantaingrade.http.pool import ConnectFailedError, Pool
+from plantaingrade.platform.const import (
+    PATH_FEED,
+    PATH_RANGE,
+    PATH_TRANSACTION,
+    TYPE_JSON,
+)
+from plantaingrade.platform.units import (
+    UnreadableFieldError,
+    format_time,
+    parse_time,
+)
+from plantaingrade.store.clock import StoreClock
+from plantaingrade.store.entity import (
+    Changes,
+    Committed,
+    Conflict,
+    FeedOutcome,
+    HistoryGone,
+    NotDone,
+    OutcomeUnknown,
+    RangeRead,
+    ReadOutcome,
+    Row,
+    RowName,
+    StoreFailure,
+    Transaction,
+    TransactionOutcome,
+)
+
+# An answer takes 4 ms and a transaction 8 ms on a calm day and up to 77 times
+# as long on a slow one, 0.6 s; beyond a second the answer counts as lost.
+CALL_TIMEOUT_S = 1.0
+# Time allowed to a feed beyond the wait it was asked for.
+FEED_SLACK_S = 1.0
+
+STATUS_OK = 200
+STATUS_GONE = 410
+STATUS_CONFLICT = 412
+STATUS_LIMITED = 429
+STATUS_BUSY = 503
+FAILURE_BY_STATUS = {
+    STATUS_LIMITED: StoreFailure.LIMITED,
+    STATUS_BUSY: StoreFailure.BUSY,
+}
+DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    UnreadableFieldError,
+)
+
+
+class StoreClient:
+    """Call the store, and keep its clock."""
+
+    __slots__ = ('_address', '_clock', '_pool', 'calls', 'clock')
+
+    def __init__(self, pool: Pool, address: str, clock: Clock) -> None:
+        """Use the store at one address."""
+        self._pool = pool
+        self._address = address
+        self._clock = clock
+        self.clock = StoreClock()
+        self.calls = 0
+
+    async def async_commit(
+        self, transaction: Transaction
+    ) -> TransactionOutcome:
+        """Apply a transaction."""
+        body = json.dumps(_encode_transaction(transaction)).encode()
+        call = Call('POST', self._address, PATH_TRANSACTION, (TYPE_JSON,), body)
+        sent_at = self._clock.now()
+        try:
+            reply = await self._call(call, CALL_TIMEOUT_S)
+        except ConnectFailedError:
+            return NotDone(StoreFailure.NOT_REACHED)
+        except (TimeoutError, ChannelClosedError):
+            return OutcomeUnknown(StoreFailure.LOST)
+        try:
+            return self._decode_commit(reply, sent_at)
+        except DECODE_ERRORS:
+            return OutcomeUnknown(StoreFailure.MALFORMED)
+
+    async def async_read(self, table: str, part: str) -> ReadOutcome:
+        """Return all rows of one part of a table."""
+        rows: list[Row] = []
+        start = ''
+        while True:
+            query = {'table': table, 'part': part}
+            if start:
+                query['startKey'] = start
+            sent_at = self._clock.now()
+            answer = await self._get(PATH_RANGE, query, CALL_TIMEOUT_S)
+            if isinstance(answer, NotDone):
+                return answer
+            try:
+                page = self._decode_rows(answer, sent_at)
+            except DECODE_ERRORS:
+                return NotDone(StoreFailure.MALFORMED)
+            rows.extend(page.rows)
+            if not answer.get('hasMore') or not page.rows:
+                return RangeRead(tuple(rows), page.version, page.now_s)
+            # The smallest key that sorts after the last one returned.
+            start = f'{page.rows[-1].name.key}\0'
+
+    async def async_follow(
+        self, table: str, after: int, wait_s: float
+    ) -> FeedOutcome:
+        """Wait for rows of a table that changed after a version."""
+        query = {
+            'table': table,
+            'after': after,
+            'waitMs': format_time(wait_s).removesuffix('ms'),
+        }
+        sent_at = self._clock.now()
+        answer = await self._get(PATH_FEED, query, wait_s + FEED_SLACK_S)
+        if isinstance(answer, NotDone):
+            return answer
+        if STATUS_GONE in answer:
+            return HistoryGone()
+        try:
+            page = self._decode_rows(answer, sent_at, waits=True)
+        except DECODE_ERRORS:
+            return NotDone(StoreFailure.MALFORMED)
+        return Changes(page.rows, page.version, page.now_s)
+
+    async def _get(
+        self, path: str, query: dict[str, Any], timeout_s: float
+    ) -> Any:
+        target = f'{path}?{urlencode(query)}'
+        try:
+            reply = await self._call(
+                Call('GET', self._address, target), timeout_s
+            )
+        except (TimeoutError, ChannelClosedError, ConnectFailedError):
+            return NotDone(StoreFailure.NOT_REACHED)
+        if reply.status == STATUS_GONE:
+            return {STATUS_GONE: True}
+        if reply.status != STATUS_OK:
+            return NotDone(_failure(reply.status))
+        try:
+            return json.loads(reply.body)
+        except ValueError:
+            return NotDone(StoreFailure.MALFORMED)
+
+    async def _call(self, call: Call, timeout_s: float) -> Reply:
+        self.calls += 1
+        async with asyncio.timeout(timeout_s):
+            return await fetch(self._pool, call)
+
+    def _decode_commit(
+        self, reply: Reply, sent_at: float
+    ) -> TransactionOutcome:
+        if reply.status == STATUS_OK:
+            fields = json.loads(reply.body)
+            now_s = self._observe(fields, sent_at)
+            return Committed(int(fields['rowVersion']), now_s)
+        if reply.status == STATUS_CONFLICT:
+            fields = json.loads(reply.body)
+            rows = tuple(decode_row(raw) for raw in fields.get('rows', ()))
+            return Conflict(rows, self._observe(fields, sent_at))
+        return NotDone(_failure(reply.status))
+
+    def _decode_rows(
+        self, fields: dict[str, Any], sent_at: float, *, waits: bool = False
+    ) -> RangeRead:
+        rows = tuple(decode_row(raw) for raw in fields['rows'])
+        # A feed's answer may have been read long after it was asked for, so
+        # it is of no use as a sample of the clock.
+        now_s = (
+            parse_time(fields['now'])
+            if waits
+            else self._observe(fields, sent_at)
+        )
+        return RangeRead(rows, int(fields['rowVersion']), now_s)
+
+    def _observe(self, fields: dict[str, Any], sent_at: float) -> float:
+        now_s = parse_time(fields['now'])
+        self.clock.observe(sent_at, self._clock.now(), now_s)
+        return now_s
+
+
+def _failure(status: int) -> StoreFailure:
+    return FAILURE_BY_STATUS.get(status, StoreFailure.REFUSED)
+
+
+def _encode_transaction(transaction: Transaction) -> dict[str, Any]:
+    return {
+        'expected': [
+            {**_encode_name(each.name), 'rowVersion': each.version}
+            for each in transaction.expected
+        ],
+        'puts': [
+            {
+                **_encode_name(each.name),
+                'value': base64.b64encode(each.body).decode(),
+            }
+            for each in transaction.puts
+        ],
+        'deletes': [_encode_name(name) for name in transaction.deletes],
+    }
+
+
+def _encode_name(name: RowName) -> dict[str, str]:
+    return {'table': name.table, 'part': name.part, 'key': name.key}
+
+
+def decode_row(raw: dict[str, Any]) -> Row:
+    """Return a row as the store writes it."""
+    name = RowName(raw['table'], raw.get('part', ''), raw['key'])
+    is_deleted = bool(raw.get('deleted', False))
+    body = raw.get('value') or ''
+    return Row(
+        name,
+        base64.b64decode(body),
+        int(raw.get('rowVersion', 0)),
+        is_deleted,
+    )
--- /dev/null
+++ b/plantaingrade/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers, from the instance where they begin to their answer."""
--- /dev/null
+++ b/plantaingrade/requests/coordinator.py
@@ -0,0 +1,204 @@
+"""Serve the requests that begin on this instance."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from plantaingrade.admission.repeats import RepeatBudget
+from plantaingrade.clock import Clock
+from plantaingrade.config.coordinator import ConfigFollower
+from plantaingrade.const import MS_PER_S
+from plantaingrade.eventlog import EventLog
+from plantaingrade.peers.entity import Member
+from plantaingrade.requests.const import (
+    DEFAULT_RETRY_AFTER_S,
+    MAX_TRIES,
+    MIN_TRY_S,
+    RETRY_PAUSE_S,
+)
+from plantaingrade.requests.entity import (
+    Answered,
+    CallerRequest,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    RoutedRequest,
+    Unknown,
+)
+from plantaingrade.requests.peer_path import PeerPath
+from plantaingrade.requests.server_path import ServerPath
+from plantaingrade.requests.targets import TargetChooser
+
+# Refusals of a process that never reached a server: they cost the server
+# nothing, so they draw on no budget.
+FREE_REASONS = frozenset(
+    (
+        NotRunReason.NOT_OWNER,
+        NotRunReason.PEER_DOWN,
+        NotRunReason.MOVING,
+        NotRunReason.SERVER_DOWN,
+        NotRunReason.DRAINING,
+        NotRunReason.LEAVING,
+        NotRunReason.CONNECT_FAILED,
+    )
+)
+# Refusals after which another process, or the same one, may do better.
+RETRY_REASONS = FREE_REASONS | {NotRunReason.SERVER_REFUSED}
+
+
+@dataclass(slots=True, frozen=True)
+class NoRoute:
+    """The configuration in force has no route for the request."""
+
+
+@dataclass(slots=True)
+class Progress:
+    """What has been tried for one request."""
+
+    routed: RoutedRequest
+    tries: int = 0
+    sent: int = 0
+    tried: set[str] = field(default_factory=set)
+    hint: str = ''
+    path: list[str] = field(default_factory=list)
+
+
+class RequestCoordinator:
+    """Route requests, try again what may be, and say what came of them."""
+
+    __slots__ = (
+        '_budget',
+        '_clock',
+        '_config',
+        '_log',
+        '_on_done',
+        '_own',
+        '_peers',
+        '_server',
+        '_service',
+        '_targets',
+    )
+
+    def __init__(
+        self,
+        own: Member,
+        config: ConfigFollower,
+        targets: TargetChooser,
+        server: ServerPath,
+        peers: PeerPath,
+        budget: RepeatBudget,
+        clock: Clock,
+        log: EventLog,
+        on_done: Callable[[RoutedRequest, Outcome, float], None],
+    ) -> None:
+        """Join the paths of one process."""
+        self._own = own
+        self._config = config
+        self._targets = targets
+        self._server = server
+        self._peers = peers
+        self._budget = budget
+        self._clock = clock
+        self._log = log
+        self._on_done = on_done
+
+    async def async_serve(self, caller: CallerRequest) -> Outcome | NoRoute:
+        """Return what became of a request of a caller on this instance."""
+        if self._config.routes is None:
+            return NotRun(NotRunReason.NO_CONFIG, DEFAULT_RETRY_AFTER_S)
+        routed = self._route(caller)
+        if routed is None:
+            self._log.write('no-route', id=caller.request_id.decode())
+            return NoRoute()
+        self._budget.on_request(routed.service)
+        progress = Progress(routed)
+        outcome = await self._async_try_all(progress)
+        self._report(progress, outcome)
+        return outcome
+
+    def _route(self, caller: CallerRequest) -> RoutedRequest | None:
+        routes = self._config.routes
+        host = caller.host.decode('ascii', 'replace')
+        path = caller.target.split(b'?', 1)[0].decode('ascii', 'replace')
+        route = routes.find(host, path) if routes else None
+        if route is None:
+            return None
+        return RoutedRequest(
+            caller=caller,
+            caller_service=self._own.service,
+            service=routes.next_service(route),
+            is_idempotent=route.is_idempotent,
+            priority=route.priority,
+            until=min(caller.deadline, caller.arrived + route.timeout_s),
+            due=caller.arrived + route.objective_s,
+        )
+
+    async def _async_try_all(self, progress: Progress) -> Outcome:
+        while True:
+            outcome = await self._async_try(progress)
+            if isinstance(outcome, Answered):
+                return outcome
+            progress.path.append(outcome.reason.value)
+            if not self._may_try_again(progress, outcome):
+                return outcome
+            if isinstance(outcome, NotRun) and outcome.owner:
+                progress.hint = outcome.owner
+            else:
+                progress.hint = ''
+                await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _async_try(self, progress: Progress) -> Outcome:
+        routed = progress.routed
+        if routed.until - self._clock.now() < MIN_TRY_S:
+            return NotRun(NotRunReason.EXPIRED, DEFAULT_RETRY_AFTER_S)
+        member = self._targets.choose(routed, progress.tried, progress.hint)
+        if member is None:
+            return NotRun(NotRunReason.NO_SERVER, DEFAULT_RETRY_AFTER_S)
+        progress.tries += 1
+        progress.path.append(member.name)
+        if routed.caller.key is None:
+            progress.tried.add(member.name)
+        if member.name == self._own.name:
+            return await self._server.async_serve(routed)
+        return await self._peers.async_serve(routed, member)
+
+    def _may_try_again(
+        self, progress: Progress, outcome: NotRun | Unknown
+    ) -> bool:
+        left_s = progress.routed.until - self._clock.now()
+        if progress.tries >= MAX_TRIES or left_s < MIN_TRY_S + RETRY_PAUSE_S:
+            return False
+        service = progress.routed.service
+        match outcome:
+            case NotRun(reason=reason):
+                if reason not in RETRY_REASONS:
+                    return False
+                return reason in FREE_REASONS or self._budget.try_spend(service)
+            case Unknown():
+                if not progress.routed.is_idempotent:
+                    return False
+                return self._budget.try_spend(service)
+
+    def _report(self, progress: Progress, outcome: Outcome) -> None:
+        routed = progress.routed
+        took_s = self._clock.now() - routed.caller.arrived
+        self._on_done(routed, outcome, took_s)
+        status = None
+        reason = None
+        if isinstance(outcome, Answered):
+            status = outcome.answer.status
+        else:
+            reason = outcome.reason.value
+        self._log.write(
+            'request',
+            id=routed.caller.request_id.decode('ascii', 'replace'),
+            service=routed.service,
+            key=routed.caller.key,
+            kind=routed.kind,
+            outcome=type(outcome).__name__,
+            status=status,
+            why=reason,
+            path=progress.path,
+            ms=round(took_s * MS_PER_S, 1),
+            config=self._config.version,
+        )
--- /dev/null
+++ b/plantaingrade/requests/entity.py
@@ -0,0 +1,149 @@
+"""Typed requests, answers and outcomes.
+
+Points in time are readings of the boot clock of this instance, in seconds.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class NotRunReason(StrEnum):
+    """Why a request was certainly not run."""
+
+    NO_CONFIG = 'no-config'
+    NO_SERVER = 'no-server'
+    NO_OWNER = 'no-owner'
+    NOT_OWNER = 'not-owner'
+    MOVING = 'keys-moving'
+    NOT_GRANTED = 'keys-not-granted'
+    QUEUE_FULL = 'queue-full'
+    TOO_LATE = 'cannot-finish-in-time'
+    EXPIRED = 'deadline-passed'
+    DRAINING = 'server-draining'
+    SERVER_DOWN = 'server-down'
+    SERVER_REFUSED = 'server-refused'
+    CONNECT_FAILED = 'connect-failed'
+    PEER_DOWN = 'process-not-reached'
+    LEAVING = 'process-leaving'
+    NO_BUDGET = 'retry-budget-spent'
+
+
+class UnknownReason(StrEnum):
+    """Why nobody can tell whether a request was run."""
+
+    BROKEN = 'connection-broken'
+    PEER_BROKEN = 'connection-to-process-broken'
+    TIMEOUT = 'deadline-passed'
+    INCOMPLETE = 'answer-incomplete'
+    MISMATCH = 'answer-of-another-request'
+
+
+@dataclass(slots=True, frozen=True)
+class CallerRequest:
+    """One attempt of a caller, as it came in.
+
+    ``key`` is the key whose owner must run it, if it names one; ``headers``
+    are those that go on unchanged; ``deadline`` is when its caller stops
+    waiting.
+    """
+
+    request_id: bytes
+    method: bytes
+    target: bytes
+    host: bytes
+    key: int | None
+    headers: Headers
+    body: bytes
+    arrived: float
+    deadline: float
+
+
+@dataclass(slots=True, frozen=True)
+class RoutedRequest:
+    """A request together with what its route says.
+
+    ``until`` is when it must have its final answer at the latest: the
+    caller's deadline or the route's timeout. ``due`` is the end of its
+    latency objective.
+    """
+
+    caller: CallerRequest
+    caller_service: str
+    service: str
+    is_idempotent: bool
+    priority: int
+    until: float
+    due: float
+
+    @property
+    def kind(self) -> str:
+        """Return the class whose requests take about the same time."""
+        return f'{self.priority}{"i" if self.is_idempotent else "o"}'
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """Whole answer of a backend server, to be passed on unchanged."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """A backend server answered."""
+
+    answer: Answer
+
+
+@dataclass(slots=True, frozen=True)
+class NotRun:
+    """The request has not run and never will.
+
+    ``retry_after_s`` is when it would probably be served. ``owner`` names the
+    member that owns the key, where the refusing process knows better.
+    """
+
+    reason: NotRunReason
+    retry_after_s: float = 0.0
+    owner: str = ''
+
+
+@dataclass(slots=True, frozen=True)
+class Unknown:
+    """The request may have run, or may still be running."""
+
+    reason: UnknownReason
+
+
+Outcome = Answered | NotRun | Unknown
+
+
+@dataclass(slots=True, frozen=True)
+class ServerLoad:
+    """What a backend server says of its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(slots=True, frozen=True)
+class ServerReply:
+    """Head of an answer of a backend server, decoded.
+
+    ``request_id`` and ``instance`` are empty where the server sent none.
+    ``is_not_run`` is its promise that it did not run the request.
+    """
+
+    status: int
+    headers: Headers
+    request_id: bytes
+    instance: str
+    is_not_run: bool
+    load: ServerLoad | None
+    closes: bool
+    idle_s: float | None
--- /dev/null
+++ b/plantaingrade/requests/peer_path.py
@@ -0,0 +1,85 @@
+"""Have a request served by another process."""
+
+import asyncio
+
+from plantaingrade.clock import Clock
+from plantaingrade.http.channel import Channel, ChannelClosedError
+from plantaingrade.http.exchange import read_answer, send_request
+from plantaingrade.http.pool import ConnectFailedError, Pool
+from plantaingrade.peers.directory import Directory
+from plantaingrade.peers.entity import Member
+from plantaingrade.requests.const import (
+    DEFAULT_RETRY_AFTER_S,
+    PEER_GRACE_S,
+)
+from plantaingrade.requests.entity import (
+    Answer,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    RoutedRequest,
+    Unknown,
+    UnknownReason,
+)
+from plantaingrade.requests.hop import decode_outcome, encode_hop
+
+
+class PeerPath:
+    """Send requests to the process beside another server."""
+
+    __slots__ = ('_clock', '_directory', '_pool')
+
+    def __init__(self, directory: Directory, pool: Pool, clock: Clock) -> None:
+        """Use a pool of connections to other processes."""
+        self._directory = directory
+        self._pool = pool
+        self._clock = clock
+
+    async def async_serve(
+        self, routed: RoutedRequest, member: Member
+    ) -> Outcome:
+        """Return what became of a request at another process."""
+        left_s = routed.until - self._clock.now()
+        try:
+            async with asyncio.timeout(left_s + PEER_GRACE_S):
+                outcome = await self._async_exchange(routed, member)
+        except TimeoutError:
+            self._directory.suspect(member.name, self._clock.now())
+            return Unknown(UnknownReason.TIMEOUT)
+        return outcome
+
+    async def _async_exchange(
+        self, routed: RoutedRequest, member: Member
+    ) -> Outcome:
+        try:
+            channel = await self._pool.acquire(member.address)
+        except ConnectFailedError:
+            self._directory.suspect(member.name, self._clock.now())
+            return NotRun(NotRunReason.PEER_DOWN, DEFAULT_RETRY_AFTER_S)
+        headers = encode_hop(routed, self._clock.now())
+        caller = routed.caller
+        try:
+            request = send_request(
+                channel, caller.method, caller.target, headers, caller.body
+            )
+        except ChannelClosedError:
+            channel.abort()
+            return NotRun(NotRunReason.PEER_DOWN, DEFAULT_RETRY_AFTER_S)
+        try:
+            whole = await read_answer(channel, request, lambda _: True)
+        except ChannelClosedError:
+            channel.abort()
+            self._directory.suspect(member.name, self._clock.now())
+            return Unknown(UnknownReason.PEER_BROKEN)
+        except BaseException:
+            channel.abort()
+            raise
+        self._keep(member, channel)
+        self._directory.trust(member.name)
+        headers = tuple(whole.head.headers)
+        return decode_outcome(
+            Answer(whole.head.status_code, headers, whole.body)
+        )
+
+    def _keep(self, member: Member, channel: Channel) -> None:
+        self._pool.give_back(member.address, channel)
--- /dev/null
+++ b/plantaingrade/requests/server_path.py
@@ -0,0 +1,216 @@
+"""Have a request run by the backend server beside this process."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+
+from plantaingrade.admission.gate import Gate, RefusedError
+from plantaingrade.admission.slots import Ticket
+from plantaingrade.backends.life import BackendLife
+from plantaingrade.clock import Clock
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.coordinator import HoldCoordinator
+from plantaingrade.http.channel import Channel, ChannelClosedError
+from plantaingrade.http.exchange import (
+    WholeAnswer,
+    read_answer,
+    send_request,
+)
+from plantaingrade.http.pool import ConnectFailedError, Pool
+from plantaingrade.requests.const import (
+    DEFAULT_RETRY_AFTER_S,
+    MAX_SKIPPED_ANSWERS,
+    MIN_TRY_S,
+    ONCE_IDLE_S,
+    SERVER_GRACE_S,
+)
+from plantaingrade.requests.entity import (
+    Answer,
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    RoutedRequest,
+    ServerReply,
+    Unknown,
+    UnknownReason,
+)
+
+EncodeRequest = Callable[[RoutedRequest, str, float], list]
+DecodeReply = Callable[[h11.Response], ServerReply]
+
+
+@dataclass(slots=True, frozen=True)
+class ServerWire:
+    """How requests to the server and its answers are written."""
+
+    address: str
+    encode: EncodeRequest
+    decode: DecodeReply
+
+
+class ServerPath:
+    """Serve requests at the own server, within its slots."""
+
+    __slots__ = (
+        '_clock',
+        '_gate',
+        '_holds',
+        '_is_keyed',
+        '_life',
+        '_log',
+        '_on_other_life',
+        '_pool',
+        '_wire',
+    )
+
+    def __init__(
+        self,
+        wire: ServerWire,
+        life: BackendLife,
+        holds: HoldCoordinator,
+        gate: Gate,
+        pool: Pool,
+        clock: Clock,
+        log: EventLog,
+        is_keyed: Callable[[], bool | None],
+        on_other_life: Callable[[str], None],
+    ) -> None:
+        """Join the parts.
+
+        ``is_keyed`` tells whether the server's service is divided by key, or
+        nothing while no configuration is known. ``on_other_life`` is told of
+        an unexpected id.
+        """
+        self._is_keyed = is_keyed
+        self._wire = wire
+        self._life = life
+        self._holds = holds
+        self._gate = gate
+        self._pool = pool
+        self._clock = clock
+        self._log = log
+        self._on_other_life = on_other_life
+
+    async def async_serve(self, routed: RoutedRequest) -> Outcome:
+        """Return what became of a request."""
+        refusal = self._refuse_by_state()
+        if refusal is None and self._needs_hold(routed):
+            refusal = await self._async_wait_hold(routed)
+        if refusal is not None:
+            return refusal
+        ticket = Ticket(routed.kind, routed.priority, routed.until, routed.due)
+        try:
+            async with self._gate.slot(ticket):
+                return await self._async_run(routed)
+        except RefusedError as error:
+            return error.outcome
+
+    def _needs_hold(self, routed: RoutedRequest) -> bool:
+        return bool(self._is_keyed()) and routed.caller.key is not None
+
+    def _refuse_by_state(self) -> NotRun | None:
+        if self._is_keyed() is None:
+            return NotRun(NotRunReason.NO_CONFIG, DEFAULT_RETRY_AFTER_S)
+        if self._life.takes_work:
+            return None
+        return NotRun(NotRunReason.SERVER_DOWN, DEFAULT_RETRY_AFTER_S)
+
+    async def _async_wait_hold(self, routed: RoutedRequest) -> NotRun | None:
+        """Wait while keys move or are about to be granted."""
+        key = routed.caller.key or 0
+        while not self._holds.is_held(key):
+            assignment = self._holds.registry.key_map.find(key)
+            if assignment is None:
+                return NotRun(NotRunReason.NO_OWNER, DEFAULT_RETRY_AFTER_S)
+            if self._holds.find_own(key) is None:
+                return NotRun(NotRunReason.NOT_OWNER, 0.0, assignment.owner)
+            left_s = routed.until - self._clock.now()
+            left_s -= self._gate.queue.estimate.expected_s(routed.kind)
+            if left_s <= 0:
+                return NotRun(NotRunReason.NOT_GRANTED, DEFAULT_RETRY_AFTER_S)
+            await self._holds.async_wait_change(left_s)
+        return None
+
+    async def _async_run(self, routed: RoutedRequest) -> Outcome:
+        """Send the request to the server while a slot is held."""
+        key = routed.caller.key or 0
+        if self._needs_hold(routed) and not self._holds.is_held(key):
+            return NotRun(NotRunReason.MOVING, DEFAULT_RETRY_AFTER_S)
+        left_s = routed.until - self._clock.now()
+        if left_s < MIN_TRY_S:
+            return NotRun(NotRunReason.EXPIRED, DEFAULT_RETRY_AFTER_S)
+        began = self._clock.now()
+        try:
+            async with asyncio.timeout(left_s + SERVER_GRACE_S):
+                outcome = await self._async_exchange(routed, left_s)
+        except TimeoutError:
+            outcome = Unknown(UnknownReason.TIMEOUT)
+        if not isinstance(outcome, NotRun):
+            took_s = self._clock.now() - began
+            self._gate.queue.estimate.observe(routed.kind, took_s)
+        return outcome
+
+    async def _async_exchange(
+        self, routed: RoutedRequest, left_s: float
+    ) -> Outcome:
+        instance = self._life.instance
+        max_idle_s = None if routed.is_idempotent else ONCE_IDLE_S
+        address = self._wire.address
+        try:
+            channel = await self._pool.acquire(address, max_idle_s=max_idle_s)
+        except ConnectFailedError as error:
+            self._log.write('server-not-reached', why=str(error.__cause__))
+            return NotRun(NotRunReason.CONNECT_FAILED, DEFAULT_RETRY_AFTER_S)
+        headers = tuple(self._wire.encode(routed, instance, left_s))
+        caller = routed.caller
+        try:
+            request = send_request(
+                channel, caller.method, caller.target, headers, caller.body
+            )
+        except ChannelClosedError:
+            channel.abort()
+            return NotRun(NotRunReason.CONNECT_FAILED, DEFAULT_RETRY_AFTER_S)
+        return await self._async_read(routed, channel, request)
+
+    async def _async_read(
+        self, routed: RoutedRequest, channel: Channel, request: h11.Request
+    ) -> Outcome:
+        wanted = routed.caller.request_id
+
+        def is_own(head: h11.Response) -> bool:  # noqa: WPS430
+            found = self._wire.decode(head).request_id
+            return not found or found == wanted
+
+        try:
+            whole = await read_answer(
+                channel, request, is_own, MAX_SKIPPED_ANSWERS
+            )
+        except ChannelClosedError:
+            channel.abort()
+            return Unknown(UnknownReason.BROKEN)
+        except BaseException:
+            # Closing tells the server that nobody waits for the answer.
+            channel.abort()
+            raise
+        if whole is None:
+            channel.abort()
+            return Unknown(UnknownReason.MISMATCH)
+        reply = self._wire.decode(whole.head)
+        if reply.closes:
+            channel.close()
+        else:
+            self._pool.give_back(self._wire.address, channel)
+        return self._judge(reply, whole)
+
+    def _judge(self, reply: ServerReply, whole: WholeAnswer) -> Outcome:
+        if reply.is_not_run:
+            if reply.instance and reply.instance != self._life.instance:
+                self._on_other_life(reply.instance)
+            self._log.write(
+                'server-refused', status=reply.status, load=reply.load
+            )
+            return NotRun(NotRunReason.SERVER_REFUSED, DEFAULT_RETRY_AFTER_S)
+        return Answered(Answer(reply.status, reply.headers, whole.body))
--- /dev/null
+++ b/plantaingrade/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside one backend server on the users' platform."""
--- /dev/null
+++ b/plantaingrade/sidecar/const.py
@@ -0,0 +1,14 @@
+"""Times and figures of the process; times in seconds."""
+
+# Slots assumed until the server has told how many it has.
+FIRST_SLOTS = 2
+# Idle connections of other processes and of the platform are kept this long.
+INTERNAL_IDLE_S = 60.0
+# Pause between looks at what is awaited at the start.
+VERIFY_PAUSE_S = 0.05
+# Time after SIGTERM during which callers may still come: the platform asks
+# once a second whether this process takes work, and acts on the second no.
+LINGER_S = 2.3
+# Time left of the platform's grace when what still runs is given up.
+GRACE_RESERVE_S = 0.5
+STOP_CHECK_S = 0.05
--- /dev/null
+++ b/plantaingrade/sidecar/fronts.py
@@ -0,0 +1,210 @@
+"""HTTP fronts of one process: for callers, peers, its server, the platform."""
+
+from collections.abc import Awaitable, Callable
+
+import h11
+
+from plantaingrade.backends.report import Farewell, Heartbeat
+from plantaingrade.clock import Clock
+from plantaingrade.errors import PlantaingradeError
+from plantaingrade.eventlog import EventLog
+from plantaingrade.http.channel import Channel
+from plantaingrade.http.client import read_body
+from plantaingrade.requests.const import (
+    DEFAULT_RETRY_AFTER_S,
+    STATUS_BAD_GATEWAY,
+    STATUS_BAD_REQUEST,
+    STATUS_GATEWAY_TIMEOUT,
+    STATUS_NOT_FOUND,
+    STATUS_TOO_LARGE,
+    STATUS_UNAVAILABLE,
+)
+from plantaingrade.requests.coordinator import NoRoute, RequestCoordinator
+from plantaingrade.requests.entity import (
+    Answer,
+    Answered,
+    CallerRequest,
+    Headers,
+    NotRun,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+from plantaingrade.requests.hop import decode_hop, encode_outcome
+from plantaingrade.requests.server_path import ServerPath
+
+STATUS_OK = 200
+STATUS_MISDIRECTED = 421
+BODILESS = frozenset((204, 304))
+DecodeRequest = Callable[[h11.Request, bytes, float], CallerRequest]
+OwnHeaders = Callable[[bytes], Headers]
+DecodeReport = Callable[[h11.Request, bytes], Heartbeat | Farewell | None]
+
+
+def send_answer(channel: Channel, answer: Answer) -> None:
+    """Send a whole answer."""
+    headers = list(answer.headers)
+    if answer.status not in BODILESS:
+        headers.append((b'content-length', str(len(answer.body)).encode()))
+    channel.send(h11.Response(status_code=answer.status, headers=headers))
+    if answer.body:
+        channel.send(h11.Data(data=answer.body))
+    channel.send(h11.EndOfMessage())
+
+
+def refuse_malformed(channel: Channel, error: h11.RemoteProtocolError) -> None:
+    """Answer bytes that are no HTTP request, if an answer can be sent."""
+    if channel.closed or channel.h11.our_state not in {
+        h11.IDLE,
+        h11.SEND_RESPONSE,
+    }:
+        return
+    status = error.error_status_hint or STATUS_BAD_REQUEST
+    send_answer(channel, Answer(status, ((b'connection', b'close'),), b''))
+
+
+class CallerFront:
+    """Take requests that begin on this instance, and answer them."""
+
+    __slots__ = ('_clock', '_coordinator', '_decode', '_own_headers', 'limits')
+
+    def __init__(
+        self,
+        coordinator: RequestCoordinator,
+        decode: DecodeRequest,
+        own_headers: OwnHeaders,
+        clock: Clock,
+    ) -> None:
+        """Serve by a coordinator."""
+        self._coordinator = coordinator
+        self._decode = decode
+        self._own_headers = own_headers
+        self._clock = clock
+        self.limits = None
+
+    async def async_handle(self, raw: h11.Request, channel: Channel) -> None:
+        """Serve one request."""
+        arrived = self._clock.now()
+        if self._is_too_long(raw):
+            refusal = Answer(STATUS_TOO_LARGE, (), b'')
+            send_answer(channel, refusal)
+            return
+        body = await read_body(channel)
+        try:
+            caller = self._decode(raw, body, arrived)
+        except PlantaingradeError:
+            send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
+            return
+        outcome = await self._coordinator.async_serve(caller)
+        answer = _answer_of(outcome)
+        headers = (*self._own_headers(caller.request_id), *answer.headers)
+        send_answer(channel, Answer(answer.status, headers, answer.body))
+
+    def _is_too_long(self, raw: h11.Request) -> bool:
+        if self.limits is None:
+            return False
+        length = dict(raw.headers).get(b'content-length', b'0')
+        return length.isdigit() and int(length) > self.limits.max_body_bytes
+
+
+def _answer_of(outcome: Outcome | NoRoute) -> Answer:
+    """Return what a caller is told."""
+    match outcome:
+        case Answered(answer):
+            return answer
+        case NoRoute():
+            return Answer(STATUS_NOT_FOUND, (), b'')
+        case NotRun(retry_after_s=after_s):
+            after = f'{max(after_s, DEFAULT_RETRY_AFTER_S):.2f}'.encode()
+            headers = ((b'retry-after', after),)
+            return Answer(STATUS_UNAVAILABLE, headers, b'')
+        case Unknown(reason=UnknownReason.TIMEOUT):
+            return Answer(STATUS_GATEWAY_TIMEOUT, (), b'')
+        case Unknown():
+            return Answer(STATUS_BAD_GATEWAY, (), b'')
+
+
+class PeerFront:
+    """Take requests of other processes."""
+
+    __slots__ = ('_clock', '_control', '_server', '_service')
+
+    def __init__(
+        self,
+        service: str,
+        server: ServerPath,
+        clock: Clock,
+        control: Callable[[h11.Request, bytes], Awaitable[Answer]],
+    ) -> None:
+        """Serve at the own server; ``control`` takes all else."""
+        self._service = service
+        self._server = server
+        self._clock = clock
+        self._control = control
+
+    async def async_handle(self, raw: h11.Request, channel: Channel) -> None:
+        """Serve one request."""
+        body = await read_body(channel)
+        if raw.target.startswith(b'/-/'):
+            send_answer(channel, await self._control(raw, body))
+            return
+        try:
+            routed = decode_hop(raw, body, self._clock.now())
+        except PlantaingradeError:
+            send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
+            return
+        if routed.service != self._service:
+            # The address belonged to a process of another service before.
+            send_answer(channel, Answer(STATUS_MISDIRECTED, (), b''))
+            return
+        outcome = await self._server.async_serve(routed)
+        send_answer(channel, encode_outcome(outcome))
+
+
+class ReadyFront:
+    """Tell the platform whether this process takes work."""
+
+    __slots__ = ('_is_ready',)
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        """Ask ``is_ready`` each time."""
+        self._is_ready = is_ready
+
+    async def async_handle(self, raw: h11.Request, channel: Channel) -> None:
+        """Answer one question."""
+        await read_body(channel)
+        status = STATUS_OK if self._is_ready() else STATUS_UNAVAILABLE
+        send_answer(channel, Answer(status, (), b''))
+
+
+class ReportFront:
+    """Take heartbeats of the own server."""
+
+    __slots__ = ('_decode', '_log', '_on_report')
+
+    def __init__(
+        self,
+        decode: DecodeReport,
+        on_report: Callable[[Heartbeat | Farewell], None],
+        log: EventLog,
+    ) -> None:
+        """Hand typed reports to ``on_report``."""
+        self._decode = decode
+        self._on_report = on_report
+        self._log = log
+
+    async def async_handle(self, raw: h11.Request, channel: Channel) -> None:
+        """Take one report and acknowledge it."""
+        body = await read_body(channel)
+        try:
+            report = self._decode(raw, body)
+        except PlantaingradeError as error:
+            self._log.write('report-rejected', why=str(error))
+            send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
+            return
+        if report is None:
+            send_answer(channel, Answer(STATUS_NOT_FOUND, (), b''))
+            return
+        self._on_report(report)
+        json_type = ((b'content-type', b'application/json'),)
+        send_answer(channel, Answer(STATUS_OK, json_type, b'{}'))
--- /dev/null
+++ b/plantaingrade/sidecar/process.py
@@ -0,0 +1,327 @@
+"""One process beside one backend server, from its start to its end."""
+
+import asyncio
+import os
+from types import TracebackType
+
+from absl import logging
+
+from plantaingrade.admission.estimate import WorkEstimate
+from plantaingrade.admission.gate import Gate
+from plantaingrade.admission.repeats import RepeatBudget
+from plantaingrade.admission.slots import SlotQueue
+from plantaingrade.backends.life import BackendLife, LifeChange
+from plantaingrade.backends.report import Farewell, Heartbeat
+from plantaingrade.clock import Clock
+from plantaingrade.config.coordinator import ConfigFollower
+from plantaingrade.config.entity import RoutingConfig
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.coordinator import HoldCoordinator
+from plantaingrade.http.pool import Pool, split_address
+from plantaingrade.http.server import HttpServer, RequestServer
+from plantaingrade.keyspace.directory import KeyMaps
+from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.peers.coordinator import PeerCoordinator
+from plantaingrade.peers.directory import Directory
+from plantaingrade.peers.entity import Member
+from plantaingrade.requests.coordinator import RequestCoordinator
+from plantaingrade.requests.entity import Outcome, RoutedRequest
+from plantaingrade.requests.peer_path import PeerPath
+from plantaingrade.requests.server_path import ServerPath, ServerWire
+from plantaingrade.requests.targets import TargetChooser
+from plantaingrade.sidecar.control import Control
+from plantaingrade.sidecar.const import (
+    FIRST_SLOTS,
+    INTERNAL_IDLE_S,
+    VERIFY_PAUSE_S,
+)
+from plantaingrade.sidecar.fronts import (
+    CallerFront,
+    PeerFront,
+    ReadyFront,
+    ReportFront,
+    refuse_malformed,
+)
+from plantaingrade.sidecar.settings import InstanceSettings
+from plantaingrade.sidecar.wire import PlatformWire
+
+BOOT_BYTES = 4
+
+
+class Process:
+    """Everything that one process is made of."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        wire: PlatformWire,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        """Join the parts; open nothing yet."""
+        self._settings = settings
+        self._wire = wire
+        self._clock = clock
+        self._log = log
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._servers: list[HttpServer] = []
+        self._is_leaving = False
+        self._verifying = ''
+        self._build_state()
+        self._build_paths()
+        self._build_fronts()
+
+    async def __aenter__(self) -> 'Process':
+        """Listen, and start to follow the platform."""
+        await self._async_listen()
+        self._start(self._config.async_run())
+        self._start(self._async_take_part())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop everything that was started."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in self._servers:
+            await server.async_close()
+        self._peers.endpoint.close()
+        for pool in (self._store_pool, self._order_pool, self._pool):
+            pool.close()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether this process takes work of callers."""
+        if self._is_leaving or self._config.config is None:
+            return False
+        return self._peers.has_joined
+
+    async def async_leave(self) -> None:
+        """Finish what is in flight, and take no new connections after."""
+        self._is_leaving = True
+        self._log.write('leaving')
+        for server in self._servers:
+            server.end_connections()
+        self._peers.say_goodbye()
+
+    @property
+    def busy(self) -> int:
+        """Return how many requests are being served."""
+        return sum(server.busy for server in self._servers)
+
+    def _build_state(self) -> None:
+        settings = self._settings
+        self._own = Member(
+            settings.ip,
+            settings.service,
+            settings.zone,
+            settings.listeners.peers,
+            os.urandom(BOOT_BYTES).hex(),
+        )
+        self._pool = Pool(self._clock)
+        self._store_pool = Pool(self._clock)
+        self._order_pool = Pool(self._clock)
+        self._store = self._wire.make_store(self._store_pool)
+        self._orders = self._wire.make_orders(self._order_pool)
+        self._maps = KeyMaps()
+        self._directory = Directory()
+        self._life = BackendLife()
+        self._config = ConfigFollower(
+            self._store,
+            self._wire.config_table,
+            self._wire.config_key,
+            self._wire.decode_config,
+            self._log,
+        )
+        self._peers = PeerCoordinator(
+            self._own,
+            self._directory,
+            self._maps,
+            self._store,
+            self._pool,
+            self._clock,
+            self._log,
+            self._service_names,
+        )
+        self._holds = HoldCoordinator(
+            self._store,
+            self._maps,
+            self._own,
+            self._life,
+            self._orders,
+            self._clock,
+            self._log,
+            self._on_joined,
+        )
+        self._maps.listen(self._on_map)
+        self._config.listen(self._on_config)
+
+    def _build_paths(self) -> None:
+        queue = SlotQueue(FIRST_SLOTS, WorkEstimate())
+        self._gate = Gate(queue, self._clock)
+        server_wire = ServerWire(
+            self._settings.backend,
+            self._wire.encode_to_server,
+            self._wire.decode_reply,
+        )
+        self._server_path = ServerPath(
+            server_wire,
+            self._life,
+            self._holds,
+            self._gate,
+            self._pool,
+            self._clock,
+            self._log,
+            self._is_keyed,
+            self._verify_life,
+        )
+        peer_path = PeerPath(self._directory, self._pool, self._clock)
+        targets = TargetChooser(
+            self._own, self._directory, self._maps, self._clock
+        )
+        self._requests = RequestCoordinator(
+            self._own,
+            self._config,
+            targets,
+            self._server_path,
+            peer_path,
+            RepeatBudget(self._settings.bounds.retry_ratio),
+            self._clock,
+            self._log,
+            self._on_done,
+        )
+
+    def _build_fronts(self) -> None:
+        self._caller_front = CallerFront(
+            self._requests,
+            self._wire.decode_request,
+            self._wire.answer_headers,
+            self._clock,
+        )
+        self._peer_front = PeerFront(
+            self._settings.service,
+            self._server_path,
+            self._clock,
+            Control(self._peers).async_handle,
+        )
+        self._ready_front = ReadyFront(lambda: self.is_ready)
+        self._report_front = ReportFront(
+            self._wire.decode_report, self._on_report, self._log
+        )
+
+    async def _async_listen(self) -> None:
+        listeners = self._settings.listeners
+        self._caller_server = await self._async_serve(
+            listeners.callers, self._caller_front.async_handle
+        )
+        await self._async_serve(listeners.peers, self._peer_front.async_handle)
+        await self._async_serve(listeners.ready, self._ready_front.async_handle)
+        await self._async_serve(
+            listeners.reports, self._report_front.async_handle
+        )
+        await self._peers.endpoint.async_open(*split_address(listeners.peers))
+
+    async def _async_serve(
+        self, address: str, serve: RequestServer
+    ) -> HttpServer:
+        server = HttpServer(
+            self._clock, serve, refuse_malformed, INTERNAL_IDLE_S
+        )
+        await server.async_listen(*split_address(address))
+        self._servers.append(server)
+        return server
+
+    def _start(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_end)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logging.error('A task failed', exc_info=task.exception())
+
+    async def _async_take_part(self) -> None:
+        """Join once a configuration is known, and stay joined."""
+        while self._config.config is None:
+            await asyncio.sleep(VERIFY_PAUSE_S)
+        service = self._config.config.service_by_name.get(self._own.service)
+        is_keyed = service is not None and service.is_keyed
+        if service is not None and not self._life.instance:
+            await self._async_name_life(service.health_path)
+        if is_keyed:
+            self._start(self._holds.async_run())
+        await self._peers.async_join(is_keyed=is_keyed)
+        await self._peers.async_run()
+
+    async def _async_name_life(self, path: str) -> None:
+        """Ask the server who it is, rather than wait for a heartbeat."""
+        instance = await self._orders.async_ask_instance(path)
+        if instance:
+            self._follow(self._life.on_named(instance, self._clock.now()))
+
+    def _is_keyed(self) -> bool | None:
+        if self._config.config is None:
+            return None
+        service = self._config.config.service_by_name.get(self._own.service)
+        return service is not None and service.is_keyed
+
+    def _service_names(self) -> list[str]:
+        if self._config.config is None:
+            return []
+        return sorted(self._config.config.service_by_name)
+
+    def _on_config(self, config: RoutingConfig) -> None:
+        self._caller_server.idle_s = config.limits.idle_timeout_s
+        self._caller_front.limits = config.limits
+
+    def _on_map(self, service: str, _: KeyMap) -> None:
+        self._holds.on_map(service)
+
+    def _on_joined(self) -> None:
+        self._start(self._peers.async_refresh())
+
+    def _on_report(self, report: Heartbeat | Farewell) -> None:
+        match report:
+            case Heartbeat():
+                change = self._life.on_heartbeat(report, self._clock.now())
+                if self._life.slots != self._gate.queue.slots:
+                    self._gate.resize(self._life.slots or FIRST_SLOTS)
+            case Farewell():
+                change = self._life.on_farewell(report)
+        self._follow(change)
+
+    def _follow(self, change: LifeChange) -> None:
+        if change.is_new_life:
+            self._log.write('server-life', instance=self._life.instance)
+            self._holds.on_new_life()
+        if change.is_leaving:
+            self._log.write('server-leaves', instance=self._life.instance)
+        if change.must_verify:
+            self._verify_life(change.must_verify)
+
+    def _verify_life(self, instance: str) -> None:
+        """Ask the server which life it is, unless that is under way."""
+        config = self._config.config
+        if self._verifying or config is None:
+            return
+        service = config.service_by_name.get(self._own.service)
+        if service is not None:
+            self._verifying = instance
+            self._start(self._async_verify(service.health_path))
+
+    async def _async_verify(self, path: str) -> None:
+        try:
+            await self._async_name_life(path)
+        finally:
+            self._verifying = ''
+
+    def _on_done(
+        self, routed: RoutedRequest, outcome: Outcome, took_s: float
+    ) -> None:
+        """Count one request."""
--- /dev/null
+++ b/plantaingrade/sidecar/run.py
@@ -0,0 +1,65 @@
+"""Run one process until it is told to stop."""
+
+import asyncio
+import os
+import signal
+import sys
+
+from plantaingrade.clock import BootClock
+from plantaingrade.eventlog import EventLog
+from plantaingrade.platform.const import ENV_SETTINGS
+from plantaingrade.platform.settings import load_settings
+from plantaingrade.platform.wire import make_wire
+from plantaingrade.sidecar.const import (
+    GRACE_RESERVE_S,
+    LINGER_S,
+    STOP_CHECK_S,
+)
+from plantaingrade.sidecar.process import Process
+from plantaingrade.sidecar.settings import (
+    InstanceSettings,
+    InstanceSettingsError,
+)
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> None:
+    """Run beside a backend server, as the settings file says."""
+    clock = BootClock()
+    path = os.environ.get(ENV_SETTINGS, '')
+    try:
+        settings = load_settings(path)
+    except InstanceSettingsError as error:
+        log = EventLog('unnamed', clock)
+        log.write('settings-rejected', path=path, mistakes=error.mistakes)
+        sys.exit(EXIT_BAD_SETTINGS)
+    log = EventLog(settings.name, clock)
+    asyncio.run(_async_run(settings, clock, log))
+
+
+async def _async_run(
+    settings: InstanceSettings, clock: BootClock, log: EventLog
+) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    log.write(
+        'started', service=settings.service, zone=settings.zone, pid=os.getpid()
+    )
+    wire = make_wire(settings, clock)
+    async with Process(settings, wire, clock, log) as process:
+        await stop.wait()
+        await process.async_leave()
+        told_at = clock.now()
+        limit_s = settings.bounds.stop_grace_s - GRACE_RESERVE_S
+        while _must_stay(process, clock.now() - told_at, limit_s):
+            await asyncio.sleep(STOP_CHECK_S)
+        log.write('stopped', busy=process.busy)
+
+
+def _must_stay(process: Process, elapsed_s: float, limit_s: float) -> bool:
+    if elapsed_s < LINGER_S:
+        return True
+    return process.busy > 0 and elapsed_s < limit_s
--- /dev/null
+++ b/plantaingrade/sidecar/settings.py
@@ -0,0 +1,66 @@
+"""Typed settings of one process, as the rest of the product uses them."""
+
+from dataclasses import dataclass
+
+from plantaingrade.errors import PlantaingradeError
+
+
+class InstanceSettingsError(PlantaingradeError):
+    """Report every setting that cannot be used."""
+
+    advice = 'Correct the fields named in the settings file.'
+
+    def __init__(self, mistakes: list[str]) -> None:
+        """Keep the mistakes."""
+        self.mistakes = mistakes
+        super().__init__('; '.join(mistakes))
+
+
+@dataclass(slots=True, frozen=True)
+class Listeners:
+    """Addresses, ``ip:port``, on which this process listens.
+
+    ``callers`` takes requests of this instance's callers, ``peers`` takes
+    requests and datagrams of other processes, ``ready`` answers whether this
+    process takes work, ``reports`` takes heartbeats of the backend server and
+    ``metrics`` serves figures.
+    """
+
+    callers: str
+    peers: str
+    ready: str
+    reports: str
+    metrics: str
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """Times, in seconds, and figures that the platform promises or demands."""
+
+    drain_s: float
+    stop_grace_s: float
+    max_hold_s: float
+    address_reuse_s: float
+    heartbeat_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+
+
+@dataclass(slots=True, frozen=True)
+class InstanceSettings:
+    """What a process is told when it starts.
+
+    ``backend`` is the address of the backend server beside this process and
+    ``service`` the service it belongs to.
+    """
+
+    name: str
+    zone: str
+    ip: str
+    service: str
+    backend: str
+    store: str
+    listeners: Listeners
+    bounds: Bounds
+    max_row_bytes: int
--- /dev/null
+++ b/plantaingrade/sidecar/wire.py
@@ -0,0 +1,35 @@
+"""What the adapter of a platform gives to the process."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+
+from plantaingrade.backends.report import Farewell, Heartbeat
+from plantaingrade.config.entity import RoutingConfig
+from plantaingrade.holds.orders import ServerOrders
+from plantaingrade.http.pool import Pool
+from plantaingrade.requests.entity import (
+    CallerRequest,
+    Headers,
+    RoutedRequest,
+    ServerReply,
+)
+from plantaingrade.store.interface import Store
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformWire:
+    """Typed doors to everything that speaks the platform's words."""
+
+    config_table: str
+    config_key: str
+    ready_path: bytes
+    decode_config: Callable[[bytes], RoutingConfig]
+    decode_request: Callable[[h11.Request, bytes, float], CallerRequest]
+    encode_to_server: Callable[[RoutedRequest, str, float], list]
+    decode_reply: Callable[[h11.Response], ServerReply]
+    answer_headers: Callable[[bytes], Headers]
+    decode_report: Callable[[h11.Request, bytes], Heartbeat | Farewell | None]
+    make_store: Callable[[Pool], Store]
+    make_orders: Callable[[Pool], ServerOrders]
--- /dev/null
+++ b/plantaingrade/store/__init__.py
@@ -0,0 +1,1 @@
+"""Rows of the platform's store: typed calls, outcomes and clock."""
--- /dev/null
+++ b/plantaingrade/store/interface.py
@@ -0,0 +1,30 @@
+"""What the product needs of a store."""
+
+from typing import Protocol
+
+from plantaingrade.store.clock import StoreClock
+from plantaingrade.store.entity import (
+    FeedOutcome,
+    ReadOutcome,
+    Transaction,
+    TransactionOutcome,
+)
+
+
+class Store(Protocol):
+    """Rows with versions, changed by transactions."""
+
+    clock: StoreClock
+
+    async def async_commit(
+        self, transaction: Transaction
+    ) -> TransactionOutcome:
+        """Apply a transaction."""
+
+    async def async_read(self, table: str, part: str) -> ReadOutcome:
+        """Return all rows of one part of a table."""
+
+    async def async_follow(
+        self, table: str, after: int, wait_s: float
+    ) -> FeedOutcome:
+        """Wait for rows of a table that changed after a version."""
