--- a/plantaingrade/backends/life.py
+++ b/plantaingrade/backends/life.py
@@ -44,15 +44,22 @@
     __slots__ = (
         '_ended',
         '_sequence',
+        '_finish_s',
         'cold_until',
+        'finish_until',
         'heard_at',
         'instance',
         'slots',
         'state',
     )
 
-    def __init__(self) -> None:
-        """Know nothing yet."""
+    def __init__(self, finish_s: float = 0.0) -> None:
+        """Know nothing yet.
+
+        A server that leaves may get work on its keys for ``finish_s`` more.
+        """
+        self._finish_s = finish_s
+        self.finish_until = 0.0
         self.instance = ''
         self.state = LifeState.UNKNOWN
         self.slots = 0
@@ -61,6 +68,10 @@
         self._sequence = -1
         self._ended: dict[str, None] = {}
 
+    def is_finishing(self, now: float) -> bool:
+        """Tell whether a leaving server may still get work on its keys."""
+        return self.state is LifeState.DRAINING and now < self.finish_until
+
     @property
     def takes_work(self) -> bool:
         """Tell whether new work may be sent."""
@@ -82,9 +93,11 @@
         was_leaving = self.state is LifeState.DRAINING
         self._apply(heartbeat, now)
         is_leaving = self.state is LifeState.DRAINING and not was_leaving
+        if is_leaving:
+            self.finish_until = now + self._finish_s
         return LifeChange(is_leaving=is_leaving)
 
-    def on_farewell(self, farewell: Farewell) -> LifeChange:
+    def on_farewell(self, farewell: Farewell, now: float) -> LifeChange:
         """Take the word that a life leaves; it still serves for a while."""
         if farewell.instance != self.instance:
             self._end(farewell.instance)
@@ -92,6 +105,7 @@
         if self.state is LifeState.DRAINING:
             return NO_CHANGE
         self.state = LifeState.DRAINING
+        self.finish_until = now + self._finish_s
         return LifeChange(is_leaving=True)
 
     def on_named(self, instance: str, now: float) -> LifeChange:
--- /dev/null
+++ b/plantaingrade/balance/__init__.py
@@ -0,0 +1,1 @@
+"""Spread keys over servers by the load they bring."""
--- /dev/null
+++ b/plantaingrade/balance/const.py
@@ -0,0 +1,32 @@
+"""Figures of load balancing; times in seconds, loads in shares of slots."""
+
+# Demand is measured over this long. On the busiest server measured some 100
+# requests a second come in, so the window holds enough to cut a range by, and
+# a new hot spot shows in half of it.
+WINDOW_S = 1.5
+# A difference in load below this is left alone: one request in flight more or
+# less at a server with six slots makes a sixth.
+MIN_DIFFERENCE = 0.2
+# Below this load a server has room for every burst it sees.
+MIN_LOAD_TO_MOVE = 0.35
+# Part of what would even out two loads that is moved at once. More would
+# overshoot, since a window's demand is a sample.
+SHARE_OF_DIFFERENCE = 0.8
+# What others said of their load is of no use after this long.
+LOAD_MAX_AGE_S = 3.0
+# Load that was accepted counts until the meter shows it.
+RESERVED_S = 1.0
+# Pause between looks at the own load.
+LOOK_S = 0.2
+# A server with less load than this tells others of it.
+IDLE_LOAD = 0.35
+# How often, and how many others it tells.
+IDLE_TELL_S = 1.0
+IDLE_TELL_COUNT = 8
+# Load below which a range counts as nothing: one request in two windows.
+MIN_MOVED_LOAD = 0.01
+# Keys that were moved are not moved again for this long, unless the server
+# leaves: each move stops their service for about the length of a request.
+SETTLE_S = 1.0
+# Ranges a server should not exceed; each costs a renewal a second.
+MAX_RANGES = 40
--- /dev/null
+++ b/plantaingrade/balance/coordinator.py
@@ -0,0 +1,239 @@
+"""Keep this server's load in step with the others', by moving keys."""
+
+import asyncio
+import random
+from typing import Protocol
+
+from plantaingrade.admission.slots import SlotQueue
+from plantaingrade.backends.life import BackendLife
+from plantaingrade.balance.book import LoadBook
+from plantaingrade.balance.const import (
+    IDLE_LOAD,
+    IDLE_TELL_COUNT,
+    IDLE_TELL_S,
+    LOOK_S,
+    RESERVED_S,
+    SETTLE_S,
+)
+from plantaingrade.balance.entity import Load, Move
+from plantaingrade.balance.meter import LoadMeter
+from plantaingrade.balance.policy import choose_move, share_out
+from plantaingrade.clock import Clock
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.coordinator import HoldCoordinator
+from plantaingrade.holds.plans import live_members
+from plantaingrade.keyspace.entity import KeyRange
+from plantaingrade.peers.directory import Directory
+from plantaingrade.peers.entity import Member, Offer, OfferReply
+
+# A member that leaves says it has this load, so that nobody chooses it.
+LEAVING_SHARE = 100.0
+NO_LOAD = Load(0.5, 0.0, 1)
+
+
+class Offers(Protocol):
+    """Messages about loads to other members."""
+
+    async def async_offer(self, target: str, offer: Offer) -> OfferReply | None:
+        """Ask a member to take over work."""
+
+    def tell_load(self, load: Load, names: list[str]) -> None:
+        """Tell some members of this member's load."""
+
+
+class BalanceCoordinator:
+    """Measure, offer, move; and give everything away when leaving."""
+
+    def __init__(
+        self,
+        own: Member,
+        holds: HoldCoordinator,
+        life: BackendLife,
+        queue: SlotQueue,
+        book: LoadBook,
+        directory: Directory,
+        offers: Offers,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        """Move nothing yet."""
+        self._own = own
+        self._holds = holds
+        self._life = life
+        self._queue = queue
+        self._book = book
+        self._directory = directory
+        self._offers = offers
+        self._clock = clock
+        self._log = log
+        self._meter = LoadMeter()
+        self._reserved: list[tuple[float, float]] = []
+        self._told_at = 0.0
+        self._settled_at: dict[KeyRange, float] = {}
+        self._random = random.Random(own.boot)
+        self.is_leaving = False
+
+    def observe(self, key: int, work_s: float) -> None:
+        """Count the demand of one request."""
+        self._meter.observe(key, work_s, self._clock.now())
+
+    def load(self) -> Load:
+        """Return the own load, with what was promised to be taken over."""
+        now = self._clock.now()
+        self._reserved = [each for each in self._reserved if each[0] > now]
+        work = self._meter.demand(now) + sum(each[1] for each in self._reserved)
+        slots = max(1, self._queue.slots)
+        share = LEAVING_SHARE if self.is_leaving else work / slots
+        return Load(share, self._queue.estimate.mean_s(), slots)
+
+    def on_offer(self, offer: Offer) -> OfferReply:
+        """Accept work if that leaves this server below the sender."""
+        own = self.load()
+        ratio = own.work_s / offer.work_s if offer.work_s > 0 else 1.0
+        work = offer.work * ratio
+        after = own.share + work / own.slots
+        is_accepted = (
+            not self.is_leaving
+            and self._life.takes_work
+            and after < offer.share
+        )
+        if is_accepted:
+            until = self._clock.now() + RESERVED_S
+            self._reserved.append((until, work))
+        return OfferReply(is_accepted, own.share, own.work_s, own.slots)
+
+    def leave(self) -> None:
+        """Begin to give everything away; nobody gives this member keys."""
+        if self.is_leaving:
+            return
+        self.is_leaving = True
+        self._holds.registry.takes_keys = False
+        members = self._directory.serving(self._own.service)
+        self._offers.tell_load(self.load(), [each.name for each in members])
+
+    def stay(self) -> None:
+        """Take keys again: the server has begun a new life."""
+        self.is_leaving = False
+        self._holds.registry.takes_keys = True
+
+    async def async_run(self) -> None:
+        """Look at the loads until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if not self._holds.registry.is_joined:
+                continue
+            if self.is_leaving:
+                await self.async_evacuate()
+            else:
+                await self._async_even_out()
+
+    async def async_evacuate(self) -> None:
+        """Give every range away, each to a member with room."""
+        ranges = self._own_ranges()
+        if not ranges:
+            return
+        now = self._clock.now()
+        load_by_member = self._takers(now)
+        target_by_keys = share_out(
+            ranges, self._meter.by_key(now), load_by_member
+        )
+        keys_by_target: dict[str, list[KeyRange]] = {}
+        for keys, target in target_by_keys.items():
+            keys_by_target.setdefault(target, []).append(keys)
+        self._log.write(
+            'evacuating', ranges=len(ranges), to=len(keys_by_target)
+        )
+        await asyncio.gather(
+            *(
+                self._holds.async_give(keys, target)
+                for target, keys in keys_by_target.items()
+            )
+        )
+
+    async def _async_even_out(self) -> None:
+        own = self.load()
+        now = self._clock.now()
+        if own.share < IDLE_LOAD:
+            self._tell(own, now)
+            return
+        loads = {
+            name: load
+            for name, load in self._takers(now).items()
+            if load is not NO_LOAD
+        }
+        move = choose_move(
+            own, loads, self._movable(now), self._meter.by_key(now)
+        )
+        if move is not None:
+            await self._async_move(own, move)
+
+    async def _async_move(self, own: Load, move: Move) -> None:
+        offer = Offer(
+            self._own.name,
+            self._own.service,
+            own.share,
+            move.work,
+            own.work_s,
+        )
+        reply = await self._offers.async_offer(move.target, offer)
+        if reply is None:
+            self._book.forget(move.target)
+            return
+        now = self._clock.now()
+        told = Load(reply.share, reply.work_s, reply.slots)
+        self._book.note(move.target, told, now)
+        self._log.write(
+            'move-offered',
+            first=move.keys.first,
+            last=move.keys.last,
+            work=round(move.work, 3),
+            own=round(own.share, 2),
+            other=round(reply.share, 2),
+            to=move.target,
+            accepted=reply.is_accepted,
+        )
+        if not reply.is_accepted:
+            return
+        if await self._holds.async_give([move.keys], move.target):
+            self._meter.forget(move.keys)
+
+    def _takers(self, now: float) -> dict[str, Load]:
+        """Return the members that may take keys, with their loads."""
+        rows = live_members(self._holds.registry)
+        takers: dict[str, Load] = {}
+        for member in self._directory.serving(self._own.service):
+            load = self._book.find(member.name, now)
+            if load is None and member.name in rows:
+                load = NO_LOAD
+            is_out = self._directory.is_suspect(member.name, now)
+            if load is None or is_out or load.share >= LEAVING_SHARE:
+                continue
+            takers[member.name] = load
+        takers.pop(self._own.name, None)
+        return takers
+
+    def _own_ranges(self) -> list[KeyRange]:
+        key_map = self._holds.registry.key_map
+        return [each.keys for each in key_map.owned_by(self._own.name)]
+
+    def _movable(self, now: float) -> list[KeyRange]:
+        """Return ranges that have been here long enough to be measured."""
+        settled = {}
+        for keys in self._own_ranges():
+            settled[keys] = self._settled_at.get(keys, now)
+        self._settled_at = settled
+        return [
+            keys for keys, since in settled.items() if now - since >= SETTLE_S
+        ]
+
+    def _tell(self, own: Load, now: float) -> None:
+        if now - self._told_at < IDLE_TELL_S:
+            return
+        self._told_at = now
+        names = [
+            member.name
+            for member in self._directory.serving(self._own.service)
+            if member.name != self._own.name
+        ]
+        count = min(IDLE_TELL_COUNT, len(names))
+        self._offers.tell_load(own, self._random.sample(names, count))
--- /dev/null
+++ b/plantaingrade/balance/policy.py
@@ -0,0 +1,141 @@
+"""Decide which keys should pass to which server. Pure.
+
+Load that answers: a few neighbouring keys bring a third or more of a service's
+requests, a server turns slow, a new server has nothing to do. The receiver
+with the least load takes half of the difference, as the smallest run of keys
+that brings it: keys that hardly anybody asks for stay where they are.
+"""
+
+from collections.abc import Mapping, Sequence
+
+from plantaingrade.balance.const import (
+    MIN_DIFFERENCE,
+    MIN_LOAD_TO_MOVE,
+    MIN_MOVED_LOAD,
+    SHARE_OF_DIFFERENCE,
+)
+from plantaingrade.balance.entity import KeyLoad, Load, Move
+from plantaingrade.keyspace.entity import KeyRange
+
+# A run that brings this part of what is wanted is good enough to prefer one
+# with fewer keys.
+ENOUGH = 0.6
+
+
+def choose_move(
+    own: Load,
+    load_by_member: Mapping[str, Load],
+    ranges: Sequence[KeyRange],
+    key_loads: Sequence[KeyLoad],
+) -> Move | None:
+    """Return the move that evens out loads best, if one is worth it.
+
+    ``ranges`` are those that may be moved now, ``key_loads`` what their keys
+    ask for, in key order.
+    """
+    if own.share < MIN_LOAD_TO_MOVE or not load_by_member:
+        return None
+    target = min(load_by_member, key=lambda name: load_by_member[name].share)
+    other = load_by_member[target]
+    if own.share - other.share < MIN_DIFFERENCE:
+        return None
+    wanted = work_to_move(own, other)
+    found = densest_run(ranges, key_loads, wanted)
+    if found is None:
+        return None
+    keys, work = found
+    return Move(keys, target, work)
+
+
+def work_to_move(own: Load, other: Load) -> float:
+    """Return the work, in seconds of an own slot, that evens out two loads.
+
+    Moving ``w`` lowers the own share by ``w / slots`` and raises the other's
+    by ``w * ratio / other.slots``, where the ratio compares their speeds.
+    """
+    ratio = other.work_s / own.work_s if own.work_s > 0 else 1.0
+    effect = 1 / max(1, own.slots) + ratio / max(1, other.slots)
+    difference = own.share - other.share
+    return SHARE_OF_DIFFERENCE * difference / effect
+
+
+def densest_run(
+    ranges: Sequence[KeyRange],
+    key_loads: Sequence[KeyLoad],
+    wanted: float,
+) -> tuple[KeyRange, float] | None:
+    """Return the shortest run of keys in one range that brings the work.
+
+    A single key that brings more than is wanted cannot be cut; it would only
+    carry the overload elsewhere, so runs go round it.
+    """
+    best: tuple[KeyRange, float] | None = None
+    for keys in ranges:
+        inside = [load for load in key_loads if load.key in keys]
+        found = _shortest_run(inside, wanted)
+        if found is None:
+            continue
+        if best is None or _is_better(found, best, wanted):
+            best = found
+    if best is None or best[1] < MIN_MOVED_LOAD:
+        return None
+    return best
+
+
+def _shortest_run(
+    loads: Sequence[KeyLoad], wanted: float
+) -> tuple[KeyRange, float] | None:
+    """Slide over the keys of one range."""
+    best: tuple[KeyRange, float] | None = None
+    start = 0
+    total = 0.0
+    for end, load in enumerate(loads):
+        total += load.work
+        while total > wanted and start <= end:
+            total -= loads[start].work
+            start += 1
+        if start > end:
+            continue
+        found = (KeyRange(loads[start].key, load.key), total)
+        if best is None or _is_better(found, best, wanted):
+            best = found
+    return best
+
+
+def _is_better(
+    one: tuple[KeyRange, float], other: tuple[KeyRange, float], wanted: float
+) -> bool:
+    """Compare runs: enough of the work first, then fewer keys."""
+    enough = wanted * ENOUGH
+    if one[1] >= enough and other[1] >= enough:
+        return len(one[0]) < len(other[0])
+    return one[1] > other[1]
+
+
+def share_out(
+    ranges: Sequence[KeyRange],
+    key_loads: Sequence[KeyLoad],
+    load_by_member: Mapping[str, Load],
+) -> dict[KeyRange, str]:
+    """Return who should take each range of a server that leaves.
+
+    Ranges that bring much go first, each to the member that then has least.
+    """
+    if not load_by_member:
+        return {}
+    work_by_keys = {
+        keys: sum(load.work for load in key_loads if load.key in keys)
+        for keys in ranges
+    }
+    share_by_member = {
+        name: load.share for name, load in load_by_member.items()
+    }
+    target_by_keys = {}
+    for keys in sorted(ranges, key=lambda each: -work_by_keys[each]):
+        target = min(share_by_member, key=share_by_member.__getitem__)
+        slots = max(1, load_by_member[target].slots)
+        share_by_member[target] += max(
+            work_by_keys[keys] / slots, MIN_MOVED_LOAD
+        )
+        target_by_keys[keys] = target
+    return target_by_keys
--- a/plantaingrade/config/coordinator.py
+++ b/plantaingrade/config/coordinator.py
@@ -1,7 +1,8 @@
 """Follow the operator's configuration."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 from plantaingrade.config.entity import RoutingConfig
 from plantaingrade.config.lookup import RouteTable
@@ -17,7 +18,7 @@
 from plantaingrade.store.interface import Store
 
 # Length of one wait for changes; the platform allows 30 s.
-WAIT_S = 20.0
+WAIT_S = 10.0
 RETRY_S = 0.2
 # Pause after a change: several changes in quick succession then cost one call.
 # The platform gives 2 s until a change must be in force.
@@ -30,7 +31,9 @@
     """Keep the newest configuration; never go back to an older one."""
 
     __slots__ = (
+        '_ask_peers',
         '_decode',
+        '_hinted',
         '_key',
         '_listeners',
         '_log',
@@ -47,8 +50,15 @@
         key: str,
         decode: Decode,
         log: EventLog,
+        ask_peers: Callable[[], Awaitable[bytes | None]],
     ) -> None:
-        """Follow one row, whose body ``decode`` understands."""
+        """Follow one row, whose body ``decode`` understands.
+
+        ``ask_peers`` returns the configuration of another process, for when
+        the store does not answer this one.
+        """
+        self._ask_peers = ask_peers
+        self._hinted = asyncio.Event()
         self._store = store
         self._table = table
         self._key = key
@@ -67,14 +77,49 @@
         """Call back after each change."""
         self._listeners.append(listener)
 
+    def on_hint(self, version: int) -> None:
+        """Take the word of another process that a version is in force.
+
+        Failure: the connection on which this process waits for changes has
+        gone silent. It shows as an old configuration in use long after a new
+        one was acknowledged. Every request of another process brings its
+        version, so the wait ends as soon as anybody knows more.
+        """
+        if version > self.version:
+            self._hinted.set()
+
     async def async_run(self) -> None:
         """Follow until cancelled."""
         while True:
+            self._hinted.clear()
             after = await self._async_read()
-            while after is not None:
-                after = await self._async_follow(after)
+            if after is None:
+                await self._async_ask_peers()
+            while after is not None and not self._hinted.is_set():
+                after = await self._async_wait(after)
             await asyncio.sleep(RETRY_S)
 
+    async def _async_wait(self, after: int) -> int | None:
+        """Wait for changes, or for word of them from another process."""
+        loop = asyncio.get_running_loop()
+        feed = loop.create_task(self._async_follow(after))
+        hint = loop.create_task(self._hinted.wait())
+        try:
+            await asyncio.wait(
+                (feed, hint), return_when=asyncio.FIRST_COMPLETED
+            )
+            return feed.result() if feed.done() else after
+        finally:
+            feed.cancel()
+            hint.cancel()
+            with suppress(asyncio.CancelledError):
+                await feed
+
+    async def _async_ask_peers(self) -> None:
+        body = await self._ask_peers()
+        if body:
+            self._take_config(body, source='peer')
+
     async def _async_read(self) -> int | None:
         outcome = await self._store.async_read(self._table, '')
         if not isinstance(outcome, RangeRead):
@@ -103,16 +148,14 @@
     def _take(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             if row.name.key == self._key and not row.is_deleted:
-                self._take_config(row)
+                self._take_config(row.body, source='store')
 
-    def _take_config(self, row: Row) -> None:
+    def _take_config(self, body: bytes, source: str) -> None:
         """Put a configuration in force, unless it cannot be used."""
         try:
-            config = self._decode(row.body)
+            config = self._decode(body)
         except PlantaingradeError as error:
-            self._log.write(
-                'config-rejected', row_version=row.version, why=str(error)
-            )
+            self._log.write('config-rejected', source=source, why=str(error))
             return
         if config.version <= self.version:
             return
@@ -120,6 +163,7 @@
             'config-in-force',
             version=config.version,
             before=self.version,
+            source=source,
             routes=len(config.routes),
         )
         self.config = config
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -29,11 +29,13 @@
     RENEWAL,
     Change,
     CommitResult,
+    Planner,
     Registry,
 )
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import Assignment, KeyRange
-from plantaingrade.peers.entity import Member
+from plantaingrade.peers.courier import Courier
+from plantaingrade.peers.entity import Member, Token
 from plantaingrade.store.interface import Store
 
 JOIN_LIMIT_S = 1.0
@@ -53,9 +55,11 @@
         orders: ServerOrders,
         clock: Clock,
         log: EventLog,
+        courier: Courier,
         on_joined: Callable[[], None],
     ) -> None:
         """Hold nothing yet; ``on_joined`` is called once a lease is held."""
+        self._courier = courier
         self._on_joined = on_joined
         self._clock = clock
         self._log = log
@@ -65,6 +69,7 @@
         self.granter = Granter(self.registry, orders, clock, log, self._notify)
         self._changed = asyncio.Event()
         self._wake = asyncio.Event()
+        self._hinted = asyncio.Event()
         self._started_at = clock.now()
         self._store_ok_since = 0.0
         self._must_refence = False
@@ -76,15 +81,28 @@
             self._wake.set()
             self._notify()
 
+    def on_hint(self, version: int) -> None:
+        """Take the word of another process that a map is newer."""
+        is_behind = version > self.registry.key_map.version
+        if is_behind and not self._hinted.is_set():
+            self._hinted.set()
+
     def on_new_life(self) -> None:
         """Grant to a new life of the server under new fences."""
         self.granter.on_new_life()
         self._must_refence = True
         self._wake.set()
 
-    def expect_handover(self, keys: KeyRange, fence: int, token: str) -> None:
+    def expect_handover(self, token: Token) -> None:
         """Use a token that the last holder of a range sent."""
-        self.granter.expect_handover(keys, fence, token)
+        self.granter.expect_handover(token)
+
+    @property
+    def owns_keys(self) -> bool:
+        """Tell whether any key is this member's."""
+        if not self.registry.is_joined:
+            return False
+        return bool(self.registry.key_map.owned_by(self._member.name))
 
     def find_own(self, key: int) -> Assignment | None:
         """Return the assignment of a key if this member owns it."""
@@ -116,62 +134,65 @@
                 tasks.create_task(self._async_lease_loop())
                 tasks.create_task(self._async_grant_loop())
                 tasks.create_task(self._async_scan_loop())
+                tasks.create_task(self._async_hint_loop())
         finally:
             await self.granter.async_stop()
 
-    async def async_give_away(
-        self,
-        keys: KeyRange,
-        target: str,
-        tell: Callable[[Assignment, str], None],
-    ) -> bool:
-        """Pass a range to another member; tell it the token of handover."""
-        self.granter.moving.add(keys)
+    async def async_give(self, keys: list[KeyRange], target: str) -> bool:
+        """Pass ranges to another member; tell whether they have passed."""
+        self.granter.moving.update(keys)
         try:
-            return await self._async_transfer(keys, target, tell)
+            return await self._async_transfer(keys, target)
         finally:
             self._end_move(keys)
 
-    def _end_move(self, keys: KeyRange) -> None:
-        self.granter.moving.discard(keys)
+    def _end_move(self, keys: list[KeyRange]) -> None:
+        self.granter.moving.difference_update(keys)
         self._wake.set()
         self._notify()
 
-    async def _async_transfer(
-        self,
-        keys: KeyRange,
-        target: str,
-        tell: Callable[[Assignment, str], None],
-    ) -> bool:
-        await self.granter.async_settle(keys)
-        pieces = self._owned_within(keys)
+    async def _async_transfer(self, keys: list[KeyRange], target: str) -> bool:
+        for each in keys:
+            await self.granter.async_settle(each)
+        pieces = [piece for each in keys for piece in self._owned_within(each)]
         if not pieces:
             return False
         tokens = await asyncio.gather(
-            *(self.granter.async_release(piece) for piece in pieces)
+            *(self._async_free(piece) for piece in pieces)
         )
-        self.granter.ledger.on_released(keys)
-        await self._async_wait_out(keys, is_released=None not in tokens)
+        before = self.registry.key_map
         committed = await self.registry.async_commit(
             lambda registry: plan_transfer(registry, pieces, target),
             MOVE_LIMIT_S,
         )
         self._log.write(
             'keys-given',
-            first=keys.first,
-            last=keys.last,
+            ranges=[(piece.keys.first, piece.keys.last) for piece in pieces],
             to=target,
             outcome=committed,
         )
         if committed is not CommitResult.DONE:
             return False
-        self.granter.ledger.forget(keys)
-        for piece, token in zip(pieces, tokens, strict=True):
-            given = self.registry.key_map.find(piece.keys.first)
-            if given is not None and token:
-                tell(Assignment(piece.keys, target, given.fence), token)
+        for piece in pieces:
+            self.granter.ledger.forget(piece.keys)
+        after = self.registry.key_map
+        given = tuple(
+            Token(piece.keys, token)
+            for piece, token in zip(pieces, tokens, strict=True)
+            if token
+        )
+        # The receiver first, with its tokens: a grant without would be cold.
+        await self._courier.async_hand(target, before, after, given)
+        self._courier.spread(self._member.service, before, after)
         return True
 
+    async def _async_free(self, piece: Assignment) -> str | None:
+        """Make sure that the server works on a range no more."""
+        token = await self.granter.async_release(piece)
+        self.granter.ledger.on_released(piece.keys)
+        await self._async_wait_out(piece.keys, is_released=token is not None)
+        return token
+
     async def _async_wait_out(
         self, keys: KeyRange, *, is_released: bool
     ) -> None:
@@ -201,6 +222,17 @@
                 )
         return pieces
 
+    async def _async_commit(
+        self, plan: Planner, limit_s: float = JOIN_LIMIT_S
+    ) -> CommitResult:
+        """Commit a change of the map and tell the others of it."""
+        before = self.registry.key_map
+        committed = await self.registry.async_commit(plan, limit_s)
+        after = self.registry.key_map
+        if committed is CommitResult.DONE and after.version != before.version:
+            self._courier.spread(self._member.service, before, after)
+        return committed
+
     async def _async_lease_loop(self) -> None:
         while True:
             pause_s = await self._async_keep_lease()
@@ -230,7 +262,7 @@
         self._note_store(is_ok=is_read)
         if not is_read:
             return RETRY_S
-        committed = await self.registry.async_commit(plan_outrank, JOIN_LIMIT_S)
+        committed = await self._async_commit(plan_outrank)
         if committed is CommitResult.NOT_WANTED:
             committed = await self.registry.async_commit(
                 _plan_renewal, JOIN_LIMIT_S
@@ -261,11 +293,19 @@
     async def _async_refence(self) -> None:
         if not self._must_refence and not self.granter.must_outrank:
             return
-        committed = await self.registry.async_commit(plan_outrank, JOIN_LIMIT_S)
+        committed = await self._async_commit(plan_outrank)
         if committed in {CommitResult.DONE, CommitResult.NOT_WANTED}:
             self._must_refence = False
             self.granter.must_outrank = False
 
+    async def _async_hint_loop(self) -> None:
+        """Read the map when others go by a newer one."""
+        while True:
+            await self._hinted.wait()
+            await self.registry.async_read()
+            await asyncio.sleep(RETRY_S)
+            self._hinted.clear()
+
     async def _async_scan_loop(self) -> None:
         """Make the first map; later take over the keys of the lost."""
         await asyncio.sleep(BOOTSTRAP_WAIT_S)
@@ -282,11 +322,11 @@
         if not is_read:
             return
         if not self.registry.key_map.version:
-            await self.registry.async_commit(plan_first_map, JOIN_LIMIT_S)
+            await self._async_commit(plan_first_map)
             return
         if self._clock.now() - self._store_ok_since < RETURN_GRACE_S:
             return
-        await self.registry.async_commit(plan_takeover, JOIN_LIMIT_S)
+        await self._async_commit(plan_takeover)
 
     def _note_store(self, *, is_ok: bool) -> None:
         if not is_ok:
--- a/plantaingrade/holds/granter.py
+++ b/plantaingrade/holds/granter.py
@@ -25,6 +25,7 @@
 from plantaingrade.holds.orders import ServerOrders
 from plantaingrade.holds.registry import Registry
 from plantaingrade.keyspace.entity import Assignment, KeyRange
+from plantaingrade.peers.entity import Token
 
 
 class Granter:
@@ -33,11 +34,11 @@
     __slots__ = (
         '_clock',
         '_grants_by_keys',
-        '_handover_by_keys',
         '_log',
         '_on_change',
         '_orders',
         '_registry',
+        '_token_by_keys',
         'ledger',
         'moving',
         'must_outrank',
@@ -58,7 +59,7 @@
         self._log = log
         self._on_change = on_change
         self._grants_by_keys: dict[KeyRange, asyncio.Task[None]] = {}
-        self._handover_by_keys: dict[tuple[KeyRange, int], str] = {}
+        self._token_by_keys: dict[KeyRange, str] = {}
         self.ledger = GrantLedger()
         self.moving: set[KeyRange] = set()
         self.must_outrank = False
@@ -72,26 +73,25 @@
         """Tell whether a key is being given away."""
         return any(key in keys for keys in self.moving)
 
-    def expect_handover(self, keys: KeyRange, fence: int, token: str) -> None:
-        """Use a token with the first grant of a range."""
-        self._handover_by_keys[(keys, fence)] = token
+    def expect_handover(self, token: Token) -> None:
+        """Use a token with the first grant of its range."""
+        self._token_by_keys[token.keys] = token.token
 
     def on_new_life(self) -> None:
         """Forget what an earlier life of the server was granted."""
         self.ledger.clear()
+        self._token_by_keys.clear()
 
     def start_grants(self) -> None:
         """Send a grant for each range owned, unless one is under way."""
         member = self._registry.member.name
         for assignment in self._registry.key_map.owned_by(member):
-            if assignment.keys in self._grants_by_keys:
-                continue
-            if self._overlaps_moving(assignment.keys):
-                continue
             hold_s = self._hold_s()
             if hold_s <= MIN_HOLD_LEFT_S:
                 return
-            self._start(assignment, hold_s)
+            for keys in self._parts(assignment.keys):
+                if keys not in self._grants_by_keys:
+                    self._start(keys, assignment.fence, hold_s)
 
     async def async_settle(self, keys: KeyRange) -> None:
         """Wait until no grant on these keys is under way."""
@@ -125,8 +125,23 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _overlaps_moving(self, keys: KeyRange) -> bool:
-        return any(keys.overlap(moving) for moving in self.moving)
+    def _parts(self, keys: KeyRange) -> list[KeyRange]:
+        """Return the parts of a range that are granted by themselves.
+
+        What is being given away is left out. What came with a token is
+        granted alone, since the token is of that range.
+        """
+        parts = [keys]
+        for moving in self.moving:
+            parts = [rest for part in parts for rest in part.without(moving)]
+        tokens = [
+            token
+            for token in self._token_by_keys
+            if any(part.overlap(token) == token for part in parts)
+        ]
+        for token in tokens:
+            parts = [rest for part in parts for rest in part.without(token)]
+        return parts + tokens
 
     def _hold_s(self) -> float:
         """Return a hold that ends before this member's lease does.
@@ -136,11 +151,8 @@
         left_s = self._registry.lease_until - self._clock.now()
         return min(HOLD_S, (left_s - ARRIVAL_SLACK_S) / CLOCK_RATE_MARGIN)
 
-    def _start(self, assignment: Assignment, hold_s: float) -> None:
-        keys, fence = assignment.keys, assignment.fence
-        token = ''
-        if not self.ledger.is_confirmed(keys, fence):
-            token = self._handover_by_keys.get((keys, fence), '')
+    def _start(self, keys: KeyRange, fence: int, hold_s: float) -> None:
+        token = self._token_by_keys.get(keys, '')
         grant = Grant(keys, fence, hold_s, token)
         loop = asyncio.get_running_loop()
         task = loop.create_task(self._async_grant(grant))
@@ -164,7 +176,7 @@
         match outcome:
             case Accepted():
                 self.ledger.on_confirmed(grant, sent_at)
-                self._handover_by_keys.pop((grant.keys, grant.fence), None)
+                self._token_by_keys.pop(grant.keys, None)
                 if first:
                     self._on_change()
             case Unanswered():
--- a/plantaingrade/holds/lease.py
+++ b/plantaingrade/holds/lease.py
@@ -18,13 +18,14 @@
     """A member and the end of its lease.
 
     ``until_s`` is a time of the store's clock, 0 for a member that holds no
-    keys. ``write_id`` names the write, so that a writer whose answer was lost
+    keys; ``takes_keys`` is whether others may give it keys. ``write_id`` names the write, so that a writer whose answer was lost
     can tell its own write from another's. ``version`` is the row's version.
     """
 
     member: Member
     until_s: float
     write_id: str
+    takes_keys: bool = True
     version: int = 0
 
 
@@ -38,6 +39,7 @@
         'boot': member.boot,
         'until': round(row.until_s, 3),
         'write': row.write_id,
+        'takes': row.takes_keys,
     }
     return json.dumps(fields, separators=(',', ':')).encode()
 
@@ -57,7 +59,12 @@
             str(fields['address']),
             str(fields['boot']),
         )
-        until_s = float(fields['until'])
-        return MemberRow(member, until_s, str(fields['write']), version)
+        return MemberRow(
+            member,
+            float(fields['until']),
+            str(fields['write']),
+            bool(fields['takes']),
+            version,
+        )
     except (ValueError, KeyError, TypeError) as error:
         raise UnreadableLeaseError('Member row not understood.') from error
--- a/plantaingrade/holds/ledger.py
+++ b/plantaingrade/holds/ledger.py
@@ -123,18 +123,28 @@
         record = self._record_by_keys.get(grant.keys)
         if record is not None and record.fence == grant.fence:
             return record
-        ends_by = self.ends_by(grant.keys)
-        unsure_until = self.unsure_until(grant.keys)
-        self.forget(grant.keys)
         record = GrantRecord(
             grant.keys,
             grant.fence,
-            ends_by=ends_by,
-            unsure_until=unsure_until,
+            self._held_under(grant),
+            self.ends_by(grant.keys),
+            self.unsure_until(grant.keys),
         )
+        self.forget(grant.keys)
         self._record_by_keys[grant.keys] = record
         return record
 
+    def _held_under(self, grant: Grant) -> float:
+        """Return when holds of all these keys under this fence end."""
+        held = 0
+        ends = []
+        for known in self._touching(grant.keys):
+            overlap = known.keys.overlap(grant.keys)
+            if overlap is not None and known.fence == grant.fence:
+                held += len(overlap)
+                ends.append(known.held_until)
+        return min(ends) if ends and held == len(grant.keys) else 0.0
+
 
 def latest_end(grant: Grant, sent_at: float) -> float:
     """Return when a grant's hold has ended at the latest.
--- a/plantaingrade/holds/plans.py
+++ b/plantaingrade/holds/plans.py
@@ -59,16 +59,19 @@
 
 
 def live_members(registry: Registry) -> list[str]:
-    """Return the members with a lease by the store's clock, this one too."""
+    """Return the members that have a lease and take keys."""
     now_s = registry.store_now()
     if now_s is None:
         return []
+    own = registry.member.name
     names = {
         name
         for name, row in registry.row_by_name.items()
-        if row.until_s > now_s
+        if row.until_s > now_s and row.takes_keys and name != own
     }
-    return sorted(names | {registry.member.name})
+    if registry.takes_keys:
+        names.add(own)
+    return sorted(names)
 
 
 def lapsed_rows(registry: Registry) -> list[MemberRow]:
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -108,6 +108,7 @@
         'own',
         'read_now_s',
         'row_by_name',
+        'takes_keys',
     )
 
     def __init__(
@@ -126,6 +127,7 @@
         self._write_numbers = count(1)
         self._writing = asyncio.Lock()
         self.member = member
+        self.takes_keys = True
         self.own: MemberRow | None = None
         self.is_joined = False
         self.lease_until = 0.0
@@ -170,6 +172,19 @@
         async with self._writing:
             return await self._commit(plan, self._clock.now() + limit_s)
 
+    async def async_leave(self) -> None:
+        """Remove the own row, once no key is owned any more."""
+        async with self._writing:
+            if self.own is None or self.key_map.owned_by(self.member.name):
+                return
+            name = member_row(self.member.service, self.member.name)
+            expected = (Expected(name, self.own.version),)
+            self.is_joined = False
+            self.own = None
+            await self._store.async_commit(
+                Transaction(expected, deletes=(name,))
+            )
+
     async def _commit(self, plan: Planner, until: float) -> CommitResult:
         sent_by_id: dict[str, SentWrite] = {}
         ended = None
@@ -228,7 +243,9 @@
     def _next_row(self) -> MemberRow:
         now_s = self.store_now() or 0.0
         write_id = f'{self.member.boot}.{next(self._write_numbers)}'
-        return MemberRow(self.member, now_s + LEASE_S, write_id)
+        return MemberRow(
+            self.member, now_s + LEASE_S, write_id, self.takes_keys
+        )
 
     def _transaction(self, write: SentWrite) -> Transaction:
         service = self.member.service
--- a/plantaingrade/http/client.py
+++ b/plantaingrade/http/client.py
@@ -19,13 +19,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Call:
-    """One small request."""
+    """One small request; ``host`` is named in place of the address."""
 
     method: str
     address: str
     target: str
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
+    host: str = ''
 
 
 async def fetch(pool: Pool, call: Call, *, fresh: bool = False) -> Reply:
@@ -51,7 +52,7 @@
             method=call.method,
             target=call.target,
             headers=[
-                ('host', call.address),
+                ('host', call.host or call.address),
                 ('content-length', str(len(call.body))),
                 *call.headers,
             ],
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -1,10 +1,13 @@
 """Find the other processes, and keep the key maps of all services fresh."""
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
+from plantaingrade.balance.book import LoadBook
+from plantaingrade.balance.entity import Load
 from plantaingrade.clock import Clock
-from plantaingrade.codec import Codec
+from plantaingrade.codec import Codec, MalformedMessageError
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.lease import (
     MemberRow,
@@ -33,9 +36,14 @@
 from plantaingrade.peers.entity import (
     Datagram,
     Goodbye,
+    Handed,
     Hello,
+    LoadTold,
     MapChanged,
     Member,
+    Offer,
+    OfferReply,
+    Token,
     Welcome,
 )
 from plantaingrade.store.entity import (
@@ -49,7 +57,15 @@
 from plantaingrade.store.interface import Store
 
 CODEC = Codec(Datagram, Datagram)
+HANDED_CODEC = Codec(Handed)
+OFFER_CODEC = Codec(Offer)
+REPLY_CODEC = Codec(OfferReply)
 PATH_MAP = '/-/map/'
+PATH_CONFIG = '/-/config'
+# Members asked for a configuration before it is tried again later.
+MAX_ASKED = 3
+PATH_HANDED = '/-/handed'
+PATH_OFFER = '/-/offer'
 PULL_TIMEOUT_S = 0.5
 HELLO_PAUSES_S = (0.2, 0.4, 0.8, 1.6, 3.2)
 JOIN_RETRY_S = 0.25
@@ -67,7 +83,7 @@
         '_clock',
         '_directory',
         '_endpoint',
-        '_known_maps',
+        '_loads',
         '_log',
         '_maps',
         '_pool',
@@ -88,9 +104,11 @@
         pool: Pool,
         clock: Clock,
         log: EventLog,
+        loads: LoadBook,
         services: Callable[[], Iterable[str]],
     ) -> None:
         """Know nobody yet; ``services`` names all that are configured."""
+        self._loads = loads
         self.own = own
         self.has_joined = False
         self._directory = directory
@@ -144,16 +162,9 @@
         """Tell every member that this one leaves."""
         self._send_all(Goodbye(self.own.name, self.own.boot))
 
-    def spread_map(self, service: str, before: KeyMap, after: KeyMap) -> None:
-        """Tell every member how a map changed."""
-        message = MapChanged(
-            service,
-            before.version,
-            after.version,
-            after.fence,
-            differences(before, after),
-        )
-        self._send_all(message)
+    def spread(self, service: str, before: KeyMap, after: KeyMap) -> None:
+        """Tell every member how a map changed; some may miss it."""
+        self._send_all(_changed(service, before, after))
 
     def pull_map(self, service: str, source: Member) -> None:
         """Ask a member for a whole map, once at a time."""
@@ -222,6 +233,98 @@
             if unknown and member.name != self.own.name:
                 self._endpoint.send(Hello(self.own), member.address)
 
+    async def async_hand(
+        self,
+        target: str,
+        before: KeyMap,
+        after: KeyMap,
+        tokens: tuple[Token, ...],
+    ) -> None:
+        """Tell the member that got keys; it grants them at once.
+
+        If this is lost the member learns of its keys from the datagram that
+        all get, or from the first request, and its server starts cold.
+        """
+        member = self._directory.find(target)
+        if member is None:
+            return
+        change = _changed(self.own.service, before, after)
+        body = HANDED_CODEC.encode(Handed(change, tokens))
+        await self._async_post(member, PATH_HANDED, body)
+
+    async def async_offer(self, target: str, offer: Offer) -> OfferReply | None:
+        """Ask a member to take over work."""
+        member = self._directory.find(target)
+        if member is None:
+            return None
+        body = OFFER_CODEC.encode(offer)
+        reply = await self._async_post(member, PATH_OFFER, body)
+        if reply is None:
+            return None
+        try:
+            return REPLY_CODEC.decode(reply)
+        except MalformedMessageError as error:
+            self._log.write('offer-reply-unreadable', why=str(error))
+            return None
+
+    def tell_load(self, load: Load, names: Iterable[str]) -> None:
+        """Tell some members of this member's load."""
+        message = LoadTold(
+            self.own.name,
+            round(load.share, 2),
+            round(load.work_s, 4),
+            load.slots,
+        )
+        for name in names:
+            member = self._directory.find(name)
+            if member is not None:
+                self._endpoint.send(message, member.address)
+
+    def take_handed(self, body: bytes) -> Handed | None:
+        """Take the word that keys have passed to this member."""
+        try:
+            handed = HANDED_CODEC.decode(body)
+        except MalformedMessageError as error:
+            self._log.write('handed-unreadable', why=str(error))
+            return None
+        self._on_map_changed(handed.change)
+        return handed
+
+    async def async_ask_config(self) -> bytes | None:
+        """Return the configuration of another process, a near one first."""
+        members = [
+            member
+            for member in self._directory.members()
+            if member.name != self.own.name
+        ]
+        random.shuffle(members)
+        members.sort(key=lambda member: member.zone != self.own.zone)
+        for member in members[:MAX_ASKED]:
+            body = await self._async_call(
+                Call('GET', member.address, PATH_CONFIG)
+            )
+            if body:
+                return body
+        return None
+
+    async def _async_post(
+        self, member: Member, path: str, body: bytes
+    ) -> bytes | None:
+        return await self._async_call(
+            Call('POST', member.address, path, (), body)
+        )
+
+    async def _async_call(self, call: Call) -> bytes | None:
+        try:
+            async with asyncio.timeout(PULL_TIMEOUT_S):
+                reply = await fetch(self._pool, call)
+        except (TimeoutError, ConnectFailedError, ChannelClosedError):
+            self._log.write(
+                'peer-call-failed', to=call.address, path=call.target
+            )
+            return None
+        return reply.body if reply.status == STATUS_OK else None
+
     def _send_all(self, message: Datagram) -> None:
         for member in self._directory.members():
             if member.name != self.own.name:
@@ -240,6 +343,9 @@
                 self._log.write('member-left', member=name, boot=boot)
             case MapChanged():
                 self._on_map_changed(message)
+            case LoadTold(name, share, work_s, slots):
+                load = Load(share, work_s, slots)
+                self._loads.note(name, load, self._clock.now())
 
     def _on_map_changed(self, message: MapChanged) -> None:
         service = message.service
@@ -274,3 +380,13 @@
             self._log.write('map-unreadable', why=str(error))
             return
         self._maps.offer(service, key_map)
+
+
+def _changed(service: str, before: KeyMap, after: KeyMap) -> MapChanged:
+    return MapChanged(
+        service,
+        before.version,
+        after.version,
+        after.fence,
+        differences(before, after),
+    )
--- /dev/null
+++ b/plantaingrade/peers/courier.py
@@ -0,0 +1,22 @@
+"""How changes of a key map reach other members."""
+
+from typing import Protocol
+
+from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.peers.entity import Token
+
+
+class Courier(Protocol):
+    """Tell other members of changes that were committed."""
+
+    def spread(self, service: str, before: KeyMap, after: KeyMap) -> None:
+        """Tell every member how a map changed; some may miss it."""
+
+    async def async_hand(
+        self,
+        target: str,
+        before: KeyMap,
+        after: KeyMap,
+        tokens: tuple[Token, ...],
+    ) -> None:
+        """Tell the member that got keys, with the tokens of their release."""
--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from plantaingrade.keyspace.entity import Assignment
+from plantaingrade.keyspace.entity import Assignment, KeyRange
 
 
 @dataclass(slots=True, frozen=True)
@@ -56,4 +56,55 @@
     changes: tuple[Assignment, ...]
 
 
-Datagram = Hello | Welcome | Goodbye | MapChanged
+@dataclass(slots=True, frozen=True)
+class LoadTold:
+    """A member tells its load unasked, because it has room."""
+
+    name: str
+    share: float
+    work_s: float
+    slots: int
+
+
+Datagram = Hello | Welcome | Goodbye | MapChanged | LoadTold
+
+
+@dataclass(slots=True, frozen=True)
+class Token:
+    """What a server gave when it released a range; see ``Grant``."""
+
+    keys: KeyRange
+    token: str
+
+
+@dataclass(slots=True, frozen=True)
+class Handed:
+    """Keys have passed to the receiver, by this change of the map."""
+
+    change: MapChanged
+    tokens: tuple[Token, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Offer:
+    """A member asks whether another takes over work.
+
+    ``share`` is the sender's load; ``work`` the work to be moved, in seconds
+    of a slot in a second, at a server where a request takes ``work_s``.
+    """
+
+    name: str
+    service: str
+    share: float
+    work: float
+    work_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class OfferReply:
+    """Whether an offer is taken, and the load of the member asked."""
+
+    is_accepted: bool
+    share: float
+    work_s: float
+    slots: int
--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -34,6 +34,7 @@
 FREE_REASONS = frozenset(
     (
         NotRunReason.NOT_OWNER,
+        NotRunReason.OTHER_SERVICE,
         NotRunReason.PEER_DOWN,
         NotRunReason.MOVING,
         NotRunReason.SERVER_DOWN,
@@ -158,7 +159,10 @@
         progress.path.append(member.name)
         if routed.caller.key is None:
             progress.tried.add(member.name)
-        if member.name == self._own.name:
+        if (
+            member.name == self._own.name
+            and routed.service == self._own.service
+        ):
             return await self._server.async_serve(routed)
         return await self._peers.async_serve(routed, member)
 
--- a/plantaingrade/requests/entity.py
+++ b/plantaingrade/requests/entity.py
@@ -16,6 +16,7 @@
     NO_SERVER = 'no-server'
     NO_OWNER = 'no-owner'
     NOT_OWNER = 'not-owner'
+    OTHER_SERVICE = 'other-service'
     MOVING = 'keys-moving'
     NOT_GRANTED = 'keys-not-granted'
     QUEUE_FULL = 'queue-full'
--- a/plantaingrade/requests/hop.py
+++ b/plantaingrade/requests/hop.py
@@ -4,8 +4,12 @@
 names are one letter long and figures share one header.
 """
 
+from dataclasses import dataclass
+
 import h11
 
+from plantaingrade.balance.entity import Load
+
 from plantaingrade.const import MS_PER_S
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.requests.entity import (
@@ -26,12 +30,15 @@
 NAME_OUTCOME = b'o'
 NAME_RETRY_AFTER = b'r'
 NAME_OWNER = b'w'
+NAME_LOAD = b'l'
 MARK_IDEMPOTENT = 'i'
 MARK_ONCE = 'o'
 MARK_NOT_RUN = 'n'
 MARK_UNKNOWN = 'u'
 NO_KEY = ''
-FACT_COUNT = 8
+FACT_COUNT = 10
+LOAD_COUNT = 3
+PERCENT = 100
 STATUS_FAILED = 503
 OWN_NAMES = frozenset(
     (
@@ -40,6 +47,7 @@
         NAME_OUTCOME,
         NAME_RETRY_AFTER,
         NAME_OWNER,
+        NAME_LOAD,
         b'host',
         b'content-length',
         b'transfer-encoding',
@@ -54,7 +62,18 @@
     advice = 'The other process runs another version.'
 
 
-def encode_hop(routed: RoutedRequest, now: float) -> Headers:
+@dataclass(slots=True, frozen=True)
+class Known:
+    """Versions that the sender of a request goes by.
+
+    A receiver that is behind learns so from any request that reaches it.
+    """
+
+    config: int
+    key_map: int
+
+
+def encode_hop(routed: RoutedRequest, known: Known, now: float) -> Headers:
     """Return the headers of a request to another process.
 
     Times travel as milliseconds left, since clocks of instances differ.
@@ -70,6 +89,8 @@
             NO_KEY if caller.key is None else str(caller.key),
             routed.service,
             routed.caller_service,
+            str(known.config),
+            str(known.key_map),
         )
     )
     headers = [
@@ -84,8 +105,10 @@
     return tuple(headers)
 
 
-def decode_hop(raw: h11.Request, body: bytes, now: float) -> RoutedRequest:
-    """Return the request that another process sent.
+def decode_hop(
+    raw: h11.Request, body: bytes, now: float
+) -> tuple[RoutedRequest, Known]:
+    """Return the request that another process sent, and what it went by.
 
     Raises:
         MalformedHopError: the facts of the request are not understood.
@@ -99,6 +122,7 @@
         left_s, until_s, due_s = (int(part) / MS_PER_S for part in parts[:3])
         priority = int(parts[3])
         key = int(parts[5]) if parts[5] else None
+        known = Known(int(parts[8]), int(parts[9]))
     except ValueError as error:
         raise MalformedHopError('Request of a process has no times.') from error
     caller = CallerRequest(
@@ -112,7 +136,7 @@
         arrived=now,
         deadline=now + left_s,
     )
-    return RoutedRequest(
+    routed = RoutedRequest(
         caller=caller,
         caller_service=parts[7],
         service=parts[6],
@@ -121,6 +145,25 @@
         until=now + until_s,
         due=now + due_s,
     )
+    return routed, known
+
+
+def encode_load(load: Load) -> tuple[bytes, bytes]:
+    """Return the header that tells the load of the process that answers."""
+    share = int(load.share * PERCENT)
+    return NAME_LOAD, f'{share},{_ms(load.work_s)},{load.slots}'.encode()
+
+
+def decode_load(headers: Headers) -> Load | None:
+    """Return the load that an answer tells, if it does."""
+    text = dict(headers).get(NAME_LOAD)
+    if text is None:
+        return None
+    try:
+        share, work_ms, slots = (int(part) for part in text.split(b','))
+    except ValueError:
+        return None
+    return Load(share / PERCENT, work_ms / MS_PER_S, slots)
 
 
 def encode_outcome(outcome: Outcome) -> Answer:
--- a/plantaingrade/requests/peer_path.py
+++ b/plantaingrade/requests/peer_path.py
@@ -1,7 +1,9 @@
 """Have a request served by another process."""
 
 import asyncio
+from collections.abc import Callable
 
+from plantaingrade.balance.book import LoadBook
 from plantaingrade.clock import Clock
 from plantaingrade.http.channel import Channel, ChannelClosedError
 from plantaingrade.http.exchange import read_answer, send_request
@@ -21,16 +23,33 @@
     Unknown,
     UnknownReason,
 )
-from plantaingrade.requests.hop import decode_outcome, encode_hop
+from plantaingrade.requests.hop import (
+    Known,
+    decode_load,
+    decode_outcome,
+    encode_hop,
+)
 
 
 class PeerPath:
     """Send requests to the process beside another server."""
 
-    __slots__ = ('_clock', '_directory', '_pool')
+    __slots__ = ('_clock', '_directory', '_known', '_loads', '_pool')
+
+    def __init__(
+        self,
+        directory: Directory,
+        loads: LoadBook,
+        pool: Pool,
+        clock: Clock,
+        known: Callable[[str], Known],
+    ) -> None:
+        """Use a pool of connections to other processes.
 
-    def __init__(self, directory: Directory, pool: Pool, clock: Clock) -> None:
-        """Use a pool of connections to other processes."""
+        ``known`` tells the versions that this process goes by for a service.
+        """
+        self._loads = loads
+        self._known = known
         self._directory = directory
         self._pool = pool
         self._clock = clock
@@ -56,7 +75,8 @@
         except ConnectFailedError:
             self._directory.suspect(member.name, self._clock.now())
             return NotRun(NotRunReason.PEER_DOWN, DEFAULT_RETRY_AFTER_S)
-        headers = encode_hop(routed, self._clock.now())
+        known = self._known(routed.service)
+        headers = encode_hop(routed, known, self._clock.now())
         caller = routed.caller
         try:
             request = send_request(
@@ -77,6 +97,9 @@
         self._keep(member, channel)
         self._directory.trust(member.name)
         headers = tuple(whole.head.headers)
+        load = decode_load(headers)
+        if load is not None:
+            self._loads.note(member.name, load, self._clock.now())
         return decode_outcome(
             Answer(whole.head.status_code, headers, whole.body)
         )
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -61,9 +61,11 @@
         '_is_keyed',
         '_life',
         '_log',
+        '_observe',
         '_on_other_life',
         '_pool',
         '_wire',
+        'is_closed',
     )
 
     def __init__(
@@ -77,13 +79,17 @@
         log: EventLog,
         is_keyed: Callable[[], bool | None],
         on_other_life: Callable[[str], None],
+        observe: Callable[[int, float], None],
     ) -> None:
         """Join the parts.
 
         ``is_keyed`` tells whether the server's service is divided by key, or
         nothing while no configuration is known. ``on_other_life`` is told of
-        an unexpected id.
+        an unexpected id. ``observe`` is told of each key asked for here, with
+        the work that it brings.
         """
+        self.is_closed = False
+        self._observe = observe
         self._is_keyed = is_keyed
         self._wire = wire
         self._life = life
@@ -96,7 +102,7 @@
 
     async def async_serve(self, routed: RoutedRequest) -> Outcome:
         """Return what became of a request."""
-        refusal = self._refuse_by_state()
+        refusal = self._refuse_by_state(routed)
         if refusal is None and self._needs_hold(routed):
             refusal = await self._async_wait_hold(routed)
         if refusal is not None:
@@ -111,16 +117,25 @@
     def _needs_hold(self, routed: RoutedRequest) -> bool:
         return bool(self._is_keyed()) and routed.caller.key is not None
 
-    def _refuse_by_state(self) -> NotRun | None:
+    def _refuse_by_state(self, routed: RoutedRequest) -> NotRun | None:
+        if self.is_closed:
+            return NotRun(NotRunReason.LEAVING)
         if self._is_keyed() is None:
             return NotRun(NotRunReason.NO_CONFIG, DEFAULT_RETRY_AFTER_S)
         if self._life.takes_work:
             return None
+        now = self._clock.now()
+        if self._needs_hold(routed) and self._life.is_finishing(now):
+            # Its keys are on their way to others and may still be here.
+            return None
         return NotRun(NotRunReason.SERVER_DOWN, DEFAULT_RETRY_AFTER_S)
 
     async def _async_wait_hold(self, routed: RoutedRequest) -> NotRun | None:
         """Wait while keys move or are about to be granted."""
         key = routed.caller.key or 0
+        if self._holds.find_own(key) is not None:
+            work_s = self._gate.queue.estimate.expected_s(routed.kind)
+            self._observe(key, work_s)
         while not self._holds.is_held(key):
             assignment = self._holds.registry.key_map.find(key)
             if assignment is None:
--- a/plantaingrade/sidecar/control.py
+++ b/plantaingrade/sidecar/control.py
@@ -2,25 +2,42 @@
 
 import h11
 
+from plantaingrade.balance.coordinator import BalanceCoordinator
+from plantaingrade.codec import MalformedMessageError
+from plantaingrade.config.coordinator import ConfigFollower
+from plantaingrade.holds.coordinator import HoldCoordinator
+
 from plantaingrade.peers.coordinator import (
     HEADER_VERSION,
+    OFFER_CODEC,
     PATH_MAP,
+    REPLY_CODEC,
     PeerCoordinator,
 )
 from plantaingrade.requests.entity import Answer
 
 STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
 
 
 class Control:
     """Answer what other processes ask."""
 
-    __slots__ = ('_peers',)
+    __slots__ = ('_balance', '_config', '_holds', '_peers')
 
-    def __init__(self, peers: PeerCoordinator) -> None:
-        """Answer from what is known of the peers."""
+    def __init__(
+        self,
+        peers: PeerCoordinator,
+        holds: HoldCoordinator,
+        balance: BalanceCoordinator,
+        config: ConfigFollower,
+    ) -> None:
+        """Answer from the parts of the process."""
         self._peers = peers
+        self._holds = holds
+        self._balance = balance
+        self._config = config
 
     async def async_handle(self, raw: h11.Request, body: bytes) -> Answer:
         """Answer one question."""
@@ -30,4 +47,33 @@
             version, encoded = self._peers.encode_known_map(service)
             headers = ((HEADER_VERSION, str(version).encode()),)
             return Answer(STATUS_OK, headers, encoded)
+        match target:
+            case '/-/config':
+                return self._answer_config()
+            case '/-/handed':
+                return self._take_handed(body)
+            case '/-/offer':
+                return self._answer_offer(body)
         return Answer(STATUS_NOT_FOUND, (), b'')
+
+    def _answer_config(self) -> Answer:
+        config = self._config.config
+        if config is None:
+            return Answer(STATUS_NOT_FOUND, (), b'')
+        return Answer(STATUS_OK, (), config.source)
+
+    def _take_handed(self, body: bytes) -> Answer:
+        handed = self._peers.take_handed(body)
+        if handed is None:
+            return Answer(STATUS_BAD_REQUEST, (), b'')
+        for token in handed.tokens:
+            self._holds.expect_handover(token)
+        return Answer(STATUS_OK, (), b'')
+
+    def _answer_offer(self, body: bytes) -> Answer:
+        try:
+            offer = OFFER_CODEC.decode(body)
+        except MalformedMessageError:
+            return Answer(STATUS_BAD_REQUEST, (), b'')
+        reply = self._balance.on_offer(offer)
+        return Answer(STATUS_OK, (), REPLY_CODEC.encode(reply))
--- a/plantaingrade/sidecar/fronts.py
+++ b/plantaingrade/sidecar/fronts.py
@@ -5,6 +5,7 @@
 import h11
 
 from plantaingrade.backends.report import Farewell, Heartbeat
+from plantaingrade.balance.entity import Load
 from plantaingrade.clock import Clock
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.eventlog import EventLog
@@ -26,15 +27,21 @@
     CallerRequest,
     Headers,
     NotRun,
+    NotRunReason,
     Outcome,
+    RoutedRequest,
     Unknown,
     UnknownReason,
 )
-from plantaingrade.requests.hop import decode_hop, encode_outcome
+from plantaingrade.requests.hop import (
+    Known,
+    decode_hop,
+    encode_load,
+    encode_outcome,
+)
 from plantaingrade.requests.server_path import ServerPath
 
 STATUS_OK = 200
-STATUS_MISDIRECTED = 421
 BODILESS = frozenset((204, 304))
 DecodeRequest = Callable[[h11.Request, bytes, float], CallerRequest]
 OwnHeaders = Callable[[bytes], Headers]
@@ -66,7 +73,14 @@
 class CallerFront:
     """Take requests that begin on this instance, and answer them."""
 
-    __slots__ = ('_clock', '_coordinator', '_decode', '_own_headers', 'limits')
+    __slots__ = (
+        '_clock',
+        '_coordinator',
+        '_decode',
+        '_own_headers',
+        'is_closed',
+        'limits',
+    )
 
     def __init__(
         self,
@@ -76,6 +90,7 @@
         clock: Clock,
     ) -> None:
         """Serve by a coordinator."""
+        self.is_closed = False
         self._coordinator = coordinator
         self._decode = decode
         self._own_headers = own_headers
@@ -95,11 +110,15 @@
         except PlantaingradeError:
             send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
             return
-        outcome = await self._coordinator.async_serve(caller)
-        answer = _answer_of(outcome)
+        answer = _answer_of(await self._async_serve(caller))
         headers = (*self._own_headers(caller.request_id), *answer.headers)
         send_answer(channel, Answer(answer.status, headers, answer.body))
 
+    async def _async_serve(self, caller: CallerRequest) -> Outcome | NoRoute:
+        if self.is_closed:
+            return NotRun(NotRunReason.LEAVING, DEFAULT_RETRY_AFTER_S)
+        return await self._coordinator.async_serve(caller)
+
     def _is_too_long(self, raw: h11.Request) -> bool:
         if self.limits is None:
             return False
@@ -127,7 +146,14 @@
 class PeerFront:
     """Take requests of other processes."""
 
-    __slots__ = ('_clock', '_control', '_server', '_service')
+    __slots__ = (
+        '_clock',
+        '_control',
+        '_load',
+        '_on_known',
+        '_server',
+        '_service',
+    )
 
     def __init__(
         self,
@@ -135,8 +161,16 @@
         server: ServerPath,
         clock: Clock,
         control: Callable[[h11.Request, bytes], Awaitable[Answer]],
+        load: Callable[[], Load],
+        on_known: Callable[[Known], None],
     ) -> None:
-        """Serve at the own server; ``control`` takes all else."""
+        """Serve at the own server; ``control`` takes all else.
+
+        ``load`` is told with each answer; ``on_known`` is told of the
+        versions that senders go by.
+        """
+        self._load = load
+        self._on_known = on_known
         self._service = service
         self._server = server
         self._clock = clock
@@ -149,16 +183,26 @@
             send_answer(channel, await self._control(raw, body))
             return
         try:
-            routed = decode_hop(raw, body, self._clock.now())
+            routed, known = decode_hop(raw, body, self._clock.now())
         except PlantaingradeError:
             send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
             return
+        self._on_known(known)
+        outcome = await self._async_serve(routed)
+        answer = encode_outcome(outcome)
+        headers = (*answer.headers, encode_load(self._load()))
+        send_answer(channel, Answer(answer.status, headers, answer.body))
+
+    async def _async_serve(self, routed: RoutedRequest) -> Outcome:
+        """Serve a request that was meant for the service here.
+
+        Failure: an address passes to a process of another service, and
+        others send there by what they knew before. It shows as requests run
+        by a service that no route names.
+        """
         if routed.service != self._service:
-            # The address belonged to a process of another service before.
-            send_answer(channel, Answer(STATUS_MISDIRECTED, (), b''))
-            return
-        outcome = await self._server.async_serve(routed)
-        send_answer(channel, encode_outcome(outcome))
+            return NotRun(NotRunReason.OTHER_SERVICE)
+        return await self._server.async_serve(routed)
 
 
 class ReadyFront:
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -12,6 +12,8 @@
 from plantaingrade.admission.slots import SlotQueue
 from plantaingrade.backends.life import BackendLife, LifeChange
 from plantaingrade.backends.report import Farewell, Heartbeat
+from plantaingrade.balance.book import LoadBook
+from plantaingrade.balance.coordinator import BalanceCoordinator
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.config.entity import RoutingConfig
@@ -26,13 +28,17 @@
 from plantaingrade.peers.entity import Member
 from plantaingrade.requests.coordinator import RequestCoordinator
 from plantaingrade.requests.entity import Outcome, RoutedRequest
+from plantaingrade.requests.hop import Known
 from plantaingrade.requests.peer_path import PeerPath
 from plantaingrade.requests.server_path import ServerPath, ServerWire
 from plantaingrade.requests.targets import TargetChooser
 from plantaingrade.sidecar.control import Control
 from plantaingrade.sidecar.const import (
+    EVACUATE_LIMIT_S,
+    FINISH_PART,
     FIRST_SLOTS,
     INTERNAL_IDLE_S,
+    STOP_CHECK_S,
     VERIFY_PAUSE_S,
 )
 from plantaingrade.sidecar.fronts import (
@@ -102,12 +108,22 @@
         return self._peers.has_joined
 
     async def async_leave(self) -> None:
-        """Finish what is in flight, and take no new connections after."""
+        """Hand everything over, then take no more work of other processes."""
         self._is_leaving = True
         self._log.write('leaving')
         for server in self._servers:
             server.end_connections()
+        self._balance.leave()
+        ends = self._clock.now() + EVACUATE_LIMIT_S
+        while self._holds.owns_keys and self._clock.now() < ends:
+            await asyncio.sleep(STOP_CHECK_S)
         self._peers.say_goodbye()
+        self._server_path.is_closed = True
+        await self._holds.registry.async_leave()
+
+    def refuse_callers(self) -> None:
+        """Refuse what still comes; callers have had time to go elsewhere."""
+        self._caller_front.is_closed = True
 
     @property
     def busy(self) -> int:
@@ -116,8 +132,9 @@
 
     def _build_state(self) -> None:
         settings = self._settings
+        # An address may pass to an instance of another service.
         self._own = Member(
-            settings.ip,
+            f'{settings.service}@{settings.ip}',
             settings.service,
             settings.zone,
             settings.listeners.peers,
@@ -130,13 +147,15 @@
         self._orders = self._wire.make_orders(self._order_pool)
         self._maps = KeyMaps()
         self._directory = Directory()
-        self._life = BackendLife()
+        self._loads = LoadBook()
+        self._life = BackendLife(settings.bounds.drain_s * FINISH_PART)
         self._config = ConfigFollower(
             self._store,
             self._wire.config_table,
             self._wire.config_key,
             self._wire.decode_config,
             self._log,
+            self._async_ask_config,
         )
         self._peers = PeerCoordinator(
             self._own,
@@ -146,6 +165,7 @@
             self._pool,
             self._clock,
             self._log,
+            self._loads,
             self._service_names,
         )
         self._holds = HoldCoordinator(
@@ -156,6 +176,7 @@
             self._orders,
             self._clock,
             self._log,
+            self._peers,
             self._on_joined,
         )
         self._maps.listen(self._on_map)
@@ -164,6 +185,17 @@
     def _build_paths(self) -> None:
         queue = SlotQueue(FIRST_SLOTS, WorkEstimate())
         self._gate = Gate(queue, self._clock)
+        self._balance = BalanceCoordinator(
+            self._own,
+            self._holds,
+            self._life,
+            queue,
+            self._loads,
+            self._directory,
+            self._peers,
+            self._clock,
+            self._log,
+        )
         server_wire = ServerWire(
             self._settings.backend,
             self._wire.encode_to_server,
@@ -179,8 +211,11 @@
             self._log,
             self._is_keyed,
             self._verify_life,
+            self._balance.observe,
+        )
+        peer_path = PeerPath(
+            self._directory, self._loads, self._pool, self._clock, self._known
         )
-        peer_path = PeerPath(self._directory, self._pool, self._clock)
         targets = TargetChooser(
             self._own, self._directory, self._maps, self._clock
         )
@@ -207,7 +242,11 @@
             self._settings.service,
             self._server_path,
             self._clock,
-            Control(self._peers).async_handle,
+            Control(
+                self._peers, self._holds, self._balance, self._config
+            ).async_handle,
+            self._balance.load,
+            self._on_known,
         )
         self._ready_front = ReadyFront(lambda: self.is_ready)
         self._report_front = ReportFront(
@@ -256,6 +295,7 @@
             await self._async_name_life(service.health_path)
         if is_keyed:
             self._start(self._holds.async_run())
+            self._start(self._balance.async_run())
         await self._peers.async_join(is_keyed=is_keyed)
         await self._peers.async_run()
 
@@ -271,6 +311,16 @@
         service = self._config.config.service_by_name.get(self._own.service)
         return service is not None and service.is_keyed
 
+    def _known(self, service: str) -> Known:
+        return Known(self._config.version, self._maps.find(service).version)
+
+    def _on_known(self, known: Known) -> None:
+        self._config.on_hint(known.config)
+        self._holds.on_hint(known.key_map)
+
+    async def _async_ask_config(self) -> bytes | None:
+        return await self._peers.async_ask_config()
+
     def _service_names(self) -> list[str]:
         if self._config.config is None:
             return []
@@ -293,15 +343,17 @@
                 if self._life.slots != self._gate.queue.slots:
                     self._gate.resize(self._life.slots or FIRST_SLOTS)
             case Farewell():
-                change = self._life.on_farewell(report)
+                change = self._life.on_farewell(report, self._clock.now())
         self._follow(change)
 
     def _follow(self, change: LifeChange) -> None:
         if change.is_new_life:
             self._log.write('server-life', instance=self._life.instance)
             self._holds.on_new_life()
+            self._balance.stay()
         if change.is_leaving:
             self._log.write('server-leaves', instance=self._life.instance)
+            self._balance.leave()
         if change.must_verify:
             self._verify_life(change.must_verify)
 
--- a/plantaingrade/sidecar/run.py
+++ b/plantaingrade/sidecar/run.py
@@ -51,15 +51,11 @@
     wire = make_wire(settings, clock)
     async with Process(settings, wire, clock, log) as process:
         await stop.wait()
-        await process.async_leave()
         told_at = clock.now()
+        await process.async_leave()
+        await asyncio.sleep(max(0.0, LINGER_S - (clock.now() - told_at)))
+        process.refuse_callers()
         limit_s = settings.bounds.stop_grace_s - GRACE_RESERVE_S
-        while _must_stay(process, clock.now() - told_at, limit_s):
+        while process.busy and clock.now() - told_at < limit_s:
             await asyncio.sleep(STOP_CHECK_S)
         log.write('stopped', busy=process.busy)
-
-
-def _must_stay(process: Process, elapsed_s: float, limit_s: float) -> bool:
-    if elapsed_s < LINGER_S:
-        return True
-    return process.busy > 0 and elapsed_s < limit_s
--- /dev/null
+++ b/standins/keyed_server.py
@@ -0,0 +1,353 @@
+"""Stand-in for a backend server of the shared platform.
+
+It takes grants of keys, serves requests within its slots, and sends its
+heartbeats to the process beside it. What it runs goes to a shared record, so
+that a test or the demo can judge what callers were told.
+"""
+
+import asyncio
+import json
+import random
+from contextlib import suppress
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import h11
+
+from plantaingrade.clock import Clock
+from plantaingrade.http.channel import Channel, ChannelClosedError
+from plantaingrade.http.client import Call, fetch, read_body
+from plantaingrade.http.pool import ConnectFailedError, Pool, split_address
+from plantaingrade.http.server import HttpServer
+from plantaingrade.keyspace.entity import KeyRange
+from plantaingrade.platform.const import (
+    HEADER_CALLER,
+    HEADER_EXPECTED,
+    HEADER_HANDOVER,
+    HEADER_INSTANCE,
+    HEADER_KEY,
+    HEADER_LOAD,
+    HEADER_NOT_RUN,
+    HEADER_REQUEST_ID,
+    HEADER_STAMP,
+    PATH_GRANT,
+    PATH_RELEASE,
+    PATH_REPORTS,
+)
+from plantaingrade.platform.units import format_time, parse_time
+from plantaingrade.requests.entity import Answer
+from plantaingrade.sidecar.fronts import refuse_malformed, send_answer
+
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
+IDLE_S = 10.0
+ID_BYTES = 4
+
+
+class OrderFault(StrEnum):
+    """What becomes of an order."""
+
+    NONE = 'none'
+    SILENT = 'silent'
+    LATE = 'late'
+
+
+@dataclass(slots=True)
+class ServerFaults:
+    """What goes wrong at one server.
+
+    ``late_s`` is when a late order is carried out; the hold of a late grant
+    still counts from its arrival.
+    """
+
+    order: OrderFault = OrderFault.NONE
+    late_s: float = 2.0
+    is_silent: bool = False
+    lose_answers: int = 0
+    reset_answers: int = 0
+    repeat_answers: int = 0
+    refuse: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Run:
+    """One run of a request at a server."""
+
+    request_id: str
+    key: int | None
+    instance: str
+    service: str
+    caller_service: str
+    began: float
+    ended: float
+
+
+@dataclass(slots=True)
+class RunRecord:
+    """Runs of all servers, in order of their ends, and overlapping holds."""
+
+    runs: list[Run] = field(default_factory=list)
+    two_owners: list[str] = field(default_factory=list)
+    servers: list['KeyedServer'] = field(default_factory=list)
+
+    def times_run(self, request_id: str) -> int:
+        """Return how often a request was run."""
+        return sum(run.request_id == request_id for run in self.runs)
+
+
+@dataclass(slots=True)
+class Hold:
+    """Keys that a server holds until a time."""
+
+    keys: KeyRange
+    fence: int
+    until: float
+
+
+@dataclass(slots=True, frozen=True)
+class ServerPlan:
+    """How a server behaves."""
+
+    service: str
+    zone: str
+    address: str
+    reports: str
+    slots: int = 4
+    work_s: float = 0.01
+    heartbeat_s: float = 0.3
+    is_keyed: bool = True
+
+
+class KeyedServer:
+    """One life of a backend server."""
+
+    def __init__(
+        self, plan: ServerPlan, record: RunRecord, clock: Clock, seed: int
+    ) -> None:
+        """Start with no keys."""
+        self.plan = plan
+        self.record = record
+        self.faults = ServerFaults()
+        self._clock = clock
+        self._random = random.Random(seed)
+        self.instance = f'i-{self._random.getrandbits(8 * ID_BYTES):08x}'
+        self.state = 'ready'
+        self.is_up = False
+        self.running = 0
+        self.holds: list[Hold] = []
+        self._fence_by_key: dict[KeyRange, int] = {}
+        self._busy: list[int] = []
+        self._sequence = 0
+        self._pool = Pool(clock)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server = HttpServer(clock, self._serve, refuse_malformed, IDLE_S)
+        record.servers.append(self)
+
+    async def async_start(self) -> None:
+        """Listen, and begin to send heartbeats."""
+        await self._server.async_listen(*split_address(self.plan.address))
+        self.is_up = True
+        self._spawn(self._async_report())
+
+    async def async_crash(self) -> None:
+        """End at once."""
+        self.is_up = False
+        self.holds.clear()
+        for task in list(self._tasks):
+            task.cancel()
+        await self._server.async_close()
+        self._pool.close()
+
+    async def async_drain(self) -> bool:
+        """Say that this server leaves; tell whether that was acknowledged."""
+        self.state = 'draining'
+        return await self.async_heartbeat()
+
+    async def async_heartbeat(self) -> bool:
+        """Send one heartbeat; tell whether it was acknowledged."""
+        self._sequence += 1
+        fields = {
+            'service': self.plan.service,
+            'address': self.plan.address,
+            'zone': self.plan.zone,
+            'version': 'v1',
+            'capacity': self.plan.slots,
+            'state': self.state,
+            'coldRemaining': format_time(0),
+            'sequence': self._sequence,
+        }
+        call = Call(
+            'PUT',
+            self.plan.reports,
+            f'{PATH_REPORTS.decode()}{self.instance}',
+            (),
+            json.dumps(fields).encode(),
+        )
+        try:
+            async with asyncio.timeout(1):
+                reply = await fetch(self._pool, call)
+        except (TimeoutError, ConnectFailedError, ChannelClosedError):
+            return False
+        return reply.status == STATUS_OK
+
+    def holds_key(self, key: int) -> bool:
+        """Tell whether this server may work on a key now."""
+        now = self._clock.now()
+        return any(key in hold.keys and hold.until > now for hold in self.holds)
+
+    async def _async_report(self) -> None:
+        while True:
+            await self.async_heartbeat()
+            await asyncio.sleep(self.plan.heartbeat_s)
+
+    async def _serve(self, raw: h11.Request, channel: Channel) -> None:
+        body = await read_body(channel)
+        arrived = self._clock.now()
+        if self.faults.is_silent:
+            await asyncio.Event().wait()
+        path = raw.target.decode()
+        if path == PATH_GRANT:
+            await self._order(self._grant, body, arrived, channel)
+        elif path == PATH_RELEASE:
+            await self._release(json.loads(body), channel)
+        elif path == '/healthz':
+            self._send(channel, STATUS_OK, ())
+        else:
+            await self._run(raw, channel)
+
+    async def _order(self, act, body: bytes, arrived: float, channel) -> None:
+        fields = json.loads(body)
+        match self.faults.order:
+            case OrderFault.NONE:
+                self._send(channel, act(fields, arrived), ())
+                return
+            case OrderFault.LATE:
+                self._spawn(self._later(act, fields, arrived))
+        await asyncio.Event().wait()
+
+    async def _later(self, act, fields: dict, arrived: float) -> None:
+        await asyncio.sleep(self.faults.late_s)
+        act(fields, arrived)
+
+    def _grant(self, fields: dict, arrived: float) -> int:
+        keys = KeyRange(fields['startKey'], fields['to'])
+        fence = fields['fence']
+        higher = [
+            seen
+            for known, seen in self._fence_by_key.items()
+            if known.overlap(keys) and seen > fence
+        ]
+        if higher:
+            return STATUS_CONFLICT
+        self._fence_by_key[keys] = fence
+        self._take_out(keys)
+        until = arrived + parse_time(fields['hold_time'])
+        self.holds.append(Hold(keys, fence, until))
+        self._note_two_owners(keys)
+        return STATUS_OK
+
+    def _note_two_owners(self, keys: KeyRange) -> None:
+        now = self._clock.now()
+        for other in self.record.servers:
+            if other is self or not other.is_up:
+                continue
+            for hold in other.holds:
+                if hold.keys.overlap(keys) and hold.until > now:
+                    self.record.two_owners.append(
+                        f'{self.instance} and {other.instance} hold {keys}'
+                    )
+
+    async def _release(self, fields: dict, channel: Channel) -> None:
+        if self.faults.order is not OrderFault.NONE:
+            await asyncio.Event().wait()
+        keys = KeyRange(fields['startKey'], fields['to'])
+        self._take_out(keys)
+        while any(key in keys for key in self._busy):
+            await asyncio.sleep(0.002)
+        token = f'{self._random.getrandbits(32):08x}'
+        headers = ((HEADER_HANDOVER, token.encode()),)
+        self._send(channel, STATUS_OK, headers)
+
+    def _take_out(self, keys: KeyRange) -> None:
+        kept = []
+        for hold in self.holds:
+            for rest in hold.keys.without(keys):
+                kept.append(Hold(rest, hold.fence, hold.until))
+        self.holds = kept
+
+    async def _run(self, raw: h11.Request, channel: Channel) -> None:
+        headers = dict(raw.headers)
+        request_id = headers.get(HEADER_REQUEST_ID, b'')
+        echo = ((HEADER_REQUEST_ID, request_id),)
+        expected = headers.get(HEADER_EXPECTED, b'').decode()
+        key = headers.get(HEADER_KEY)
+        number = None if key is None else int(key)
+        is_misdirected = expected and expected != self.instance
+        lacks_key = self.plan.is_keyed and (
+            number is None or not self.holds_key(number)
+        )
+        if is_misdirected or lacks_key:
+            marks = (*echo, (HEADER_NOT_RUN, b'1'))
+            self._send(channel, STATUS_MISDIRECTED, marks)
+            return
+        if self.faults.refuse:
+            self.faults.refuse -= 1
+            marks = (*echo, (HEADER_NOT_RUN, b'1'))
+            self._send(channel, STATUS_UNAVAILABLE, marks)
+            return
+        began = self._clock.now()
+        self.running += 1
+        self._busy.append(number or 0)
+        try:
+            await asyncio.sleep(self.plan.work_s)
+        finally:
+            self.running -= 1
+            self._busy.remove(number or 0)
+            self._note_run(headers, number, began)
+        await self._answer_run(channel, echo, request_id)
+
+    def _note_run(self, headers: dict, key: int | None, began: float) -> None:
+        self.record.runs.append(
+            Run(
+                headers.get(HEADER_REQUEST_ID, b'').decode(),
+                key,
+                self.instance,
+                self.plan.service,
+                headers.get(HEADER_CALLER, b'').decode(),
+                began,
+                self._clock.now(),
+            )
+        )
+
+    async def _answer_run(self, channel, echo, request_id: bytes) -> None:
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            await asyncio.Event().wait()
+        if self.faults.reset_answers:
+            self.faults.reset_answers -= 1
+            channel.abort()
+            return
+        marks = (*echo, (HEADER_STAMP, b'stamp.' + request_id))
+        self._send(channel, STATUS_OK, marks, b'done ' + request_id)
+        if self.faults.repeat_answers:
+            self.faults.repeat_answers -= 1
+            head = b'HTTP/1.1 200 OK\r\nattempt-id: ' + request_id
+            tail = b'\r\ncontent-length: 3\r\n\r\nold'
+            channel.transport.write(head + tail)
+
+    def _send(self, channel, status: int, headers, body: bytes = b'') -> None:
+        load = f'{self.running},0,{self.plan.slots}'.encode()
+        marks = (
+            (HEADER_INSTANCE, self.instance.encode()),
+            (HEADER_LOAD, load),
+            *headers,
+        )
+        with suppress(ChannelClosedError):
+            send_answer(channel, Answer(status, marks, body))
+
+    def _spawn(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/tests/sidecar/rig.py
@@ -0,0 +1,243 @@
+"""Whole processes in one event loop, with stand-ins for the platform."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+
+from plantaingrade.clock import BootClock
+from plantaingrade.eventlog import EventLog
+from plantaingrade.http.client import Call, Reply, fetch
+from plantaingrade.http.pool import Pool
+from plantaingrade.platform.wire import make_wire
+from plantaingrade.sidecar.process import Process
+from plantaingrade.sidecar.settings import (
+    Bounds,
+    InstanceSettings,
+    Listeners,
+)
+from standins.keyed_server import KeyedServer, RunRecord, ServerPlan
+from standins.shared_store import SharedStore
+
+WAIT_LIMIT_S = 20.0
+LOOK_S = 0.01
+STORE_PORT = 18_142
+KEYED = 'cases'
+PLAIN = 'letters'
+HOST = 'x.example'
+
+
+@dataclass(slots=True)
+class Place:
+    """One instance: its process and its backend server."""
+
+    settings: InstanceSettings
+    plan: ServerPlan
+    process: Process | None = None
+    server: KeyedServer | None = None
+
+    @property
+    def callers(self) -> str:
+        """Return where callers on this instance send requests."""
+        return self.settings.listeners.callers
+
+
+class Rig:
+    """Several instances on loopback addresses, and a store."""
+
+    def __init__(self, net: int) -> None:
+        """Use the loopback network 127.<net>.0.0."""
+        self.clock = BootClock()
+        self.record = RunRecord()
+        self.store = SharedStore(self.clock)
+        self.places: list[Place] = []
+        self._net = net
+        self._pool = Pool(self.clock)
+        self._stack = AsyncExitStack()
+        self._seed = 0
+        self._log = EventLog('rig', self.clock, _null())
+
+    async def __aenter__(self) -> 'Rig':
+        """Start the store with a first configuration."""
+        await self.store.async_listen(self.store_address)
+        self.configure(1)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop everything."""
+        for place in self.places:
+            await self.async_kill(place)
+            if place.server is not None:
+                await place.server.async_crash()
+        self._pool.close()
+        await self.store.async_close()
+
+    @property
+    def store_address(self) -> str:
+        """Return where the store listens."""
+        return f'127.{self._net}.255.1:{STORE_PORT}'
+
+    def configure(self, version: int, **routes: dict) -> None:
+        """Put a configuration in force."""
+        every = {
+            'keyed': _route('/cases/', KEYED, 'unsafe'),
+            'read': _route('/read/', KEYED, 'safe'),
+            'plain': _route('/letters/', PLAIN, 'unsafe'),
+            **routes,
+        }
+        fields = {
+            'version': f'r{version}',
+            'routes': every,
+            'services': {
+                KEYED: _service(is_keyed=True),
+                PLAIN: _service(is_keyed=False),
+            },
+            'limits': {
+                'maxHeaderBytes': 16384,
+                'maxBodyBytes': 1048576,
+                'headerTimeout': '3000ms',
+                'idleTimeout': '15000ms',
+            },
+        }
+        body = json.dumps(fields).encode()
+        self.store.rows.put('op', 'config', body)
+
+    async def async_add(
+        self, service: str, *, host: int | None = None, zone: str = 'a'
+    ) -> Place:
+        """Add an instance with its server and its process."""
+        number = host or len(self.places) + 1
+        settings = _settings(
+            f'127.{self._net}.0.{number}', zone, service, self.store_address
+        )
+        plan = ServerPlan(
+            service,
+            zone,
+            settings.backend,
+            settings.listeners.reports,
+            is_keyed=service == KEYED,
+        )
+        place = Place(settings, plan)
+        self.places.append(place)
+        await self.async_start_server(place)
+        await self.async_start(place)
+        return place
+
+    async def async_start_server(self, place: Place) -> None:
+        """Start a new life of a place's server."""
+        self._seed += 1
+        place.server = KeyedServer(
+            place.plan, self.record, self.clock, self._seed
+        )
+        await place.server.async_start()
+
+    async def async_start(self, place: Place) -> None:
+        """Start a new run of a place's process."""
+        wire = make_wire(place.settings, self.clock)
+        place.process = Process(place.settings, wire, self.clock, self._log)
+        await place.process.__aenter__()
+
+    async def async_kill(self, place: Place) -> None:
+        """End a place's process at once."""
+        if place.process is not None:
+            await place.process.__aexit__(None, None, None)
+            place.process = None
+
+    async def async_ask(
+        self,
+        place: Place,
+        path: str,
+        request_id: str,
+        key: int,
+        deadline_ms: int = 2000,
+        method: str = 'POST',
+    ) -> Reply:
+        """Send a caller's request and return its answer."""
+        headers = (
+            ('attempt-id', request_id),
+            ('deadline-ms', str(deadline_ms)),
+            ('shard-key', str(key)),
+        )
+        call = Call(method, place.callers, path, headers, b'x', HOST)
+        return await fetch(self._pool, call, fresh=True)
+
+    async def async_until(self, holds: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            while not holds():
+                await asyncio.sleep(LOOK_S)
+
+    async def async_until_served(self) -> None:
+        """Wait until every key has a server that holds it."""
+        await self.async_until(self.is_every_key_held)
+
+    def is_every_key_held(self) -> bool:
+        """Tell whether every key has a server that holds it."""
+        held = 0
+        now = self.clock.now()
+        for server in self.record.servers:
+            if server.is_up:
+                held += sum(
+                    len(hold.keys) for hold in server.holds if hold.until > now
+                )
+        return held >= 65_536 and all(
+            place.process is None or place.process.is_ready
+            for place in self.places
+        )
+
+
+def _route(prefix: str, service: str, kind: str) -> dict:
+    return {
+        'host': HOST,
+        'prefix': prefix,
+        'type': kind,
+        'timeout': '2000ms',
+        'targetLatency': '300ms',
+        'priority': 1,
+        'service': service,
+        'maxAttempts': 2,
+    }
+
+
+def _service(*, is_keyed: bool) -> dict:
+    return {
+        'healthCheckPath': '/healthz',
+        'maxConnections': 50,
+        'sharded': is_keyed,
+    }
+
+
+def _settings(ip: str, zone: str, service: str, store: str) -> InstanceSettings:
+    return InstanceSettings(
+        name=f'{service}-{ip}',
+        zone=zone,
+        ip=ip,
+        service=service,
+        backend=f'{ip}:18145',
+        store=store,
+        listeners=Listeners(
+            callers=f'{ip}:18147',
+            peers=f'{ip}:17380',
+            ready=f'{ip}:18141',
+            reports=f'{ip}:18144',
+            metrics=f'{ip}:17381',
+        ),
+        bounds=Bounds(
+            drain_s=2.0,
+            stop_grace_s=6.0,
+            max_hold_s=10.0,
+            address_reuse_s=2.0,
+            heartbeat_s=0.3,
+            retry_ratio=0.2,
+            retry_window_s=10.0,
+            retry_slack=50.0,
+        ),
+        max_row_bytes=65_536,
+    )
+
+
+def _null() -> int:
+    import os
+
+    return os.open(os.devnull, os.O_WRONLY)
