--- a/plantaingrade/holds/lease.py
+++ b/plantaingrade/holds/lease.py
@@ -18,8 +18,9 @@
     """A member and the end of its lease.
 
     ``until_s`` is a time of the store's clock, 0 for a member that holds no
-    keys; ``takes_keys`` is whether others may give it keys. ``write_id`` names the write, so that a writer whose answer was lost
-    can tell its own write from another's. ``version`` is the row's version.
+    keys; ``takes_keys`` is whether others may give it keys. ``write_id``
+    names the write, so that a writer whose answer was lost can tell its own
+    write from another's. ``version`` is the row's version.
     """
 
     member: Member
--- /dev/null
+++ b/plantaingrade/holds/transfer.py
@@ -0,0 +1,123 @@
+"""Pass ranges of keys on to other members."""
+
+import asyncio
+
+from plantaingrade.clock import Clock
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.granter import Granter
+from plantaingrade.holds.plans import plan_transfer
+from plantaingrade.holds.registry import CommitResult, Registry
+from plantaingrade.keyspace.entity import Assignment, KeyRange
+from plantaingrade.peers.courier import Courier
+from plantaingrade.peers.entity import Token
+
+# Time for the change in the store; the range is served by nobody meanwhile.
+MOVE_LIMIT_S = 2.0
+
+
+class Transfers:
+    """Release, commit, tell: in this order, whatever fails on the way."""
+
+    __slots__ = ('_clock', '_courier', '_granter', '_log', '_registry')
+
+    def __init__(
+        self,
+        registry: Registry,
+        granter: Granter,
+        clock: Clock,
+        log: EventLog,
+        courier: Courier,
+    ) -> None:
+        """Pass on what one member owns."""
+        self._registry = registry
+        self._granter = granter
+        self._clock = clock
+        self._log = log
+        self._courier = courier
+
+    async def async_give(self, keys: list[KeyRange], target: str) -> bool:
+        """Pass ranges to another member; tell whether they have passed.
+
+        Ranges that are being passed on already are left to that transfer.
+        """
+        moving = self._granter.moving
+        if any(each.overlap(other) for each in keys for other in moving):
+            return False
+        moving.update(keys)
+        try:
+            return await self._async_pass(keys, target)
+        finally:
+            moving.difference_update(keys)
+
+    async def _async_pass(self, keys: list[KeyRange], target: str) -> bool:
+        for each in keys:
+            await self._granter.async_settle(each)
+        pieces = [piece for each in keys for piece in self._owned_within(each)]
+        if not pieces:
+            return False
+        tokens = await asyncio.gather(
+            *(self._async_free(piece) for piece in pieces)
+        )
+        before = self._registry.key_map
+        committed = await self._registry.async_commit(
+            lambda registry: plan_transfer(registry, pieces, target),
+            MOVE_LIMIT_S,
+        )
+        self._log.write(
+            'keys-given',
+            ranges=[(piece.keys.first, piece.keys.last) for piece in pieces],
+            to=target,
+            outcome=committed,
+        )
+        if committed is not CommitResult.DONE:
+            return False
+        for piece in pieces:
+            self._granter.ledger.forget(piece.keys)
+        after = self._registry.key_map
+        given = tuple(
+            Token(piece.keys, token)
+            for piece, token in zip(pieces, tokens, strict=True)
+            if token
+        )
+        # The receiver first, with its tokens: a grant without would be cold.
+        await self._courier.async_hand(target, before, after, given)
+        self._courier.spread(self._registry.member.service, before, after)
+        return True
+
+    async def _async_free(self, piece: Assignment) -> str | None:
+        """Make sure that the server works on a range no more."""
+        token = await self._granter.async_release(piece)
+        self._granter.ledger.on_released(piece.keys)
+        await self._async_wait_out(piece.keys, is_released=token is not None)
+        return token
+
+    async def _async_wait_out(
+        self, keys: KeyRange, *, is_released: bool
+    ) -> None:
+        """Wait until no grant on these keys can still be in force.
+
+        Failure: a grant without answer is carried out seconds later, or the
+        server does not answer the release, and the next owner's server works
+        on the same keys. After the end of every hold that may exist, no late
+        order brings one back.
+        """
+        ledger = self._granter.ledger
+        if is_released:
+            ends = ledger.unsure_until(keys)
+        else:
+            ends = ledger.ends_by(keys)
+        left_s = ends - self._clock.now()
+        if left_s > 0:
+            await asyncio.sleep(left_s)
+
+    def _owned_within(self, keys: KeyRange) -> list[Assignment]:
+        pieces = []
+        for assignment in self._registry.key_map.owned_by(
+            self._registry.member.name
+        ):
+            part = assignment.keys.overlap(keys)
+            if part is not None:
+                pieces.append(
+                    Assignment(part, assignment.owner, assignment.fence)
+                )
+        return pieces
--- /dev/null
+++ b/plantaingrade/sidecar/leaving.py
@@ -0,0 +1,110 @@
+"""Stop a process without harm to anyone."""
+
+import asyncio
+from collections.abc import Callable
+
+from plantaingrade.balance.coordinator import BalanceCoordinator
+from plantaingrade.clock import Clock
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.coordinator import HoldCoordinator
+from plantaingrade.peers.coordinator import PeerCoordinator
+from plantaingrade.requests.server_path import ServerPath
+from plantaingrade.sidecar.const import (
+    EVACUATE_LIMIT_S,
+    FINISH_S,
+    GRACE_RESERVE_S,
+    LINGER_S,
+    STOP_CHECK_S,
+)
+from plantaingrade.sidecar.fronts import CallerFront
+
+
+class Leaving:
+    """Hand everything over, then refuse, then wait for what runs.
+
+    Failure: the store is away, so keys cannot be handed over, and work comes
+    in until the platform ends this process in the middle of it. It shows as
+    connections closed without an answer. So each step has its time, whatever
+    became of the one before.
+    """
+
+    __slots__ = (
+        '_balance',
+        '_busy',
+        '_callers',
+        '_clock',
+        '_holds',
+        '_limit_s',
+        '_log',
+        '_peers',
+        '_server_path',
+    )
+
+    def __init__(
+        self,
+        holds: HoldCoordinator,
+        balance: BalanceCoordinator,
+        peers: PeerCoordinator,
+        server_path: ServerPath,
+        callers: CallerFront,
+        stop_grace_s: float,
+        busy: Callable[[], int],
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        """Know the parts; ``busy`` counts the requests being served."""
+        self._holds = holds
+        self._balance = balance
+        self._peers = peers
+        self._server_path = server_path
+        self._callers = callers
+        self._limit_s = stop_grace_s - GRACE_RESERVE_S
+        self._busy = busy
+        self._clock = clock
+        self._log = log
+
+    async def async_run(self) -> None:
+        """Take all steps, within the platform's grace."""
+        began = self._clock.now()
+        self._log.write('leaving', owns_keys=self._holds.owns_keys)
+        self._balance.leave()
+        await self._async_wait(began + EVACUATE_LIMIT_S, self._owns_nothing)
+        removal = self._start_removal()
+        await self._async_wait(began + LINGER_S, _never)
+        self._callers.is_closed = True
+        await self._async_finish(began + self._limit_s)
+        if removal is not None:
+            removal.cancel()
+        self._log.write('stopped', busy=self._busy())
+
+    def _start_removal(self) -> asyncio.Task[None] | None:
+        """Remove this member's row, if nothing is owned any more."""
+        if self._holds.owns_keys:
+            return None
+        self._refuse_peers()
+        loop = asyncio.get_running_loop()
+        return loop.create_task(self._holds.registry.async_leave())
+
+    async def _async_finish(self, end: float) -> None:
+        """Serve what this process still owns, then finish what runs."""
+        await self._async_wait(end - FINISH_S, self._owns_nothing)
+        self._refuse_peers()
+        await self._async_wait(end, lambda: not self._busy())
+
+    def _owns_nothing(self) -> bool:
+        return not self._holds.owns_keys
+
+    def _refuse_peers(self) -> None:
+        if not self._server_path.is_closed:
+            self._server_path.is_closed = True
+            self._peers.say_goodbye()
+
+    async def _async_wait(
+        self, ends: float, is_done: Callable[[], bool]
+    ) -> None:
+        while self._clock.now() < ends and not is_done():
+            await asyncio.sleep(STOP_CHECK_S)
+
+
+def _never() -> bool:
+    return False
--- /dev/null
+++ b/plantaingrade/sidecar/server_watch.py
@@ -0,0 +1,104 @@
+"""Follow the backend server beside this process through its lives."""
+
+import asyncio
+
+from plantaingrade.admission.gate import Gate
+from plantaingrade.backends.life import BackendLife, LifeChange
+from plantaingrade.backends.report import Farewell, Heartbeat
+from plantaingrade.balance.coordinator import BalanceCoordinator
+from plantaingrade.clock import Clock
+from plantaingrade.config.coordinator import ConfigFollower
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.coordinator import HoldCoordinator
+from plantaingrade.holds.orders import ServerOrders
+
+
+class ServerWatch:
+    """Act on heartbeats, and ask the server who it is when in doubt."""
+
+    __slots__ = (
+        '_balance',
+        '_clock',
+        '_config',
+        '_gate',
+        '_holds',
+        '_life',
+        '_log',
+        '_orders',
+        '_service',
+        '_verifying',
+    )
+
+    def __init__(
+        self,
+        service: str,
+        life: BackendLife,
+        orders: ServerOrders,
+        holds: HoldCoordinator,
+        balance: BalanceCoordinator,
+        gate: Gate,
+        config: ConfigFollower,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        """Follow a server of one service."""
+        self._service = service
+        self._life = life
+        self._orders = orders
+        self._holds = holds
+        self._balance = balance
+        self._gate = gate
+        self._config = config
+        self._clock = clock
+        self._log = log
+        self._verifying: asyncio.Task[None] | None = None
+
+    def on_report(self, report: Heartbeat | Farewell) -> None:
+        """Take what the server reports."""
+        now = self._clock.now()
+        match report:
+            case Heartbeat():
+                self._follow(self._life.on_heartbeat(report, now))
+            case Farewell():
+                self._follow(self._life.on_farewell(report, now))
+        slots = self._life.slots
+        if slots and slots != self._gate.queue.slots:
+            self._gate.resize(slots)
+
+    def verify(self, instance: str) -> None:
+        """Ask the server which life it is, once at a time."""
+        if self._verifying is not None and not self._verifying.done():
+            return
+        self._log.write(
+            'server-life-doubted',
+            known=self._life.instance,
+            named=instance,
+        )
+        loop = asyncio.get_running_loop()
+        self._verifying = loop.create_task(self.async_ask())
+
+    async def async_ask(self) -> None:
+        """Ask the server who it is, rather than wait for a heartbeat."""
+        config = self._config.config
+        service = config and config.service_by_name.get(self._service)
+        if not service:
+            return
+        instance = await self._orders.async_ask_instance(service.health_path)
+        if instance:
+            self._follow(self._life.on_named(instance, self._clock.now()))
+
+    def stop(self) -> None:
+        """Stop asking."""
+        if self._verifying is not None:
+            self._verifying.cancel()
+
+    def _follow(self, change: LifeChange) -> None:
+        if change.is_new_life:
+            self._log.write('server-life', instance=self._life.instance)
+            self._holds.on_new_life()
+            self._balance.stay()
+        if change.is_leaving:
+            self._log.write('server-leaves', instance=self._life.instance)
+            self._balance.leave()
+        if change.must_verify:
+            self.verify(change.must_verify)
--- /dev/null
+++ b/tests/sidecar/test_leaving.py
@@ -0,0 +1,83 @@
+"""Planned stops of processes and servers."""
+
+import asyncio
+
+from standins.shared_store import Outage
+from tests.sidecar.rig import KEYED, WAIT_LIMIT_S, Rig
+
+
+def test_a_stop_hands_keys_over_and_loses_nothing() -> None:
+    """A process is told to stop while callers keep asking for its keys.
+
+    Its keys pass to the other process, and every caller is answered.
+    """
+
+    async def story() -> None:
+        async with Rig(41) as rig:
+            first = await rig.async_add(KEYED)
+            second = await rig.async_add(KEYED)
+            await rig.async_until_served()
+            leaving = asyncio.create_task(first.process.async_leave())
+            statuses = []
+            for number in range(60):
+                reply = await rig.async_ask(
+                    second, '/cases/1', f'r{number}', number * 1000
+                )
+                statuses.append(reply.status)
+            await leaving
+            await rig.async_kill(first)
+            await rig.async_until_served()
+            assert set(statuses) == {200}
+            assert len(rig.record.runs) == 60
+            assert not rig.record.two_owners
+
+    asyncio.run(story())
+
+
+def test_a_stop_ends_while_the_store_answers_nobody() -> None:
+    """The store falls silent, then a process is told to stop.
+
+    Its keys cannot be handed over. It must refuse new work in time all the
+    same, or the platform ends it in the middle of requests, and callers get
+    closed connections.
+    """
+
+    async def story() -> None:
+        async with Rig(42) as rig:
+            place = await rig.async_add(KEYED)
+            await rig.async_until_served()
+            rig.store.faults.outage = Outage.SILENT
+            # Another change waits for the store and ends only with it.
+            await place.process.holds.registry._writing.acquire()
+            leaving = asyncio.create_task(place.process.async_leave())
+            async with asyncio.timeout(WAIT_LIMIT_S):
+                while not leaving.done():
+                    reply = await rig.async_ask(place, '/cases/1', 'r', 5)
+                    await asyncio.sleep(0.05)
+            assert reply.status == 503
+            assert b'retry-after' in reply.headers
+
+    asyncio.run(story())
+
+
+def test_a_leaving_server_gets_no_work_and_its_keys_pass_on() -> None:
+    """A server says that it drains. Its process goes on for its callers, and
+    the keys are served by the other server.
+    """
+
+    async def story() -> None:
+        async with Rig(43) as rig:
+            first = await rig.async_add(KEYED)
+            await rig.async_add(KEYED)
+            await rig.async_until_served()
+            assert await first.server.async_drain()
+            await rig.async_until(lambda: not first.process.holds.owns_keys)
+            before = len(rig.record.runs)
+            for key in (0, 30_000, 65_000):
+                reply = await rig.async_ask(first, '/cases/1', f'k{key}', key)
+                assert reply.status == 200
+            late = {run.instance for run in rig.record.runs[before:]}
+            assert first.server.instance not in late
+            assert not rig.record.two_owners
+
+    asyncio.run(story())
