Reach the store through other processes when it turns this one away

Change: commits and reads go through another process after a direct call failed; unknown outcomes stay with the caller. Calls to peers are a part of their own.

--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -6,7 +6,6 @@
 
 from plantaingrade.admission.slots import SlotQueue
 from plantaingrade.backends.life import BackendLife
-from plantaingrade.balance.book import LoadBook
 from plantaingrade.balance.const import (
     IDLE_LOAD,
     IDLE_TELL_COUNT,
@@ -17,26 +16,25 @@
 )
 from plantaingrade.balance.entity import Load, Move
 from plantaingrade.balance.meter import LoadMeter
+from plantaingrade.balance.others import LEAVING_SHARE, NO_LOAD, Others
 from plantaingrade.balance.policy import choose_move, share_out
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator
-from plantaingrade.holds.plans import live_members
 from plantaingrade.keyspace.entity import KeyRange
-from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member, Offer, OfferReply
 
-# A member that leaves says it has this load, so that nobody chooses it.
-LEAVING_SHARE = 100.0
-NO_LOAD = Load(0.5, 0.0, 1)
-
 
 class Offers(Protocol):
-    """Messages about loads to other members."""
+    """Questions to other members."""
 
     async def async_offer(self, target: str, offer: Offer) -> OfferReply | None:
         """Ask a member to take over work."""
 
+
+class Teller(Protocol):
+    """Words to other members."""
+
     def tell_load(self, load: Load, names: list[str]) -> None:
         """Tell some members of this member's load."""
 
@@ -50,9 +48,9 @@
         holds: HoldCoordinator,
         life: BackendLife,
         queue: SlotQueue,
-        book: LoadBook,
-        directory: Directory,
+        others: Others,
         offers: Offers,
+        teller: Teller,
         clock: Clock,
         log: EventLog,
     ) -> None:
@@ -61,9 +59,9 @@
         self._holds = holds
         self._life = life
         self._queue = queue
-        self._book = book
-        self._directory = directory
+        self._others = others
         self._offers = offers
+        self._teller = teller
         self._clock = clock
         self._log = log
         self._meter = LoadMeter()
@@ -108,8 +106,7 @@
             return
         self.is_leaving = True
         self._holds.registry.takes_keys = False
-        members = self._directory.serving(self._own.service)
-        self._offers.tell_load(self.load(), [each.name for each in members])
+        self._teller.tell_load(self.load(), self._others.names())
 
     def stay(self) -> None:
         """Take keys again: the server has begun a new life."""
@@ -133,7 +130,7 @@
         if not ranges:
             return
         now = self._clock.now()
-        load_by_member = self._takers(now)
+        load_by_member = self._others.takers(now)
         target_by_keys = share_out(
             ranges, self._meter.by_key(now), load_by_member
         )
@@ -158,7 +155,7 @@
             return
         loads = {
             name: load
-            for name, load in self._takers(now).items()
+            for name, load in self._others.takers(now).items()
             if load is not NO_LOAD
         }
         move = choose_move(
@@ -177,11 +174,11 @@
         )
         reply = await self._offers.async_offer(move.target, offer)
         if reply is None:
-            self._book.forget(move.target)
+            self._others.book.forget(move.target)
             return
         now = self._clock.now()
         told = Load(reply.share, reply.work_s, reply.slots)
-        self._book.note(move.target, told, now)
+        self._others.book.note(move.target, told, now)
         self._log.write(
             'move-offered',
             first=move.keys.first,
@@ -197,21 +194,6 @@
         if await self._holds.async_give([move.keys], move.target):
             self._meter.forget(move.keys)
 
-    def _takers(self, now: float) -> dict[str, Load]:
-        """Return the members that may take keys, with their loads."""
-        rows = live_members(self._holds.registry)
-        takers: dict[str, Load] = {}
-        for member in self._directory.serving(self._own.service):
-            load = self._book.find(member.name, now)
-            if load is None and member.name in rows:
-                load = NO_LOAD
-            is_out = self._directory.is_suspect(member.name, now)
-            if load is None or is_out or load.share >= LEAVING_SHARE:
-                continue
-            takers[member.name] = load
-        takers.pop(self._own.name, None)
-        return takers
-
     def _own_ranges(self) -> list[KeyRange]:
         key_map = self._holds.registry.key_map
         return [each.keys for each in key_map.owned_by(self._own.name)]
@@ -230,10 +212,6 @@
         if now - self._told_at < IDLE_TELL_S:
             return
         self._told_at = now
-        names = [
-            member.name
-            for member in self._directory.serving(self._own.service)
-            if member.name != self._own.name
-        ]
+        names = self._others.names()
         count = min(IDLE_TELL_COUNT, len(names))
-        self._offers.tell_load(own, self._random.sample(names, count))
+        self._teller.tell_load(own, self._random.sample(names, count))
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -1,7 +1,6 @@
 """Find the other processes, and keep the key maps of all services fresh."""
 
 import asyncio
-import random
 from collections.abc import Callable, Iterable
 
 from plantaingrade.balance.book import LoadBook
@@ -21,9 +20,7 @@
     TABLE,
     member_row,
 )
-from plantaingrade.http.channel import ChannelClosedError
-from plantaingrade.http.client import Call, fetch
-from plantaingrade.http.pool import ConnectFailedError, Pool
+from plantaingrade.http.client import Call
 from plantaingrade.keyspace.codec import (
     UnreadableMapError,
     decode_map,
@@ -32,6 +29,7 @@
 from plantaingrade.keyspace.directory import KeyMaps, differences
 from plantaingrade.keyspace.entity import KeyMap
 from plantaingrade.membership.datagrams import DatagramEndpoint
+from plantaingrade.peers.calls import PeerCalls
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import (
     Datagram,
@@ -41,8 +39,6 @@
     LoadTold,
     MapChanged,
     Member,
-    Offer,
-    OfferReply,
     Token,
     Welcome,
 )
@@ -58,21 +54,13 @@
 
 CODEC = Codec(Datagram, Datagram)
 HANDED_CODEC = Codec(Handed)
-OFFER_CODEC = Codec(Offer)
-REPLY_CODEC = Codec(OfferReply)
 PATH_MAP = '/-/map/'
-PATH_CONFIG = '/-/config'
-# Members asked for a configuration before it is tried again later.
-MAX_ASKED = 3
 PATH_HANDED = '/-/handed'
-PATH_OFFER = '/-/offer'
-PULL_TIMEOUT_S = 0.5
 HELLO_PAUSES_S = (0.2, 0.4, 0.8, 1.6, 3.2)
 JOIN_RETRY_S = 0.25
 # A lost datagram about a map is made up for by a redirect; what even that
 # does not repair is repaired by this.
 REFRESH_S = 20.0
-STATUS_OK = 200
 HEADER_VERSION = b'v'
 
 
@@ -80,13 +68,13 @@
     """Join the other processes on behalf of one member."""
 
     __slots__ = (
+        '_calls',
         '_clock',
         '_directory',
         '_endpoint',
         '_loads',
         '_log',
         '_maps',
-        '_pool',
         '_pulls',
         '_services',
         '_store',
@@ -101,7 +89,7 @@
         directory: Directory,
         maps: KeyMaps,
         store: Store,
-        pool: Pool,
+        calls: PeerCalls,
         clock: Clock,
         log: EventLog,
         loads: LoadBook,
@@ -114,7 +102,7 @@
         self._directory = directory
         self._maps = maps
         self._store = store
-        self._pool = pool
+        self._calls = calls
         self._clock = clock
         self._log = log
         self._services = services
@@ -250,22 +238,7 @@
             return
         change = _changed(self.own.service, before, after)
         body = HANDED_CODEC.encode(Handed(change, tokens))
-        await self._async_post(member, PATH_HANDED, body)
-
-    async def async_offer(self, target: str, offer: Offer) -> OfferReply | None:
-        """Ask a member to take over work."""
-        member = self._directory.find(target)
-        if member is None:
-            return None
-        body = OFFER_CODEC.encode(offer)
-        reply = await self._async_post(member, PATH_OFFER, body)
-        if reply is None:
-            return None
-        try:
-            return REPLY_CODEC.decode(reply)
-        except MalformedMessageError as error:
-            self._log.write('offer-reply-unreadable', why=str(error))
-            return None
+        await self._calls.async_post(member, PATH_HANDED, body)
 
     def tell_load(self, load: Load, names: Iterable[str]) -> None:
         """Tell some members of this member's load."""
@@ -290,41 +263,6 @@
         self._on_map_changed(handed.change)
         return handed
 
-    async def async_ask_config(self) -> bytes | None:
-        """Return the configuration of another process, a near one first."""
-        members = [
-            member
-            for member in self._directory.members()
-            if member.name != self.own.name
-        ]
-        random.shuffle(members)
-        members.sort(key=lambda member: member.zone != self.own.zone)
-        for member in members[:MAX_ASKED]:
-            body = await self._async_call(
-                Call('GET', member.address, PATH_CONFIG)
-            )
-            if body:
-                return body
-        return None
-
-    async def _async_post(
-        self, member: Member, path: str, body: bytes
-    ) -> bytes | None:
-        return await self._async_call(
-            Call('POST', member.address, path, (), body)
-        )
-
-    async def _async_call(self, call: Call) -> bytes | None:
-        try:
-            async with asyncio.timeout(PULL_TIMEOUT_S):
-                reply = await fetch(self._pool, call)
-        except (TimeoutError, ConnectFailedError, ChannelClosedError):
-            self._log.write(
-                'peer-call-failed', to=call.address, path=call.target
-            )
-            return None
-        return reply.body if reply.status == STATUS_OK else None
-
     def _send_all(self, message: Datagram) -> None:
         for member in self._directory.members():
             if member.name != self.own.name:
@@ -365,14 +303,11 @@
 
     async def _async_pull(self, service: str, source: Member) -> None:
         call = Call('GET', source.address, f'{PATH_MAP}{service}')
-        try:
-            async with asyncio.timeout(PULL_TIMEOUT_S):
-                reply = await fetch(self._pool, call)
-        except (TimeoutError, ConnectFailedError, ChannelClosedError):
-            self._log.write('map-not-pulled', source=source.name)
+        reply = await self._calls.async_fetch(call)
+        if reply is None:
             return
         version = reply.headers.get(HEADER_VERSION, b'0')
-        if reply.status != STATUS_OK or not version.isdigit():
+        if not version.isdigit():
             return
         try:
             key_map = decode_map(reply.body, int(version))
--- a/plantaingrade/sidecar/control.py
+++ b/plantaingrade/sidecar/control.py
@@ -7,14 +7,14 @@
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.holds.coordinator import HoldCoordinator
 
+from plantaingrade.peers.calls import OFFER_CODEC, REPLY_CODEC
 from plantaingrade.peers.coordinator import (
     HEADER_VERSION,
-    OFFER_CODEC,
     PATH_MAP,
-    REPLY_CODEC,
     PeerCoordinator,
 )
 from plantaingrade.requests.entity import Answer
+from plantaingrade.store.relay import RelayDesk
 
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
@@ -24,7 +24,7 @@
 class Control:
     """Answer what other processes ask."""
 
-    __slots__ = ('_balance', '_config', '_holds', '_peers')
+    __slots__ = ('_balance', '_config', '_desk', '_holds', '_peers')
 
     def __init__(
         self,
@@ -32,12 +32,14 @@
         holds: HoldCoordinator,
         balance: BalanceCoordinator,
         config: ConfigFollower,
+        desk: RelayDesk,
     ) -> None:
         """Answer from the parts of the process."""
         self._peers = peers
         self._holds = holds
         self._balance = balance
         self._config = config
+        self._desk = desk
 
     async def async_handle(self, raw: h11.Request, body: bytes) -> Answer:
         """Answer one question."""
@@ -47,6 +49,12 @@
             version, encoded = self._peers.encode_known_map(service)
             headers = ((HEADER_VERSION, str(version).encode()),)
             return Answer(STATUS_OK, headers, encoded)
+        try:
+            return await self._async_answer(target, body)
+        except MalformedMessageError:
+            return Answer(STATUS_BAD_REQUEST, (), b'')
+
+    async def _async_answer(self, target: str, body: bytes) -> Answer:
         match target:
             case '/-/config':
                 return self._answer_config()
@@ -54,6 +62,12 @@
                 return self._take_handed(body)
             case '/-/offer':
                 return self._answer_offer(body)
+            case '/-/store/commit':
+                return Answer(
+                    STATUS_OK, (), await self._desk.async_commit(body)
+                )
+            case '/-/store/read':
+                return Answer(STATUS_OK, (), await self._desk.async_read(body))
         return Answer(STATUS_NOT_FOUND, (), b'')
 
     def _answer_config(self) -> Answer:
@@ -71,9 +85,5 @@
         return Answer(STATUS_OK, (), b'')
 
     def _answer_offer(self, body: bytes) -> Answer:
-        try:
-            offer = OFFER_CODEC.decode(body)
-        except MalformedMessageError:
-            return Answer(STATUS_BAD_REQUEST, (), b'')
-        reply = self._balance.on_offer(offer)
+        reply = self._balance.on_offer(OFFER_CODEC.decode(body))
         return Answer(STATUS_OK, (), REPLY_CODEC.encode(reply))
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -13,6 +13,7 @@
 from plantaingrade.backends.life import BackendLife
 from plantaingrade.balance.book import LoadBook
 from plantaingrade.balance.coordinator import BalanceCoordinator
+from plantaingrade.balance.others import Others
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.config.entity import RoutingConfig
@@ -22,6 +23,7 @@
 from plantaingrade.http.server import HttpServer, RequestServer
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.peers.calls import PeerCalls
 from plantaingrade.peers.coordinator import PeerCoordinator
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member
@@ -53,6 +55,7 @@
 from plantaingrade.sidecar.server_watch import ServerWatch
 from plantaingrade.sidecar.settings import InstanceSettings
 from plantaingrade.sidecar.wire import PlatformWire
+from plantaingrade.store.relay import RelayDesk, RelayedStore
 
 BOOT_BYTES = 4
 
@@ -117,6 +120,11 @@
             server.end_connections()
         await self._leaving.async_run()
 
+    @property
+    def config_version(self) -> int:
+        """Return the version of the configuration in force."""
+        return self._config.version
+
     @property
     def busy(self) -> int:
         """Return how many requests are being served."""
@@ -135,33 +143,43 @@
         self._pool = Pool(self._clock)
         self._store_pool = Pool(self._clock)
         self._order_pool = Pool(self._clock)
-        self._store = self._wire.make_store(self._store_pool)
+        self._direct_store = self._wire.make_store(self._store_pool)
         self._orders = self._wire.make_orders(self._order_pool)
         self._maps = KeyMaps()
         self._directory = Directory()
         self._loads = LoadBook()
         self._life = BackendLife(settings.bounds.drain_s * FINISH_PART)
         self._config = ConfigFollower(
-            self._store,
+            self._direct_store,
             self._wire.config_table,
             self._wire.config_key,
             self._wire.decode_config,
             self._log,
             self._async_ask_config,
         )
+        self._calls = PeerCalls(
+            self._own, self._directory, self._pool, self._clock, self._log
+        )
         self._peers = PeerCoordinator(
             self._own,
             self._directory,
             self._maps,
-            self._store,
-            self._pool,
+            self._direct_store,
+            self._calls,
             self._clock,
             self._log,
             self._loads,
             self._service_names,
         )
+        store = RelayedStore(
+            self._direct_store,
+            self._calls,
+            self._calls.relays,
+            self._clock,
+            self._log,
+        )
         self.holds = HoldCoordinator(
-            self._store,
+            store,
             self._maps,
             self._own,
             self._life,
@@ -182,8 +200,10 @@
             self.holds,
             self._life,
             queue,
-            self._loads,
-            self._directory,
+            Others(
+                self._own, self.holds.registry, self._directory, self._loads
+            ),
+            self._calls,
             self._peers,
             self._clock,
             self._log,
@@ -248,7 +268,11 @@
             self._server_path,
             self._clock,
             Control(
-                self._peers, self.holds, self._balance, self._config
+                self._peers,
+                self.holds,
+                self._balance,
+                self._config,
+                RelayDesk(self._direct_store),
             ).async_handle,
             self._balance.load,
             self._on_known,
@@ -329,7 +353,7 @@
         self.holds.on_hint(known.key_map)
 
     async def _async_ask_config(self) -> bytes | None:
-        return await self._peers.async_ask_config()
+        return await self._calls.async_ask_config()
 
     def _service_names(self) -> list[str]:
         if self._config.config is None:
--- a/plantaingrade/store/entity.py
+++ b/plantaingrade/store/entity.py
@@ -101,6 +101,14 @@
 TransactionOutcome = Committed | Conflict | NotDone | OutcomeUnknown
 
 
+@dataclass(slots=True, frozen=True)
+class RowsWanted:
+    """All rows of one part of a table."""
+
+    table: str
+    part: str
+
+
 @dataclass(slots=True, frozen=True)
 class RangeRead:
     """Rows of a table's part, as of one moment."""
--- a/tests/sidecar/test_leaving.py
+++ b/tests/sidecar/test_leaving.py
@@ -48,7 +48,8 @@
             await rig.async_until_served()
             rig.store.faults.outage = Outage.SILENT
             # Another change waits for the store and ends only with it.
-            await place.process.holds.registry._writing.acquire()
+            registry = place.process.holds.registry
+            await registry._writing.acquire()
             leaving = asyncio.create_task(place.process.async_leave())
             async with asyncio.timeout(WAIT_LIMIT_S):
                 while not leaving.done():
