--- a/plantaingrade/eventlog.py
+++ b/plantaingrade/eventlog.py
@@ -11,6 +11,7 @@
 import json
 import os
 from collections import Counter, deque
+from collections.abc import Callable
 from typing import Any
 
 from plantaingrade.clock import Clock
@@ -30,6 +31,7 @@
 
     __slots__ = (
         '_buffer',
+        '_on_event',
         '_clock',
         '_count_by_kind',
         '_fd',
@@ -42,6 +44,7 @@
 
     def __init__(self, name: str, clock: Clock, fd: int = FD_STDOUT) -> None:
         """Write to an open file under the name of a process."""
+        self._on_event: Callable[[str], None] | None = None
         self.name = name
         self.dropped_by_kind: Counter[str] = Counter()
         self._clock = clock
@@ -55,6 +58,8 @@
 
     def write(self, kind: str, /, **fields: Any) -> None:
         """Write one event."""
+        if self._on_event is not None:
+            self._on_event(kind)
         now = self._clock.now()
         if now - self._period_from >= PERIOD_S:
             self._begin_period(now)
@@ -65,6 +70,10 @@
         self._append(kind, now, fields)
         self.flush()
 
+    def count_by(self, on_event: Callable[[str], None]) -> None:
+        """Count every event, also those whose lines are dropped."""
+        self._on_event = on_event
+
     def flush(self) -> None:
         """Hand on what the reader takes at once."""
         while self._buffer:
--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -3,7 +3,15 @@
 import asyncio
 import struct
 from collections.abc import Callable
-from socket import SO_LINGER, SOL_SOCKET
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SO_LINGER,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+)
 from typing import Any
 
 import h11
@@ -13,6 +21,10 @@
 from plantaingrade.http.const import MAX_HEAD_BYTES, MAX_UNREAD_BYTES
 
 MAX_UNSENT_CHUNKS = 4
+# Probes of a silent connection, in whole seconds as the system takes them; a
+# dead one is found within three seconds.
+PROBE_S = 1
+PROBE_COUNT = 2
 NO_LINGER = struct.pack('ii', 1, 0)
 
 
@@ -190,6 +202,18 @@
         """Tell whether bytes of a further message wait."""
         return bool(self.h11.trailing_data[0])
 
+    def probe(self) -> None:
+        """Have the system probe the connection while it is silent.
+
+        Failure: a connection on which an answer is awaited for long has been
+        forgotten between the two ends. It shows as a wait that never ends.
+        """
+        connected = self.transport.get_extra_info('socket')
+        connected.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+        connected.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, PROBE_S)
+        connected.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, PROBE_S)
+        connected.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, PROBE_COUNT)
+
     def is_reusable(self) -> bool:
         """Tell whether another request may be sent.
 
--- a/plantaingrade/http/pool.py
+++ b/plantaingrade/http/pool.py
@@ -31,10 +31,27 @@
 class Pool:
     """Keep idle connections by address, newest used first."""
 
-    __slots__ = ('_clock', '_idle_by_address', '_local_host', 'opened')
+    __slots__ = (
+        '_clock',
+        '_idle_by_address',
+        '_is_probed',
+        '_local_host',
+        'opened',
+    )
+
+    def __init__(
+        self,
+        clock: Clock,
+        local_host: str | None = None,
+        *,
+        is_probed: bool = False,
+    ) -> None:
+        """Prepare a pool whose connections start from one local address.
 
-    def __init__(self, clock: Clock, local_host: str | None = None) -> None:
-        """Prepare a pool whose connections start from one local address."""
+        Connections that are probed end by themselves when the other end has
+        been silent to probes.
+        """
+        self._is_probed = is_probed
         self._clock = clock
         self._local_host = local_host
         self._idle_by_address: dict[str, list[Channel]] = defaultdict(list)
@@ -121,4 +138,6 @@
         except (OSError, TimeoutError) as error:
             raise ConnectFailedError(f'No connection to {address}.') from error
         self.opened += 1
+        if self._is_probed:
+            channel.probe()
         return channel
--- a/plantaingrade/platform/settings.py
+++ b/plantaingrade/platform/settings.py
@@ -17,9 +17,8 @@
 
 MAX_PORT = 65_535
 MISSING = object()
-# Offsets into the range of internal ports.
-PEERS_PORT = 0
-METRICS_PORT = 1
+# Where the deploy file says that figures are to be had.
+METRICS_PORT = 9464
 DEFAULT_ROW_BYTES = 65_536
 DEFAULT_WINDOW_S = 10.0
 
@@ -120,19 +119,15 @@
 
 def _read_listeners(reader: FieldReader) -> Listeners:
     ip = reader.take('self.ip', _ip, '')
-    first_port = reader.take('network.internalPortRange.0', _port)
-    last_port = reader.take('network.internalPortRange.1', _port)
-    if first_port and last_port and last_port - first_port < METRICS_PORT:
-        reader.mistakes.append('network.internalPortRange: needs two ports')
-    base = first_port or 0
+    peers_port = reader.take('network.internalPortRange.0', _port)
     return Listeners(
         # The platform calls callers' traffic outbound: it leaves from here.
         callers=reader.take('network.listenAddrs.outbound', _address),
-        peers=f'{ip}:{base + PEERS_PORT}',
+        peers=f'{ip}:{peers_port}',
         ready=reader.take('network.listenAddrs.ready', _address),
         # Named for control, but it takes only the own server's heartbeats.
         reports=reader.take('network.listenAddrs.controlPlane', _address),
-        metrics=f'{ip}:{base + METRICS_PORT}',
+        metrics=f'{ip}:{METRICS_PORT}',
     )
 
 
--- a/plantaingrade/sidecar/fronts.py
+++ b/plantaingrade/sidecar/fronts.py
@@ -221,6 +221,22 @@
         send_answer(channel, Answer(status, (), b''))
 
 
+class MetricsFront:
+    """Serve the figures of this process."""
+
+    __slots__ = ('_to_text',)
+
+    def __init__(self, to_text: Callable[[], bytes]) -> None:
+        """Ask ``to_text`` each time."""
+        self._to_text = to_text
+
+    async def async_handle(self, raw: h11.Request, channel: Channel) -> None:
+        """Answer one question."""
+        await read_body(channel)
+        plain = ((b'content-type', b'text/plain; version=0.0.4'),)
+        send_answer(channel, Answer(STATUS_OK, plain, self._to_text()))
+
+
 class ReportFront:
     """Take heartbeats of the own server."""
 
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -28,7 +28,6 @@
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member
 from plantaingrade.requests.coordinator import RequestCoordinator
-from plantaingrade.requests.entity import Outcome, RoutedRequest
 from plantaingrade.requests.hop import Known
 from plantaingrade.requests.peer_path import PeerPath
 from plantaingrade.requests.server_path import (
@@ -44,8 +43,10 @@
     INTERNAL_IDLE_S,
     VERIFY_PAUSE_S,
 )
+from plantaingrade.sidecar.figures import Figures
 from plantaingrade.sidecar.fronts import (
     CallerFront,
+    MetricsFront,
     PeerFront,
     ReadyFront,
     ReportFront,
@@ -141,12 +142,14 @@
             os.urandom(BOOT_BYTES).hex(),
         )
         self._pool = Pool(self._clock)
-        self._store_pool = Pool(self._clock)
+        self._store_pool = Pool(self._clock, is_probed=True)
         self._order_pool = Pool(self._clock)
         self._direct_store = self._wire.make_store(self._store_pool)
         self._orders = self._wire.make_orders(self._order_pool)
         self._maps = KeyMaps()
         self._directory = Directory()
+        self._figures = Figures()
+        self._log.count_by(self._figures.on_event)
         self._loads = LoadBook()
         self._life = BackendLife(settings.bounds.drain_s * FINISH_PART)
         self._config = ConfigFollower(
@@ -242,7 +245,7 @@
             RepeatBudget(self._settings.bounds.retry_ratio),
             self._clock,
             self._log,
-            self._on_done,
+            self._figures.on_request,
         )
 
     def _build_fronts(self) -> None:
@@ -281,6 +284,8 @@
         self._report_front = ReportFront(
             self._wire.decode_report, self._watch.on_report, self._log
         )
+        self._metrics_front = MetricsFront(self._figures.to_text)
+        self._watch_figures()
         self._leaving = Leaving(
             self.holds,
             self._balance,
@@ -293,16 +298,40 @@
             self._log,
         )
 
+    def _watch_figures(self) -> None:
+        watch = self._figures.watch
+        queue = self._gate.queue
+        watch('slots_running', 'Requests at the server.', lambda: queue.running)
+        watch('slots_waiting', 'Requests in the queue.', lambda: queue.waiting)
+        watch(
+            'load_share',
+            'Work asked for, as a share of the slots.',
+            lambda: self._balance.load().share,
+        )
+        watch(
+            'config_version',
+            'Version of the configuration in force.',
+            lambda: self._config.version,
+        )
+        watch(
+            'lease_left_seconds',
+            'Time left of the own lease.',
+            lambda: self.holds.registry.lease_until - self._clock.now(),
+        )
+
     async def _async_listen(self) -> None:
         listeners = self._settings.listeners
         self._caller_server = await self._async_serve(
             listeners.callers, self._caller_front.async_handle
         )
-        await self._async_serve(listeners.peers, self._peer_front.async_handle)
-        await self._async_serve(listeners.ready, self._ready_front.async_handle)
-        await self._async_serve(
-            listeners.reports, self._report_front.async_handle
-        )
+        serve_by_address = {
+            listeners.peers: self._peer_front.async_handle,
+            listeners.ready: self._ready_front.async_handle,
+            listeners.reports: self._report_front.async_handle,
+            listeners.metrics: self._metrics_front.async_handle,
+        }
+        for address, serve in serve_by_address.items():
+            await self._async_serve(address, serve)
         await self._peers.endpoint.async_open(*split_address(listeners.peers))
 
     async def _async_serve(
@@ -369,8 +398,3 @@
 
     def _on_joined(self) -> None:
         self._start(self._peers.async_refresh())
-
-    def _on_done(
-        self, routed: RoutedRequest, outcome: Outcome, took_s: float
-    ) -> None:
-        """Count one request."""
