Admit by the latency objective, in two lanes

Change: a request is admitted if it will probably end within its objective, after what goes before it and what more urgent classes take; what can only be late gets the slots that are left; the rest is refused at once. A caller that comes back is judged by the time it has spent already.

--- a/plantaingrade/admission/estimate.py
+++ b/plantaingrade/admission/estimate.py
@@ -1,5 +1,7 @@
 """Estimate how long work takes at a server, by class, from what it took."""
 
+import math
+
 # Weight of a new reading. A server's speed may change at once, by several
 # times, and some 20 readings a second come in on a busy one: a half-life of 7
 # readings follows within a second.
@@ -32,3 +34,40 @@
     def mean_s(self) -> float:
         """Return how long a piece of any work takes on average."""
         return FIRST_GUESS_S if self._mean_s is None else self._mean_s
+
+
+# The share of slots that classes take is followed with this time constant, in
+# seconds: slower than a request, faster than a burst.
+RATE_TIME_S = 0.5
+
+
+class WorkRate:
+    """Work started in a second by class, as slots that are kept busy."""
+
+    __slots__ = ('_rate_by_priority', '_seen_at')
+
+    def __init__(self) -> None:
+        """Start with no work."""
+        self._rate_by_priority: dict[int, float] = {}
+        self._seen_at = 0.0
+
+    def observe(self, priority: int, work_s: float, now: float) -> None:
+        """Count work that has been started."""
+        self._decay(now)
+        rate = self._rate_by_priority.get(priority, 0.0)
+        self._rate_by_priority[priority] = rate + work_s / RATE_TIME_S
+
+    def above(self, priority: int | None, now: float) -> float:
+        """Return the slots kept busy by classes above one, or by all."""
+        self._decay(now)
+        return sum(
+            rate
+            for other, rate in self._rate_by_priority.items()
+            if priority is None or other < priority
+        )
+
+    def _decay(self, now: float) -> None:
+        factor = math.exp(-max(0.0, now - self._seen_at) / RATE_TIME_S)
+        self._seen_at = now
+        for priority in self._rate_by_priority:
+            self._rate_by_priority[priority] *= factor
--- a/plantaingrade/admission/gate.py
+++ b/plantaingrade/admission/gate.py
@@ -14,7 +14,7 @@
 )
 from plantaingrade.clock import Clock
 from plantaingrade.errors import PlantaingradeError
-from plantaingrade.requests.entity import NotRun, NotRunReason
+from plantaingrade.requests.entity import NotRun
 
 
 class RefusedError(PlantaingradeError):
@@ -47,14 +47,14 @@
             RefusedError: the request would not end in time.
         """
         verdict = self.queue.offer(ticket, self._clock.now())
-        if isinstance(verdict, Wait):
+        while isinstance(verdict, Wait):
             verdict = await self._wait(verdict)
         if isinstance(verdict, Refuse):
             raise RefusedError(verdict.outcome)
         try:
             yield
         finally:
-            self._act(self.queue.release(self._clock.now()))
+            self._release(ticket)
 
     def resize(self, slots: int) -> None:
         """Follow the server's number of slots."""
@@ -68,26 +68,30 @@
             async with asyncio.timeout(wait.give_up_at - self._clock.now()):
                 return await turn
         except TimeoutError:
-            self._leave(wait.ticket, turn)
-            return Refuse(wait.ticket, NotRun(NotRunReason.TOO_LATE))
+            if self._has_slot(wait.ticket):
+                return Start(wait.ticket)
+            return self.queue.give_up(wait.ticket, self._clock.now())
         except asyncio.CancelledError:
-            self._leave(wait.ticket, turn)
+            self._leave(wait.ticket)
             raise
         finally:
             self._turn_by_ticket.pop(wait.ticket, None)
 
-    def _leave(self, ticket: Ticket, turn: asyncio.Future[Verdict]) -> None:
+    def _leave(self, ticket: Ticket) -> None:
         """Give up a place, or the slot that came at the same moment."""
-        self.queue.withdraw(ticket)
-        if turn.done() and not turn.cancelled():
-            if isinstance(turn.result(), Start):
-                self._act(self.queue.release(self._clock.now()))
+        if self._has_slot(ticket):
+            self._release(ticket)
+        else:
+            self.queue.withdraw(ticket)
+
+    def _has_slot(self, ticket: Ticket) -> bool:
+        return not ticket.is_waiting
+
+    def _release(self, ticket: Ticket) -> None:
+        self._act(self.queue.release(ticket, self._clock.now()))
 
     def _act(self, verdicts: list[Verdict]) -> None:
         for verdict in verdicts:
             turn = self._turn_by_ticket.get(verdict.ticket)
             if turn is not None and not turn.done():
                 turn.set_result(verdict)
-            elif isinstance(verdict, Start):
-                # The waiter left at this very moment.
-                self.queue.running -= 1
--- a/plantaingrade/requests/const.py
+++ b/plantaingrade/requests/const.py
@@ -9,6 +9,10 @@
 # run once only: the server may have forgotten it, and a reset then leaves
 # open whether the request ran. A new connection takes 1 ms.
 ONCE_IDLE_S = 0.2
+# What the network between a caller and this instance takes of an objective:
+# callers are about 8 ms away each way, and a new connection asks that once
+# more.
+CALLER_NETWORK_S = 0.02
 # Pause before another process or the same server is tried once more.
 RETRY_PAUSE_S = 0.02
 # Time below which no further try is made: half the shortest work.
--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -11,6 +11,7 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.peers.entity import Member
 from plantaingrade.requests.const import (
+    CALLER_NETWORK_S,
     DEFAULT_RETRY_AFTER_S,
     MAX_TRIES,
     MIN_TRY_S,
@@ -25,6 +26,7 @@
     RoutedRequest,
     Unknown,
 )
+from plantaingrade.requests.patience import Patience
 from plantaingrade.requests.peer_path import PeerPath
 from plantaingrade.requests.server_path import ServerPath
 from plantaingrade.requests.targets import TargetChooser
@@ -74,6 +76,7 @@
         '_log',
         '_on_done',
         '_own',
+        '_patience',
         '_peers',
         '_server',
         '_service',
@@ -99,6 +102,7 @@
         self._server = server
         self._peers = peers
         self._budget = budget
+        self._patience = Patience()
         self._clock = clock
         self._log = log
         self._on_done = on_done
@@ -124,6 +128,9 @@
         route = routes.find(host, path) if routes else None
         if route is None:
             return None
+        deadline_ms = round((caller.deadline - caller.arrived) * MS_PER_S)
+        spent_s = self._patience.waited_s(route.name, deadline_ms)
+        spent_s += CALLER_NETWORK_S
         return RoutedRequest(
             caller=caller,
             caller_service=self._own.service,
@@ -131,7 +138,7 @@
             is_idempotent=route.is_idempotent,
             priority=route.priority,
             until=min(caller.deadline, caller.arrived + route.timeout_s),
-            due=caller.arrived + route.objective_s,
+            due=caller.arrived + route.objective_s - spent_s,
         )
 
     async def _async_try_all(self, progress: Progress) -> Outcome:
--- /dev/null
+++ b/tests/admission/test_gate.py
@@ -0,0 +1,120 @@
+"""Waiting for slots, with callers that leave at every moment."""
+
+import asyncio
+from itertools import repeat
+
+import pytest
+
+from plantaingrade.admission.estimate import WorkEstimate
+from plantaingrade.admission.gate import Gate, RefusedError
+from plantaingrade.admission.slots import SlotQueue, Ticket
+from tests.virtual import LoopClock, run
+
+WORK_S = 0.1
+
+
+def make_gate(slots: int = 1) -> Gate:
+    estimate = WorkEstimate()
+    estimate.observe('k', WORK_S)
+    return Gate(SlotQueue(slots, estimate), LoopClock())
+
+
+def ticket(due_s: float, until_s: float, priority: int = 1) -> Ticket:
+    now = asyncio.get_running_loop().time()
+    return Ticket('k', priority, now + until_s, now + due_s)
+
+
+async def work(gate: Gate, wanted: Ticket, seconds: float = WORK_S) -> str:
+    try:
+        async with gate.slot(wanted):
+            await asyncio.sleep(seconds)
+            return 'served'
+    except RefusedError as error:
+        return error.outcome.reason.value
+
+
+def test_slots_bound_what_runs_at_once() -> None:
+    async def story() -> None:
+        gate = make_gate(2)
+        tasks = [
+            asyncio.create_task(work(gate, ticket(5, 9))) for _ in range(6)
+        ]
+        await asyncio.sleep(WORK_S / 2)
+        assert gate.queue.running == 2
+        assert gate.queue.waiting == 4
+        assert await asyncio.gather(*tasks) == list(repeat('served', 6))
+        assert gate.queue.running == 0
+
+    run(story())
+
+
+@pytest.mark.parametrize('after_s', [0.01, 0.1, 0.15, 0.2, 0.25, 0.3])
+def test_a_caller_that_leaves_gives_its_place_or_slot_back(after_s) -> None:
+    """Callers leave while they wait, while they are served, and at the very
+    moment at which they get a slot. A slot that stayed taken would be lost
+    for good.
+    """
+
+    async def story() -> None:
+        gate = make_gate(1)
+        tasks = [
+            asyncio.create_task(work(gate, ticket(5, 9))) for _ in range(4)
+        ]
+        await asyncio.sleep(after_s)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert gate.queue.running == 0
+        assert gate.queue.waiting == 0
+        assert await work(gate, ticket(5, 9)) == 'served'
+
+    run(story())
+
+
+def test_what_cannot_be_in_time_is_refused_at_once() -> None:
+    async def story() -> None:
+        gate = make_gate(1)
+        tasks = [
+            asyncio.create_task(work(gate, ticket(5, 9))) for _ in range(3)
+        ]
+        await asyncio.sleep(0)
+        before = asyncio.get_running_loop().time()
+        assert await work(gate, ticket(0.15, 0.2)) == 'queue-full'
+        assert asyncio.get_running_loop().time() == before
+        await asyncio.gather(*tasks)
+
+    run(story())
+
+
+def test_a_wrong_prediction_ends_in_time_all_the_same() -> None:
+    """Work takes ten times as long as it used to.
+
+    Who waits behind it is told as soon as the deadline cannot be met any
+    more, not at the deadline.
+    """
+
+    async def story() -> None:
+        gate = make_gate(1)
+        slow = asyncio.create_task(work(gate, ticket(5, 9), WORK_S * 10))
+        await asyncio.sleep(0)
+        waited = ticket(0.3, 0.6)
+        assert await work(gate, waited) == 'cannot-finish-in-time'
+        assert waited.until - asyncio.get_running_loop().time() >= WORK_S / 2
+        await slow
+
+    run(story())
+
+
+def test_more_slots_are_used_as_soon_as_they_are_known() -> None:
+    async def story() -> None:
+        gate = make_gate(1)
+        tasks = [
+            asyncio.create_task(work(gate, ticket(5, 9))) for _ in range(3)
+        ]
+        await asyncio.sleep(WORK_S / 2)
+        gate.resize(3)
+        await asyncio.sleep(WORK_S / 4)
+        assert gate.queue.running == 3
+        await asyncio.gather(*tasks)
+
+    run(story())
