--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/flake8 plantaingrade standins demo tests bench tools
+	$(BIN)/lint-imports --no-logo
 
 format: $(VENV)/.installed
 	$(BIN)/ruff format .
--- /dev/null
+++ b/tests/config/test_config.py
@@ -0,0 +1,238 @@
+"""Routes, and the configuration in force."""
+
+import asyncio
+import os
+
+import pytest
+
+from plantaingrade.config.coordinator import ConfigFollower
+from plantaingrade.config.entity import (
+    Limits,
+    Route,
+    RoutingConfig,
+    ServiceShare,
+)
+from plantaingrade.config.lookup import RouteTable
+from plantaingrade.errors import PlantaingradeError
+from plantaingrade.eventlog import EventLog
+from plantaingrade.store.entity import (
+    Changes,
+    HistoryGone,
+    NotDone,
+    RangeRead,
+    Row,
+    RowName,
+    StoreFailure,
+)
+from tests.virtual import LoopClock, run
+
+LIMITS = Limits(16384, 1000, 3, 15)
+NAME = RowName('op', '', 'config')
+
+
+def route(host: str, prefix: str, *weights: int) -> Route:
+    shares = tuple(
+        ServiceShare(f's{place}', weight)
+        for place, weight in enumerate(weights or (1,))
+    )
+    return Route(host + prefix, host, prefix, shares, True, 1, 1, 1, 2)
+
+
+def config(version: int, *routes: Route) -> RoutingConfig:
+    return RoutingConfig(version, routes, {}, LIMITS)
+
+
+def decode(body: bytes) -> RoutingConfig:
+    if not body.isdigit():
+        raise PlantaingradeError('No configuration.')
+    return config(int(body), route('x', '/a/'))
+
+
+def test_the_longest_prefix_of_the_host_wins() -> None:
+    table = RouteTable(
+        config(
+            1,
+            route('x', '/a/'),
+            route('x', '/a/b/'),
+            route('y', '/a/b/c/'),
+        )
+    )
+    assert table.find('x', '/a/b/c/d').prefix == '/a/b/'
+    assert table.find('x', '/a/bc').prefix == '/a/'
+    assert table.find('x', '/a/').prefix == '/a/'
+    assert table.find('y', '/a/b/c/').host == 'y'
+    for host, path in (('x', '/a'), ('x', '/b/'), ('z', '/a/'), ('x', '')):
+        assert table.find(host, path) is None
+
+
+def test_shares_follow_their_weights_closely() -> None:
+    split = route('x', '/a/', 90, 10)
+    table = RouteTable(config(1, split))
+    chosen = [table.next_service(split) for _ in range(300)]
+    assert chosen.count('s1') == 30
+    assert 's1' in chosen[:10]
+
+
+class FakeStore:
+    """A store whose rows are set by the test."""
+
+    def __init__(self) -> None:
+        self.body = b'1'
+        self.version = 1
+        self.is_away = False
+        self.is_deaf = False
+        self.history_from = 0
+        self.reads = 0
+
+    async def async_read(self, table: str, part: str):
+        self.reads += 1
+        await asyncio.sleep(0.01)
+        if self.is_away:
+            return NotDone(StoreFailure.BUSY)
+        return RangeRead((Row(NAME, self.body, 1),), self.version, 0)
+
+    async def async_follow(self, table: str, after: int, wait_s: float):
+        for _ in range(int(wait_s / 0.1)):
+            await asyncio.sleep(0.1)
+            if self.is_deaf:
+                continue
+            if self.is_away:
+                return NotDone(StoreFailure.BUSY)
+            if after < self.history_from:
+                return HistoryGone()
+            if self.version > after:
+                row = Row(NAME, self.body, self.version)
+                return Changes((row,), self.version, 0)
+        return Changes((), after, 0)
+
+    def put(self, body: bytes) -> None:
+        self.body = body
+        self.version += 1
+
+
+def follow(story, asked: bytes | None = None) -> None:
+    async def ask() -> bytes | None:
+        return asked
+
+    async def play() -> None:
+        log = EventLog('t', LoopClock(), os.open(os.devnull, os.O_WRONLY))
+        store = FakeStore()
+        follower = ConfigFollower(store, 'op', 'config', decode, log, ask)
+        task = asyncio.create_task(follower.async_run())
+        await story(store, follower)
+        task.cancel()
+
+    run(play())
+
+
+def test_the_newest_configuration_is_followed() -> None:
+    async def story(store, follower) -> None:
+        assert follower.version == 0
+        await asyncio.sleep(0.1)
+        assert follower.version == 1
+        for version in (b'4', b'5', b'9'):
+            store.put(version)
+            await asyncio.sleep(1)
+            assert follower.version == int(version)
+
+    follow(story)
+
+
+def test_what_cannot_be_used_leaves_the_old_one_in_force() -> None:
+    async def story(store, follower) -> None:
+        await asyncio.sleep(0.1)
+        store.put(b'garbage')
+        await asyncio.sleep(1)
+        assert follower.version == 1
+        store.put(b'3')
+        await asyncio.sleep(1)
+        assert follower.version == 3
+
+    follow(story)
+
+
+def test_an_older_version_never_comes_back() -> None:
+    async def story(store, follower) -> None:
+        await asyncio.sleep(0.1)
+        store.put(b'7')
+        await asyncio.sleep(1)
+        store.put(b'5')
+        await asyncio.sleep(1)
+        assert follower.version == 7
+
+    follow(story)
+
+
+def test_a_lost_history_is_made_up_for_by_reading() -> None:
+    async def story(store, follower) -> None:
+        await asyncio.sleep(0.1)
+        store.put(b'8')
+        store.history_from = store.version + 5
+        store.version = store.history_from
+        await asyncio.sleep(2)
+        assert follower.version == 8
+
+    follow(story)
+
+
+def test_word_of_another_process_ends_a_wait_that_hears_nothing() -> None:
+    """The connection on which changes are awaited has gone silent.
+
+    Another process goes by a newer version; the row is then read at once.
+    """
+
+    async def story(store, follower) -> None:
+        await asyncio.sleep(0.1)
+        store.is_deaf = True
+        store.put(b'6')
+        await asyncio.sleep(2)
+        assert follower.version == 1
+        follower.on_hint(6)
+        await asyncio.sleep(0.5)
+        assert follower.version == 6
+
+    follow(story)
+
+
+def test_word_of_an_older_version_costs_no_call() -> None:
+    async def story(store, follower) -> None:
+        await asyncio.sleep(0.1)
+        reads = store.reads
+        for _ in range(50):
+            follower.on_hint(1)
+            await asyncio.sleep(0.05)
+        assert store.reads == reads
+
+    follow(story)
+
+
+def test_without_the_store_another_process_is_asked() -> None:
+    async def story(store, follower) -> None:
+        store.is_away = True
+        await asyncio.sleep(0.5)
+        assert follower.version == 12
+
+    follow(story, asked=b'12')
+
+
+def test_a_quick_succession_of_versions_costs_few_calls() -> None:
+    async def story(store, follower) -> None:
+        await asyncio.sleep(0.1)
+        for version in range(2, 40):
+            store.put(str(version).encode())
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1)
+        assert follower.version == 39
+
+    follow(story)
+
+
+@pytest.mark.parametrize('asked', [None, b'garbage'])
+def test_nothing_is_in_force_until_something_is_known(asked) -> None:
+    async def story(store, follower) -> None:
+        store.is_away = True
+        await asyncio.sleep(1)
+        assert follower.version == 0
+        assert follower.routes is None
+
+    follow(story, asked=asked)
--- /dev/null
+++ b/tests/platform/test_config.py
@@ -0,0 +1,124 @@
+"""The operator's configuration on the wire."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantaingrade.platform.config import decode_config
+from plantaingrade.platform.units import (
+    UnreadableFieldError,
+    format_time,
+    parse_time,
+    parse_version,
+)
+
+ROUTE = {
+    'host': 'ficu95.example',
+    'prefix': '/pufi791/',
+    'type': 'unsafe',
+    'timeout': '600ms',
+    'targetLatency': '250ms',
+    'priority': 1,
+    'service': 'huvo11a',
+    'maxAttempts': 2,
+}
+SPLIT = {
+    **ROUTE,
+    'type': 'safe',
+    'weightedServices': [
+        {'service': 'huvo11a', 'weight': 90},
+        {'service': 'wuno96b', 'weight': 10},
+    ],
+}
+
+
+def whole(**changes) -> dict:
+    return {
+        'version': 'r7',
+        'routes': {'r-1': ROUTE, 'r-2': {**SPLIT, 'prefix': '/lohu930/'}},
+        'services': {
+            'huvo11a': {
+                'healthCheckPath': '/healthz',
+                'maxConnections': 110,
+                'protocol': 'h1',
+                'sharded': True,
+            },
+            'wuno96b': {'healthCheckPath': '/healthz'},
+        },
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 67108864,
+            'headerTimeout': '3000ms',
+            'idleTimeout': '15000ms',
+        },
+        'baseVersion': 'r5',
+        **changes,
+    }
+
+
+def decode(fields: object):
+    return decode_config(json.dumps(fields).encode())
+
+
+def test_a_configuration_is_read_into_the_projects_words() -> None:
+    config = decode(whole())
+    assert config.version == 7
+    once, split = config.routes
+    assert not once.is_idempotent
+    assert once.timeout_s == pytest.approx(0.6)
+    assert once.objective_s == pytest.approx(0.25)
+    assert once.max_servers == 2
+    assert split.is_idempotent
+    assert [share.weight for share in split.shares] == [90, 10]
+    assert config.service_by_name['huvo11a'].is_keyed
+    assert not config.service_by_name['wuno96b'].is_keyed
+    assert config.limits.idle_timeout_s == pytest.approx(15)
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [
+        whole(version='7'),
+        whole(version=None),
+        whole(routes=[]),
+        whole(routes={'r-1': {**ROUTE, 'service': 'gone'}}),
+        whole(routes={'r-1': {**ROUTE, 'type': 'maybe'}}),
+        whole(routes={'r-1': {**ROUTE, 'timeout': 600}}),
+        whole(routes={'r-1': {**ROUTE, 'timeout': 'soon'}}),
+        whole(limits={}),
+        whole(services=None),
+        [],
+        'text',
+        7,
+    ],
+)
+def test_what_cannot_be_used_is_refused_whole(broken) -> None:
+    with pytest.raises(UnreadableFieldError):
+        decode(broken)
+
+
+def test_a_configuration_that_was_cut_short_is_refused() -> None:
+    body = json.dumps(whole()).encode()
+    for length in range(0, len(body), 37):
+        with pytest.raises(UnreadableFieldError):
+            decode_config(body[:length])
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_crash_the_decoder(body) -> None:
+    with pytest.raises(UnreadableFieldError):
+        decode_config(body)
+
+
+def test_times_and_versions() -> None:
+    assert parse_time('1500ms') == pytest.approx(1.5)
+    assert parse_time('2.5s') == pytest.approx(2.5)
+    assert format_time(parse_time('870ms')) == '870ms'
+    assert parse_version('r12') > parse_version('r9')
+    for wrong in ('12', 'ms', '', None, 12, 'r', 'rx'):
+        with pytest.raises(UnreadableFieldError):
+            parse_time(wrong)
+        with pytest.raises(UnreadableFieldError):
+            parse_version(wrong)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,119 @@
+"""Headers of callers and servers."""
+
+import h11
+import pytest
+
+from plantaingrade.platform.headers import (
+    MalformedRequestError,
+    decode_reply,
+    decode_request,
+    encode_to_server,
+)
+from plantaingrade.platform.reports import decode_report
+from plantaingrade.platform.units import UnreadableFieldError
+from plantaingrade.requests.entity import RoutedRequest
+
+
+def request(*headers: tuple[str, str], method: str = 'GET') -> h11.Request:
+    every = [('host', 'x.example'), *headers]
+    return h11.Request(method=method, target='/a/b?c=1', headers=every)
+
+
+def routed(raw: h11.Request, body: bytes = b'') -> RoutedRequest:
+    caller = decode_request(raw, body, 100.0)
+    return RoutedRequest(caller, 'mine', 'cases', True, 1, 100.4, 100.2)
+
+
+def test_a_request_is_decoded_once() -> None:
+    raw = request(
+        ('attempt-id', 'id1'),
+        ('deadline-ms', '500'),
+        ('shard-key', '4711'),
+        ('cookie', 'a=b'),
+        ('connection', 'close, x-own'),
+        ('x-own', '1'),
+        ('caller-service', 'forged'),
+        ('expect-instance', 'forged'),
+    )
+    caller = decode_request(raw, b'', 100.0)
+    assert caller.request_id == b'id1'
+    assert caller.key == 4711
+    assert caller.deadline == pytest.approx(100.5)
+    assert caller.headers == ((b'cookie', b'a=b'),)
+
+
+@pytest.mark.parametrize('key', ['-1', '65536', 'x', ''])
+def test_a_key_that_is_none_is_refused(key) -> None:
+    with pytest.raises(MalformedRequestError):
+        decode_request(request(('shard-key', key)), b'', 0.0)
+
+
+def test_what_goes_to_the_server_is_set_here() -> None:
+    raw = request(
+        ('attempt-id', 'id1'),
+        ('deadline-ms', '500'),
+        ('shard-key', '4711'),
+        ('caller-service', 'forged'),
+        method='POST',
+    )
+    headers = dict(encode_to_server(routed(raw, b'body'), 'i-7', 0.3215))
+    assert headers[b'attempt-id'] == b'id1'
+    assert headers[b'deadline-ms'] == b'321'
+    assert headers[b'caller-service'] == b'mine'
+    assert headers[b'expect-instance'] == b'i-7'
+    assert headers[b'shard-key'] == b'4711'
+    assert headers[b'content-length'] == b'4'
+
+
+def test_an_answer_is_decoded_once() -> None:
+    response = h11.Response(
+        status_code=200,
+        headers=[
+            ('Attempt-Id', 'id1'),
+            ('Server-Stamp', '6.14'),
+            ('Server-Load', '3,1,6'),
+            ('Instance-Id', 'i-7'),
+            ('Connection', 'close'),
+            ('Keep-Alive', 'timeout=8'),
+            ('Content-Type', 'text/plain'),
+        ],
+    )
+    reply = decode_reply(response)
+    assert reply.request_id == b'id1'
+    assert reply.instance == 'i-7'
+    assert reply.load.running == 3
+    assert reply.closes
+    assert reply.idle_s == pytest.approx(8)
+    assert not reply.is_not_run
+    assert dict(reply.headers) == {
+        b'server-stamp': b'6.14',
+        b'content-type': b'text/plain',
+    }
+
+
+def test_only_the_servers_word_says_that_nothing_ran() -> None:
+    plain = h11.Response(status_code=503, headers=[])
+    marked = h11.Response(status_code=503, headers=[('Not-Executed', '1')])
+    misdirected = h11.Response(status_code=421, headers=[])
+    assert not decode_reply(plain).is_not_run
+    assert decode_reply(marked).is_not_run
+    assert decode_reply(misdirected).is_not_run
+
+
+def test_garbage_in_a_load_is_no_load() -> None:
+    response = h11.Response(status_code=200, headers=[('Server-Load', 'x,1')])
+    assert decode_reply(response).load is None
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'{', b'[]', b'{"service":"s"}', b'{"state":"asleep"}', b'\xff'],
+)
+def test_a_garbled_heartbeat_is_refused(body) -> None:
+    raw = h11.Request(
+        method='PUT',
+        target='/v1/instances/i-1',
+        headers=[('host', 'x')],
+    )
+    with pytest.raises(UnreadableFieldError):
+        decode_report(raw, body)
--- /dev/null
+++ b/tests/requests/test_coordinator.py
@@ -0,0 +1,235 @@
+"""What is tried again, and what callers are told."""
+
+import asyncio
+import os
+from collections import deque
+from itertools import repeat
+
+import pytest
+
+from plantaingrade.admission.repeats import RepeatBudget
+from plantaingrade.config.entity import (
+    Limits,
+    Route,
+    RoutingConfig,
+    ServiceShare,
+)
+from plantaingrade.config.lookup import RouteTable
+from plantaingrade.eventlog import EventLog
+from plantaingrade.keyspace.assign import split_evenly
+from plantaingrade.keyspace.directory import KeyMaps
+from plantaingrade.peers.directory import Directory
+from plantaingrade.peers.entity import Member
+from plantaingrade.requests.coordinator import NoRoute, RequestCoordinator
+from plantaingrade.requests.entity import (
+    Answer,
+    Answered,
+    CallerRequest,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+from plantaingrade.requests.patience import Patience
+from plantaingrade.requests.targets import TargetChooser
+from tests.virtual import LoopClock, run
+
+SERVED = Answered(Answer(200, (), b'done'))
+BROKEN = Unknown(UnknownReason.BROKEN)
+SHED = NotRun(NotRunReason.SERVER_REFUSED)
+FULL = NotRun(NotRunReason.QUEUE_FULL, 0.2)
+DOWN = NotRun(NotRunReason.PEER_DOWN)
+OWN = Member('s@1', 's', 'a', '1', 'b1')
+NEAR = Member('s@2', 's', 'a', '2', 'b2')
+FAR = Member('s@3', 's', 'b', '3', 'b3')
+KEYED = (Member('k@4', 'k', 'a', '4', 'b4'), Member('k@5', 'k', 'b', '5', 'b5'))
+
+
+class FakePath:
+    """Answer with outcomes set by the test, and note who was asked."""
+
+    def __init__(self, outcomes: list[Outcome]) -> None:
+        self.outcomes = deque(outcomes)
+        self.asked: list[str] = []
+
+    async def async_serve(self, routed, member=OWN) -> Outcome:
+        await asyncio.sleep(0.01)
+        self.asked.append(member.name)
+        return self.outcomes.popleft()
+
+
+class FakeConfig:
+    """A configuration that is in force, or none."""
+
+    version = 3
+
+    def __init__(self, *routes: Route) -> None:
+        limits = Limits(16384, 1000, 3, 15)
+        config = RoutingConfig(3, routes, {}, limits)
+        self.routes = RouteTable(config) if routes else None
+
+
+def route(service: str, *, is_idempotent: bool) -> Route:
+    shares = (ServiceShare(service, 1),)
+    prefix = '/i/' if is_idempotent else '/o/'
+    return Route(
+        prefix, 'x', f'/{service}{prefix}', shares, is_idempotent, 1, 1, 0, 2
+    )
+
+
+ROUTES = tuple(
+    route(service, is_idempotent=kind)
+    for service in ('s', 'k')
+    for kind in (True, False)
+)
+
+
+def ask(
+    path: str,
+    outcomes: list[Outcome],
+    *,
+    key: int | None = None,
+    routes: tuple[Route, ...] = ROUTES,
+    members: tuple[Member, ...] = (OWN, NEAR, FAR, *KEYED),
+) -> tuple[Outcome | NoRoute, list[str]]:
+    """Return the outcome of one request, and who was asked for it."""
+    paths = FakePath(outcomes)
+    directory = Directory()
+    for member in members:
+        directory.add(member)
+    maps = KeyMaps()
+    names = [member.name for member in KEYED]
+    maps.offer('k', split_evenly(names).at_version(1))
+
+    async def story():
+        clock = LoopClock()
+        now = clock.now()
+        caller = CallerRequest(
+            b'id', b'POST', path.encode(), b'x', key, (), b'', now, now + 0.5
+        )
+        coordinator = RequestCoordinator(
+            OWN,
+            FakeConfig(*routes),
+            TargetChooser(OWN, directory, maps, clock),
+            paths,
+            paths,
+            RepeatBudget(0.2, 50, 10),
+            clock,
+            EventLog('t', clock, os.open(os.devnull, os.O_WRONLY)),
+            lambda *_: None,
+        )
+        return await coordinator.async_serve(caller)
+
+    return run(story()), paths.asked
+
+
+def test_a_server_in_the_own_zone_is_asked_first() -> None:
+    outcome, asked = ask('/s/i/1', [SERVED])
+    assert outcome == SERVED
+    assert asked[0] in {OWN.name, NEAR.name}
+
+
+def test_the_owner_of_the_key_is_asked() -> None:
+    _, asked = ask('/k/o/1', [SERVED], key=10)
+    assert asked == ['k@4']
+    _, asked = ask('/k/o/1', [SERVED], key=60_000)
+    assert asked == ['k@5']
+
+
+def test_a_redirect_is_followed_at_once() -> None:
+    moved = NotRun(NotRunReason.NOT_OWNER, 0, 'k@5')
+    outcome, asked = ask('/k/o/1', [moved, SERVED], key=10)
+    assert outcome == SERVED
+    assert asked == ['k@4', 'k@5']
+
+
+@pytest.mark.parametrize('refusal', [DOWN, SHED])
+def test_what_was_not_run_is_tried_elsewhere(refusal) -> None:
+    outcome, asked = ask('/s/o/1', [refusal, SERVED])
+    assert outcome == SERVED
+    assert len(set(asked)) == 2
+
+
+def test_what_may_have_run_is_repeated_only_if_idempotent() -> None:
+    """A server's connection breaks in the middle of a request.
+
+    A booking that may have been made must not be sent again; reading a
+    listing may.
+    """
+    outcome, asked = ask('/s/o/1', [BROKEN, SERVED])
+    assert outcome == BROKEN
+    assert len(asked) == 1
+    outcome, asked = ask('/s/i/1', [BROKEN, SERVED])
+    assert outcome == SERVED
+    assert len(asked) == 2
+
+
+def test_a_full_server_is_not_asked_again() -> None:
+    outcome, asked = ask('/s/i/1', [FULL, SERVED])
+    assert outcome == FULL
+    assert len(asked) == 1
+
+
+def test_repeats_at_servers_are_bounded() -> None:
+    outcome, asked = ask('/s/i/1', list(repeat(SHED, 9)))
+    assert outcome == SHED
+    assert len(asked) <= 4
+
+
+def test_nothing_is_tried_when_the_time_is_up() -> None:
+    slow = list(repeat(DOWN, 9))
+    outcome, asked = ask('/s/o/1', slow)
+    assert isinstance(outcome, NotRun)
+    assert len(asked) <= 4
+
+
+def test_unknown_routes_and_missing_configurations_differ() -> None:
+    """An operator's new route is not known to a process that has just
+    started; it must not say that there is no such route.
+    """
+    assert ask('/nowhere/', [])[0] == NoRoute()
+    outcome, _ = ask('/s/i/1', [], routes=())
+    assert outcome.reason is NotRunReason.NO_CONFIG
+
+
+def test_a_service_without_any_server_refuses() -> None:
+    outcome, _ = ask('/s/i/1', [], members=())
+    assert outcome.reason is NotRunReason.NO_SERVER
+
+
+def test_patience_tells_who_comes_back() -> None:
+    patience = Patience()
+    for deadline_ms in (500, 500, 499, 500, 470, 500):
+        patience.waited_s('r', deadline_ms)
+    assert patience.waited_s('r', 500) == pytest.approx(0)
+    assert patience.waited_s('r', 499) == pytest.approx(0)
+    assert patience.waited_s('r', 380) == pytest.approx(0.12)
+    assert patience.waited_s('other', 380) == pytest.approx(0)
+
+
+def test_patience_follows_a_new_deadline() -> None:
+    patience = Patience()
+    for _ in range(100):
+        patience.waited_s('r', 500)
+    for _ in range(1000):
+        patience.waited_s('r', 300)
+    assert patience.waited_s('r', 300) == pytest.approx(0)
+    assert patience.waited_s('r', 200) == pytest.approx(0.1)
+
+
+def test_a_suspect_is_passed_over_for_a_while() -> None:
+    directory = Directory()
+    for member in (OWN, NEAR):
+        directory.add(member)
+    directory.suspect(NEAR.name, 10.0)
+    assert directory.is_suspect(NEAR.name, 10.1)
+    assert not directory.is_suspect(NEAR.name, 11.0)
+    directory.suspect(NEAR.name, 20.0)
+    assert directory.add(Member('s@2', 's', 'a', '2', 'again'))
+    assert not directory.is_suspect(NEAR.name, 20.1)
+    directory.remove(NEAR.name, 'b2')
+    assert directory.find(NEAR.name) is not None
+    directory.remove(NEAR.name, 'again')
+    assert directory.find(NEAR.name) is None
+    assert [member.name for member in directory.serving('s')] == [OWN.name]
--- /dev/null
+++ b/tests/requests/test_hop.py
@@ -0,0 +1,116 @@
+"""Requests and answers between processes."""
+
+import h11
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantaingrade.balance.entity import Load
+from plantaingrade.requests.entity import (
+    Answer,
+    Answered,
+    CallerRequest,
+    NotRun,
+    NotRunReason,
+    RoutedRequest,
+    Unknown,
+    UnknownReason,
+)
+from plantaingrade.requests.hop import (
+    Known,
+    MalformedHopError,
+    decode_hop,
+    decode_load,
+    decode_outcome,
+    encode_hop,
+    encode_load,
+    encode_outcome,
+)
+
+NOW = 50.0
+CALLER = CallerRequest(
+    b'id1',
+    b'POST',
+    b'/a/b',
+    b'x.example',
+    4711,
+    ((b'cookie', b'a=b'),),
+    b'body',
+    NOW,
+    NOW + 0.5,
+)
+ROUTED = RoutedRequest(CALLER, 'mine', 'cases', True, 1, NOW + 0.4, NOW + 0.2)
+KNOWN = Known(7, 99)
+outcomes = st.one_of(
+    st.builds(
+        NotRun,
+        st.sampled_from(NotRunReason),
+        st.integers(0, 5000).map(lambda ms: ms / 1000),
+        st.sampled_from(['', 'cases@10.0.0.1']),
+    ),
+    st.builds(Unknown, st.sampled_from(UnknownReason)),
+    st.builds(
+        lambda status, body: Answered(
+            Answer(status, ((b'server-stamp', b'6.14'),), body)
+        ),
+        st.sampled_from([200, 404, 500, 503, 504]),
+        st.binary(max_size=50),
+    ),
+)
+
+
+def hop(headers) -> h11.Request:
+    return h11.Request(method='POST', target='/a/b', headers=list(headers))
+
+
+def test_a_request_arrives_as_it_was_sent() -> None:
+    raw = hop(encode_hop(ROUTED, KNOWN, NOW))
+    routed, known = decode_hop(raw, b'body', NOW)
+    assert known == KNOWN
+    assert routed.caller.request_id == b'id1'
+    assert routed.caller.headers == CALLER.headers
+    assert routed.caller.key == 4711
+    assert routed.service == 'cases'
+    assert routed.caller_service == 'mine'
+    assert routed.is_idempotent
+    assert routed.until == pytest.approx(ROUTED.until, abs=0.002)
+    assert routed.due == pytest.approx(ROUTED.due, abs=0.002)
+
+
+def test_times_travel_as_what_is_left() -> None:
+    """Clocks of instances differ, and time passes on the way."""
+    raw = hop(encode_hop(ROUTED, KNOWN, NOW + 0.1))
+    routed, _ = decode_hop(raw, b'', 900.0)
+    assert routed.until == pytest.approx(900.3, abs=0.002)
+
+
+@given(outcomes)
+def test_an_outcome_arrives_as_it_was_sent(outcome) -> None:
+    assert decode_outcome(encode_outcome(outcome)) == outcome
+
+
+def test_a_servers_own_refusal_is_an_answer_and_no_promise() -> None:
+    """A server's 503 that does not say the request has not run goes to the
+    caller as it is, and never becomes a promise of this system.
+    """
+    answer = Answer(503, ((b'server-stamp', b'6.14'),), b'x')
+    assert decode_outcome(encode_outcome(Answered(answer))) == Answered(answer)
+
+
+@pytest.mark.parametrize(
+    'facts', ['', 'a', '1,2,3,4,i,5,s', 'x,y,z,1,i,5,s,t,1,2', ',,,,,,,,,']
+)
+def test_a_request_without_facts_is_refused(facts) -> None:
+    raw = hop([(b'host', b'x'), (b'q', facts.encode())])
+    with pytest.raises(MalformedHopError):
+        decode_hop(raw, b'', NOW)
+
+
+def test_loads_are_told_with_answers() -> None:
+    header = encode_load(Load(0.87, 0.064, 6))
+    load = decode_load((header,))
+    assert load.share == pytest.approx(0.87)
+    assert load.work_s == pytest.approx(0.064)
+    assert load.slots == 6
+    assert decode_load(((b'l', b'x'),)) is None
+    assert decode_load(()) is None
