Take operators' statements on the platform; pass over servers that take no work

Queries tell owners, servers, ranges and the configuration; moves go to the owners of the keys; drain, resume and retire are rows of the store that outlive processes, one of two conflicting ones wins. Found by their tests: requests to services without keys carry keys, so a server that had refused was asked again until the tries were spent; it is now asked once and passed over for a while.

--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -70,6 +70,7 @@
         self._settled_at: dict[KeyRange, float] = {}
         self._random = random.Random(own.boot)
         self.is_leaving = False
+        self.is_drained = False
 
     def observe(self, key: int, work_s: float) -> None:
         """Count the demand of one request."""
@@ -109,7 +110,12 @@
         self._teller.tell_load(self.load(), self._others.names())
 
     def stay(self) -> None:
-        """Take keys again: the server has begun a new life."""
+        """Take keys again: the server has begun a new life.
+
+        A server that an operator has drained stays without keys.
+        """
+        if self.is_drained:
+            return
         self.is_leaving = False
         self._holds.registry.takes_keys = True
 
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -356,6 +356,8 @@
                 key_map = decode_map(row.body, row.version)
                 self._maps.offer(self.member.service, key_map)
             return
+        if not row.name.key.startswith(KEY_MEMBER):
+            return
         name = row.name.key.removeprefix(KEY_MEMBER)
         if not row.version or row.is_deleted:
             self.row_by_name.pop(name, None)
--- a/plantaingrade/operators/const.py
+++ b/plantaingrade/operators/const.py
@@ -2,7 +2,8 @@
 
 GRAMMAR = r"""
 start: owner_of | show_servers | show_slices | show_config | show_decider
-     | show_commands | move_key | move_slice | drain | resume | retire
+     | show_commands | move_key | move_keys | move_slice | drain | resume
+     | retire
 
 owner_of: "owner"i "of"i text "in"i NAME
 show_servers: "show"i "servers"i ["of"i NAME]
@@ -11,6 +12,7 @@
 show_decider: "show"i "decider"i
 show_commands: "show"i "commands"i
 move_key: "move"i "key"i text "in"i NAME "to"i NAME
+move_keys: "move"i "keys"i INT "to"i INT "of"i NAME "to"i NAME
 move_slice: "move"i "slice"i INT "of"i NAME "to"i NAME
 drain: "drain"i NAME
 resume: "resume"i NAME
--- a/plantaingrade/operators/coordinator.py
+++ b/plantaingrade/operators/coordinator.py
@@ -37,6 +37,7 @@
     Drain,
     Lost,
     MoveKey,
+    MoveKeys,
     MoveSlice,
     OwnerOf,
     Query,
@@ -105,6 +106,8 @@
         text: str,
     ) -> CommandOutcome:
         """Carry a command out at most once."""
+        if isinstance(command, MoveKeys):
+            return Refused(command_id, 'keys have no numbers here')
         state = self._journal.state
         target, effects = plan_command(state, command, command_id)
         commanded = Commanded(
--- a/plantaingrade/operators/entity.py
+++ b/plantaingrade/operators/entity.py
@@ -57,6 +57,16 @@
     server: str
 
 
+@dataclass(slots=True, frozen=True)
+class MoveKeys:
+    """Move a range of numbered keys, both ends included, to a server."""
+
+    service: str
+    first: int
+    last: int
+    server: str
+
+
 @dataclass(slots=True, frozen=True)
 class MoveSlice:
     """Move a slice to a server."""
@@ -90,7 +100,7 @@
 Query = (
     OwnerOf | ShowServers | ShowSlices | ShowConfig | ShowDecider | ShowCommands
 )
-Command = MoveKey | MoveSlice | Drain | Resume | Retire
+Command = MoveKey | MoveKeys | MoveSlice | Drain | Resume | Retire
 Statement = Query | Command
 
 
--- a/plantaingrade/operators/grammar.py
+++ b/plantaingrade/operators/grammar.py
@@ -9,6 +9,7 @@
 from plantaingrade.operators.entity import (
     Drain,
     MoveKey,
+    MoveKeys,
     MoveSlice,
     OwnerOf,
     Resume,
@@ -55,6 +56,10 @@
         key, service, server = children
         return MoveKey(str(service), key, str(server))
 
+    def move_keys(self, children: list[str]) -> MoveKeys:
+        first, last, service, server = children
+        return MoveKeys(str(service), int(first), int(last), str(server))
+
     def move_slice(self, children: list[str]) -> MoveSlice:
         index, service, server = children
         return MoveSlice(str(service), int(index), str(server))
--- /dev/null
+++ b/plantaingrade/operators/wishes.py
@@ -0,0 +1,75 @@
+"""Operators' wishes for servers, kept as rows of the store.
+
+A wish outlives every process. Of two operators that wish differently at the
+same moment one wins, by the version of the row, and the other is told.
+"""
+
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+
+from plantaingrade.errors import PlantaingradeError
+from plantaingrade.holds.registry import TABLE
+from plantaingrade.store.entity import Row, RowName
+
+KEY_WISH = 'wish/'
+
+
+class WishedState(StrEnum):
+    """What an operator wants of a server."""
+
+    SERVE = 'serve'
+    DRAIN = 'drain'
+    RETIRE = 'retire'
+
+
+class UnreadableWishError(PlantaingradeError):
+    """Report a row that holds no wish."""
+
+    advice = 'Another program writes to the same table, or a newer version.'
+
+
+@dataclass(slots=True, frozen=True)
+class Wish:
+    """A wish for one member, and the command that brought it."""
+
+    state: WishedState
+    command_id: str
+    operator: str
+    version: int = 0
+
+
+NO_WISH = Wish(WishedState.SERVE, '', '')
+
+
+def wish_row(service: str, member: str) -> RowName:
+    """Return the name of the row with the wish for a member."""
+    return RowName(TABLE, service, KEY_WISH + member)
+
+
+def encode_wish(wish: Wish) -> bytes:
+    """Return a row's body."""
+    fields = {
+        'state': wish.state.value,
+        'command': wish.command_id,
+        'operator': wish.operator,
+    }
+    return json.dumps(fields, separators=(',', ':')).encode()
+
+
+def decode_wish(row: Row) -> Wish:
+    """Return the wish that a row holds.
+
+    Raises:
+        UnreadableWishError: the bytes are no wish.
+    """
+    try:
+        fields = json.loads(row.body)
+        return Wish(
+            WishedState(fields['state']),
+            str(fields['command']),
+            str(fields['operator']),
+            row.version,
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise UnreadableWishError('Wish not understood.') from error
--- a/plantaingrade/peers/calls.py
+++ b/plantaingrade/peers/calls.py
@@ -101,11 +101,15 @@
         return None
 
     async def async_post(
-        self, member: Member, path: str, body: bytes
+        self,
+        member: Member,
+        path: str,
+        body: bytes,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> bytes | None:
         """Send a message; return the answer's body, if one came."""
         return await self.async_call(
-            Call('POST', member.address, path, (), body)
+            Call('POST', member.address, path, (), body), timeout_s
         )
 
     async def async_call(
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from plantaingrade.balance.book import LoadBook
 from plantaingrade.balance.entity import Load
@@ -29,6 +30,12 @@
 from plantaingrade.keyspace.directory import KeyMaps, differences
 from plantaingrade.keyspace.entity import KeyMap
 from plantaingrade.membership.datagrams import DatagramEndpoint
+from plantaingrade.operators.wishes import (
+    UnreadableWishError,
+    Wish,
+    decode_wish,
+    wish_row,
+)
 from plantaingrade.peers.calls import PeerCalls
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import (
@@ -56,6 +63,7 @@
 HANDED_CODEC = Codec(Handed)
 PATH_MAP = '/-/map/'
 PATH_HANDED = '/-/handed'
+UNREADABLE = (UnreadableLeaseError, UnreadableMapError, UnreadableWishError)
 HELLO_PAUSES_S = (0.2, 0.4, 0.8, 1.6, 3.2)
 JOIN_RETRY_S = 0.25
 # A lost datagram about a map is made up for by a redirect; what even that
@@ -64,6 +72,18 @@
 HEADER_VERSION = b'v'
 
 
+@dataclass(slots=True, frozen=True)
+class PeerHooks:
+    """What the coordinator asks and tells.
+
+    ``services`` names all that are configured; ``on_wish`` is told what
+    operators want of the own server.
+    """
+
+    services: Callable[[], Iterable[str]]
+    on_wish: Callable[[Wish], None]
+
+
 class PeerCoordinator:
     """Join the other processes on behalf of one member."""
 
@@ -72,11 +92,11 @@
         '_clock',
         '_directory',
         '_endpoint',
+        '_hooks',
         '_loads',
         '_log',
         '_maps',
         '_pulls',
-        '_services',
         '_store',
         '_welcomed',
         'has_joined',
@@ -93,9 +113,10 @@
         clock: Clock,
         log: EventLog,
         loads: LoadBook,
-        services: Callable[[], Iterable[str]],
+        hooks: PeerHooks,
     ) -> None:
-        """Know nobody yet; ``services`` names all that are configured."""
+        """Know nobody yet."""
+        self._hooks = hooks
         self._loads = loads
         self.own = own
         self.has_joined = False
@@ -105,7 +126,6 @@
         self._calls = calls
         self._clock = clock
         self._log = log
-        self._services = services
         self._endpoint = DatagramEndpoint(self._on_datagram, CODEC)
         self._welcomed: set[str] = set()
         self._pulls: dict[str, asyncio.Task[None]] = {}
@@ -137,7 +157,7 @@
 
     async def async_refresh(self) -> bool:
         """Read the members and maps of every service from the store."""
-        for service in self._services():
+        for service in self._hooks.services():
             outcome = await self._store.async_read(TABLE, service)
             if not isinstance(outcome, RangeRead):
                 self._log.write('members-not-read', why=outcome.failure)
@@ -191,13 +211,17 @@
     def _take_row(self, service: str, row: Row) -> None:
         try:
             self._keep(service, row)
-        except (UnreadableLeaseError, UnreadableMapError) as error:
+        except UNREADABLE as error:
             self._log.write('row-unreadable', row=row.name.key, why=str(error))
 
     def _keep(self, service: str, row: Row) -> None:
         if row.name.key == KEY_MAP:
             self._maps.offer(service, decode_map(row.body, row.version))
             return
+        if row.name == wish_row(self.own.service, self.own.name):
+            self._hooks.on_wish(decode_wish(row))
+        if not row.name.key.startswith(KEY_MEMBER):
+            return
         name = row.name.key.removeprefix(KEY_MEMBER)
         if name == self.own.name:
             return
--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -45,6 +45,15 @@
         NotRunReason.CONNECT_FAILED,
     )
 )
+# Refusals that tell that a server takes no work for a while.
+AWAY_REASONS = frozenset(
+    (
+        NotRunReason.SERVER_DOWN,
+        NotRunReason.DRAINING,
+        NotRunReason.LEAVING,
+        NotRunReason.OTHER_SERVICE,
+    )
+)
 # Refusals after which another process, or the same one, may do better.
 RETRY_REASONS = FREE_REASONS | {NotRunReason.SERVER_REFUSED}
 
@@ -155,7 +164,12 @@
                 progress.hint = outcome.owner
             else:
                 progress.hint = ''
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await self._async_pause(progress)
+
+    async def _async_pause(self, progress: Progress) -> None:
+        """Wait before the same process is asked again, not before another."""
+        if self._targets.is_keyed(progress.routed.service):
+            await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _async_try(self, progress: Progress) -> Outcome:
         routed = progress.routed
@@ -166,8 +180,16 @@
             return NotRun(NotRunReason.NO_SERVER, DEFAULT_RETRY_AFTER_S)
         progress.tries += 1
         progress.path.append(member.name)
-        if routed.caller.key is None:
+        if not self._targets.is_keyed(routed.service):
             progress.tried.add(member.name)
+        outcome = await self._async_ask(routed, member)
+        if isinstance(outcome, NotRun) and outcome.reason in AWAY_REASONS:
+            self._targets.avoid(member)
+        return outcome
+
+    async def _async_ask(
+        self, routed: RoutedRequest, member: Member
+    ) -> Outcome:
         if (
             member.name == self._own.name
             and routed.service == self._own.service
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -79,6 +79,7 @@
         '_pool',
         '_wire',
         'is_closed',
+        'is_drained',
     )
 
     def __init__(
@@ -94,6 +95,8 @@
     ) -> None:
         """Join the parts."""
         self.is_closed = False
+        # By an operator; keys are still served until they have passed on.
+        self.is_drained = False
         self._hooks = hooks
         self._wire = wire
         self._life = life
@@ -123,6 +126,8 @@
     def _refuse_by_state(self, routed: RoutedRequest) -> NotRun | None:
         if self.is_closed:
             return NotRun(NotRunReason.LEAVING)
+        if self.is_drained and not self._needs_hold(routed):
+            return NotRun(NotRunReason.DRAINING, DEFAULT_RETRY_AFTER_S)
         if self._hooks.is_keyed() is None:
             return NotRun(NotRunReason.NO_CONFIG, DEFAULT_RETRY_AFTER_S)
         if self._life.takes_work:
--- a/plantaingrade/requests/targets.py
+++ b/plantaingrade/requests/targets.py
@@ -28,6 +28,14 @@
         """Return how many processes are known."""
         return len(self._directory.members())
 
+    def is_keyed(self, service: str) -> bool:
+        """Tell whether requests of a service go to the owner of their key."""
+        return bool(self._maps.find(service).version)
+
+    def avoid(self, member: Member) -> None:
+        """Pass a member over for a while: its server takes no work."""
+        self._directory.suspect(member.name, self._clock.now())
+
     def choose(
         self, routed: RoutedRequest, tried: set[str], hint: str
     ) -> Member | None:
@@ -35,7 +43,7 @@
         if hint:
             return self._directory.find(hint)
         key = routed.caller.key
-        if key is not None and self._maps.find(routed.service).version:
+        if key is not None and self.is_keyed(routed.service):
             owner = self._maps.find(routed.service).find(key)
             return None if owner is None else self._directory.find(owner.owner)
         return self._choose_any(routed.service, tried)
--- a/plantaingrade/sidecar/control.py
+++ b/plantaingrade/sidecar/control.py
@@ -7,6 +7,7 @@
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.holds.coordinator import HoldCoordinator
 
+from plantaingrade.operators.desk import OperatorDesk
 from plantaingrade.peers.calls import OFFER_CODEC, REPLY_CODEC
 from plantaingrade.peers.coordinator import (
     HEADER_VERSION,
@@ -24,7 +25,14 @@
 class Control:
     """Answer what other processes ask."""
 
-    __slots__ = ('_balance', '_config', '_desk', '_holds', '_peers')
+    __slots__ = (
+        '_balance',
+        '_config',
+        '_desk',
+        '_holds',
+        '_operators',
+        '_peers',
+    )
 
     def __init__(
         self,
@@ -33,6 +41,7 @@
         balance: BalanceCoordinator,
         config: ConfigFollower,
         desk: RelayDesk,
+        operators: OperatorDesk,
     ) -> None:
         """Answer from the parts of the process."""
         self._peers = peers
@@ -40,6 +49,7 @@
         self._balance = balance
         self._config = config
         self._desk = desk
+        self._operators = operators
 
     async def async_handle(self, raw: h11.Request, body: bytes) -> Answer:
         """Answer one question."""
@@ -49,6 +59,8 @@
             version, encoded = self._peers.encode_known_map(service)
             headers = ((HEADER_VERSION, str(version).encode()),)
             return Answer(STATUS_OK, headers, encoded)
+        if target == '/-/statement':
+            return await self._operators.async_statement(raw, body)
         try:
             return await self._async_answer(target, body)
         except MalformedMessageError:
@@ -62,6 +74,10 @@
                 return self._take_handed(body)
             case '/-/offer':
                 return self._answer_offer(body)
+            case '/-/move':
+                return await self._operators.async_move(body)
+            case '/-/wish':
+                return await self._operators.async_read_wish()
             case '/-/store/commit':
                 return Answer(
                     STATUS_OK, (), await self._desk.async_commit(body)
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -23,8 +23,10 @@
 from plantaingrade.http.server import HttpServer, RequestServer
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.operators.desk import OperatorDesk
+from plantaingrade.operators.wishes import Wish, WishedState
 from plantaingrade.peers.calls import PeerCalls
-from plantaingrade.peers.coordinator import PeerCoordinator
+from plantaingrade.peers.coordinator import PeerCoordinator, PeerHooks
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member
 from plantaingrade.requests.coordinator import RequestCoordinator
@@ -172,7 +174,7 @@
             self._clock,
             self._log,
             self._loads,
-            self._service_names,
+            PeerHooks(self._service_names, self._apply_wish),
         )
         store = RelayedStore(
             self._direct_store,
@@ -269,6 +271,18 @@
             self._wire.answer_headers,
             self._clock,
         )
+        self._operators = OperatorDesk(
+            self._own,
+            self._directory,
+            self._maps,
+            self._loads,
+            self._config,
+            self.holds,
+            self._calls,
+            self._direct_store,
+            self._clock,
+        )
+        self._operators.apply_by(self._apply_wish)
         self._peer_front = PeerFront(
             self._settings.service,
             self._server_path,
@@ -279,6 +293,7 @@
                 self._balance,
                 self._config,
                 RelayDesk(self._direct_store),
+                self._operators,
             ).async_handle,
             self._balance.load,
             self._on_known,
@@ -392,6 +407,25 @@
             return []
         return sorted(self._config.config.service_by_name)
 
+    def _apply_wish(self, wish: Wish) -> None:
+        """Follow what an operator wants of the own server."""
+        is_drained = wish.state is not WishedState.SERVE
+        if is_drained == self._balance.is_drained:
+            return
+        self._log.write(
+            'wish-followed',
+            state=wish.state,
+            command=wish.command_id,
+            operator=wish.operator,
+            version=wish.version,
+        )
+        self._server_path.is_drained = is_drained
+        self._balance.is_drained = is_drained
+        if is_drained:
+            self._balance.leave()
+        elif self._life.takes_work and not self._is_leaving:
+            self._balance.stay()
+
     def _on_config(self, config: RoutingConfig) -> None:
         self._caller_server.idle_s = config.limits.idle_timeout_s
         self._caller_front.limits = config.limits
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -137,6 +137,17 @@
     assert asked == ['k@5']
 
 
+def test_a_server_that_takes_no_work_is_asked_once() -> None:
+    """Requests to services without keys carry keys too. A drained server is
+    asked, refuses, and is asked again until the tries are spent.
+    """
+    drained = NotRun(NotRunReason.DRAINING)
+    for _ in range(10):
+        outcome, asked = ask('/s/o/1', [drained, SERVED], key=7)
+        assert outcome == SERVED
+        assert len(set(asked)) == 2
+
+
 def test_a_redirect_is_followed_at_once() -> None:
     moved = NotRun(NotRunReason.NOT_OWNER, 0, 'k@5')
     outcome, asked = ask('/k/o/1', [moved, SERVED], key=10)
