Soak the real programs; bound heads and bodies at the front

The soak starts a store, servers, routers and relays as processes, plays a seeded schedule of faults that overlap, and compares what callers were told with what servers ran. A short run is part of the tests, a longer one of the demo. Heads above the operator's limit were taken when they came in one piece (431 now); bodies are counted in memory, over all requests too.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test guards bench capacity binary format lint clean
+.PHONY: demo soak test guards bench capacity binary format lint clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -11,10 +11,14 @@
 
 demo: $(VENV)/.installed
 	$(BIN)/python -m demo
+	$(BIN)/python -m soak --seed 7 --spots 9
 
 test: lint
 	$(BIN)/python -m pytest -q
 
+soak: $(VENV)/.installed
+	$(BIN)/python -m soak --count $(or $(COUNT),50) --seed $(or $(SEED),1)
+
 guards: $(VENV)/.installed
 	$(BIN)/python -m tests.guards
 
@@ -33,7 +37,7 @@
 
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 plantaingrade standins demo tests bench tools
+	$(BIN)/flake8 plantaingrade standins demo soak tests bench tools
 	$(BIN)/lint-imports --no-logo
 
 format: $(VENV)/.installed
--- a/plantaingrade/platform/headers.py
+++ b/plantaingrade/platform/headers.py
@@ -15,7 +15,6 @@
     HEADER_NOT_RUN,
     HEADER_REQUEST_ID,
 )
-from plantaingrade.platform.units import UnreadableFieldError
 from plantaingrade.requests.entity import (
     CallerRequest,
     Headers,
@@ -23,6 +22,7 @@
     ServerLoad,
     ServerReply,
 )
+from plantaingrade.requests.errors import MalformedRequestError
 
 # A caller that gives no deadline is answered within this time; callers of the
 # platform always give one.
@@ -53,12 +53,6 @@
 )
 
 
-class MalformedRequestError(UnreadableFieldError):
-    """Report a header of a caller that cannot be used."""
-
-    advice = 'Send the headers in the form that the platform documents.'
-
-
 def decode_request(
     raw: h11.Request, body: bytes, arrived: float
 ) -> CallerRequest:
--- a/plantaingrade/requests/entity.py
+++ b/plantaingrade/requests/entity.py
@@ -28,7 +28,7 @@
     CONNECT_FAILED = 'connect-failed'
     PEER_DOWN = 'process-not-reached'
     LEAVING = 'process-leaving'
-    NO_BUDGET = 'retry-budget-spent'
+    NO_ROOM = 'no-room-for-body'
 
 
 class UnknownReason(StrEnum):
--- a/plantaingrade/sidecar/fronts.py
+++ b/plantaingrade/sidecar/fronts.py
@@ -11,6 +11,7 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.client import read_body
+from plantaingrade.requests.bodies import BodyRoom
 from plantaingrade.requests.const import (
     DEFAULT_RETRY_AFTER_S,
     STATUS_BAD_GATEWAY,
@@ -33,6 +34,11 @@
     Unknown,
     UnknownReason,
 )
+from plantaingrade.requests.errors import (
+    BodyTooLongError,
+    MalformedRequestError,
+    NoRoomError,
+)
 from plantaingrade.requests.hop import (
     Known,
     decode_hop,
@@ -42,6 +48,9 @@
 from plantaingrade.requests.server_path import ServerPath
 
 STATUS_OK = 200
+STATUS_HEAD_TOO_LARGE = 431
+# Bytes around one header's name and text.
+SEPARATORS = 4
 BODILESS = frozenset((204, 304))
 DecodeRequest = Callable[[h11.Request, bytes, float], CallerRequest]
 OwnHeaders = Callable[[bytes], Headers]
@@ -78,6 +87,7 @@
         '_coordinator',
         '_decode',
         '_own_headers',
+        '_room',
         'is_closed',
         'limits',
     )
@@ -90,6 +100,7 @@
         clock: Clock,
     ) -> None:
         """Serve by a coordinator."""
+        self._room = BodyRoom()
         self.is_closed = False
         self._coordinator = coordinator
         self._decode = decode
@@ -100,16 +111,26 @@
     async def async_handle(self, raw: h11.Request, channel: Channel) -> None:
         """Serve one request."""
         arrived = self._clock.now()
-        if self._is_too_long(raw):
-            refusal = Answer(STATUS_TOO_LARGE, (), b'')
-            send_answer(channel, refusal)
+        refused = self._refuse_by_length(raw)
+        if refused:
+            send_answer(channel, Answer(refused, (), b''))
             return
-        body = await read_body(channel)
+        limit = None if self.limits is None else self.limits.max_body_bytes
         try:
-            caller = self._decode(raw, body, arrived)
-        except PlantaingradeError:
+            async with self._room.body(channel, limit) as body:
+                caller = self._decode(raw, body, arrived)
+                await self._async_answer(caller, channel)
+        except BodyTooLongError:
+            send_answer(channel, Answer(STATUS_TOO_LARGE, (), b''))
+        except NoRoomError:
+            refusal = NotRun(NotRunReason.NO_ROOM, DEFAULT_RETRY_AFTER_S)
+            send_answer(channel, _answer_of(refusal))
+        except MalformedRequestError:
             send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
-            return
+
+    async def _async_answer(
+        self, caller: CallerRequest, channel: Channel
+    ) -> None:
         answer = _answer_of(await self._async_serve(caller))
         headers = (*self._own_headers(caller.request_id), *answer.headers)
         send_answer(channel, Answer(answer.status, headers, answer.body))
@@ -119,11 +140,22 @@
             return NotRun(NotRunReason.LEAVING, DEFAULT_RETRY_AFTER_S)
         return await self._coordinator.async_serve(caller)
 
-    def _is_too_long(self, raw: h11.Request) -> bool:
+    def _refuse_by_length(self, raw: h11.Request) -> int:
+        """Return the status for a request that is too long, or 0.
+
+        The parser bounds only heads that come in pieces.
+        """
         if self.limits is None:
-            return False
+            return 0
+        head = sum(
+            len(name) + len(text) + SEPARATORS for name, text in raw.headers
+        )
+        if head + len(raw.target) > self.limits.max_header_bytes:
+            return STATUS_HEAD_TOO_LARGE
         length = dict(raw.headers).get(b'content-length', b'0')
-        return length.isdigit() and int(length) > self.limits.max_body_bytes
+        if length.isdigit() and int(length) > self.limits.max_body_bytes:
+            return STATUS_TOO_LARGE
+        return 0
 
 
 def _answer_of(outcome: Outcome | NoRoute) -> Answer:
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -56,11 +56,12 @@
 )
 from plantaingrade.sidecar.leaving import Leaving
 from plantaingrade.sidecar.server_watch import ServerWatch
-from plantaingrade.sidecar.settings import InstanceSettings
+from plantaingrade.sidecar.settings import InstanceSettings, OwnOptions
 from plantaingrade.sidecar.wire import PlatformWire
 from plantaingrade.store.relay import RelayDesk, RelayedStore
 
 BOOT_BYTES = 4
+DEFAULT_OPTIONS = OwnOptions()
 
 
 class Process:
@@ -72,8 +73,10 @@
         wire: PlatformWire,
         clock: Clock,
         log: EventLog,
+        options: OwnOptions = DEFAULT_OPTIONS,
     ) -> None:
         """Join the parts; open nothing yet."""
+        self._options = options
         self._settings = settings
         self._wire = wire
         self._clock = clock
@@ -143,7 +146,8 @@
             settings.listeners.peers,
             os.urandom(BOOT_BYTES).hex(),
         )
-        self._pool = Pool(self._clock)
+        source = settings.ip if self._options.binds_source else None
+        self._pool = Pool(self._clock, source)
         self._store_pool = Pool(self._clock, is_probed=True)
         self._order_pool = Pool(self._clock)
         self._direct_store = self._wire.make_store(self._store_pool)
@@ -342,15 +346,16 @@
         self._caller_server = await self._async_serve(
             listeners.callers, self._caller_front.async_handle
         )
+        peers_bind = self._options.peers_bind or listeners.peers
         serve_by_address = {
-            listeners.peers: self._peer_front.async_handle,
+            peers_bind: self._peer_front.async_handle,
             listeners.ready: self._ready_front.async_handle,
             listeners.reports: self._report_front.async_handle,
             listeners.metrics: self._metrics_front.async_handle,
         }
         for address, serve in serve_by_address.items():
             await self._async_serve(address, serve)
-        await self._peers.endpoint.async_open(*split_address(listeners.peers))
+        await self._peers.endpoint.async_open(*split_address(peers_bind))
 
     async def _async_serve(
         self, address: str, serve: RequestServer
--- a/plantaingrade/sidecar/run.py
+++ b/plantaingrade/sidecar/run.py
@@ -5,6 +5,8 @@
 import signal
 import sys
 
+import click
+
 from plantaingrade.clock import BootClock
 from plantaingrade.eventlog import EventLog
 from plantaingrade.platform.const import ENV_SETTINGS
@@ -14,13 +16,22 @@
 from plantaingrade.sidecar.settings import (
     InstanceSettings,
     InstanceSettingsError,
+    OwnOptions,
 )
 
+ENV_PREFIX = 'PLANTAINGRADE_SIDECAR'
 EXIT_BAD_SETTINGS = 2
 
 
-def main() -> None:
-    """Run beside a backend server, as the settings file says."""
+@click.command(context_settings={'auto_envvar_prefix': ENV_PREFIX})
+@click.option('--peers-bind', default='', help='Listen for peers, ip:port.')
+@click.option(
+    '--binds-source/--no-binds-source',
+    default=False,
+    help='Connect to peers from the address of this instance.',
+)
+def main(peers_bind: str, binds_source: bool) -> None:
+    """Run beside a backend server, as the platform's settings file says."""
     clock = BootClock()
     path = os.environ.get(ENV_SETTINGS, '')
     try:
@@ -30,11 +41,15 @@
         log.write('settings-rejected', path=path, mistakes=error.mistakes)
         sys.exit(EXIT_BAD_SETTINGS)
     log = EventLog(settings.name, clock)
-    asyncio.run(_async_run(settings, clock, log))
+    options = OwnOptions(peers_bind, binds_source)
+    asyncio.run(_async_run(settings, options, clock, log))
 
 
 async def _async_run(
-    settings: InstanceSettings, clock: BootClock, log: EventLog
+    settings: InstanceSettings,
+    options: OwnOptions,
+    clock: BootClock,
+    log: EventLog,
 ) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -44,6 +59,6 @@
         'started', service=settings.service, zone=settings.zone, pid=os.getpid()
     )
     wire = make_wire(settings, clock)
-    async with Process(settings, wire, clock, log) as process:
+    async with Process(settings, wire, clock, log, options) as process:
         await stop.wait()
         await process.async_leave()
--- a/plantaingrade/sidecar/settings.py
+++ b/plantaingrade/sidecar/settings.py
@@ -33,6 +33,19 @@
     metrics: str
 
 
+@dataclass(slots=True, frozen=True)
+class OwnOptions:
+    """What the operator of a process may set beside the platform's file.
+
+    ``peers_bind`` is where the listener for peers is bound, if a relay stands
+    at the address that others know. With ``binds_source`` connections to
+    peers start from the address of this instance, whatever route they take.
+    """
+
+    peers_bind: str = ''
+    binds_source: bool = False
+
+
 @dataclass(slots=True, frozen=True)
 class Bounds:
     """Times, in seconds, and figures that the platform promises or demands."""
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run the real programs as processes, break things, and check the promises."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,94 @@
+"""Run seeds one after the other and print a verdict for each."""
+
+import asyncio
+import json
+import shutil
+import sys
+import tempfile
+from dataclasses import asdict
+from pathlib import Path
+
+import click
+
+from plantaingrade.http.pool import Pool
+from soak.callers import KEYS, STATUS_OK, Callers
+from soak.schedule import make_schedule
+from soak.trouble import Troubles
+from soak.verdict import Verdict, judge, read_runs
+from soak.world import World
+
+# After the last fault, everything must be served again within this time: the
+# rest of a lease, the wait after an outage, and a takeover.
+RECOVERY_S = 22.0
+CALLERS_PER_SPOT = 3
+FIRST_BLOCK = 1
+PROBE_STEP = 8192
+DEFAULT_SECONDS = 15.0
+
+
+async def async_run(
+    seed: int, seconds: float, spots: int, folder: Path
+) -> Verdict:
+    """Play one seed from start to verdict."""
+    with World(spots, FIRST_BLOCK, folder) as world:
+        if not await world.async_start():
+            return Verdict(unserved_at_end=1)
+        callers = Callers(world, seed)
+        load = asyncio.create_task(callers.async_run(CALLERS_PER_SPOT))
+        steps = make_schedule(seed, seconds, spots)
+        (folder / 'schedule.json').write_text(
+            json.dumps([asdict(step) for step in steps], indent=1)
+        )
+        await Troubles(world).async_play(steps)
+        unserved = await _async_until_served(world, callers)
+        callers.stop()
+        await load
+        told = [json.dumps(asdict(each)) for each in callers.told]
+        (folder / 'told.jsonl').write_text('\n'.join(told))
+    verdict = judge(callers.told, read_runs(folder / 'runs.jsonl'))
+    verdict.unserved_at_end = unserved
+    return verdict
+
+
+async def _async_until_served(world: World, callers: Callers) -> int:
+    """Return how many probes at the end find no server, after a while."""
+    ends = world.clock.now() + RECOVERY_S
+    unserved = 1
+    while unserved and world.clock.now() < ends:
+        await asyncio.sleep(1)
+        with Pool(world.clock) as pool:
+            asks = [
+                callers.async_ask(pool, spot, '/read/1', key)
+                for spot in world.spots
+                for key in range(spot.number, KEYS, PROBE_STEP)
+            ]
+            told = await asyncio.gather(*asks)
+        unserved = sum(each.status != STATUS_OK for each in told)
+    return unserved
+
+
+@click.command()
+@click.option('--seed', type=int, default=1, show_default=True)
+@click.option('--count', type=int, default=1, show_default=True)
+@click.option(
+    '--seconds', type=float, default=DEFAULT_SECONDS, show_default=True
+)
+@click.option('--spots', type=int, default=6, show_default=True)
+def main(seed: int, count: int, seconds: float, spots: int) -> None:
+    """Play seeds, and keep the folder of each that broke a promise."""
+    failed = 0
+    for each in range(seed, seed + count):
+        folder = Path(tempfile.mkdtemp(prefix=f'plantaingrade-soak-{each}-'))
+        verdict = asyncio.run(async_run(each, seconds, spots, folder))
+        broken = verdict.broken()
+        failed += bool(broken)
+        click.echo(json.dumps({'seed': each, **asdict(verdict)}))
+        if broken:
+            click.echo(f'seed {each} broke {", ".join(broken)}: {folder}')
+        else:
+            shutil.rmtree(folder)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/soak/trouble.py
@@ -0,0 +1,155 @@
+"""Make a schedule's faults happen, and put them right again."""
+
+import asyncio
+import signal
+
+from soak.schedule import Step, Trouble
+from soak.world import Spot, World
+
+RESTART_S = 0.3
+RELAY_DELAY_S = 0.15
+SIGNAL_BY_TROUBLE = {
+    Trouble.KILL_ROUTER: signal.SIGKILL,
+    Trouble.STOP_ROUTER: signal.SIGTERM,
+    Trouble.KILL_SERVER: signal.SIGKILL,
+    Trouble.DRAIN_SERVER: signal.SIGTERM,
+}
+LOSSES = {'lost': 0.3, 'late': 0.3}
+
+
+class Troubles:
+    """Play the steps of one run."""
+
+    def __init__(self, world: World) -> None:
+        """Start with nothing wrong."""
+        self._world = world
+        self._version = 1
+        self._count_by_fault: dict[tuple[str, str], int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._busy: set[str] = set()
+
+    async def async_play(self, steps: list[Step]) -> None:
+        """Play all steps at their times, then wait for their ends."""
+        began = self._world.clock.now()
+        for step in steps:
+            wait_s = began + step.at - self._world.clock.now()
+            await asyncio.sleep(max(0.0, wait_s))
+            loop = asyncio.get_running_loop()
+            task = loop.create_task(self._async_step(step))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await asyncio.gather(*self._tasks)
+
+    async def _async_step(self, step: Step) -> None:
+        spot = self._world.spots[step.spot]
+        match step.trouble:
+            case Trouble.KILL_ROUTER | Trouble.STOP_ROUTER:
+                await self._async_restart(spot, step)
+            case Trouble.KILL_SERVER | Trouble.DRAIN_SERVER:
+                await self._async_renew_server(spot, step)
+            case Trouble.PAUSE_ROUTER | Trouble.PAUSE_SERVER:
+                await self._async_pause(spot, step)
+            case (
+                Trouble.CUT
+                | Trouble.MUTE
+                | Trouble.SLOW_LINK
+                | Trouble.SILENCE
+                | Trouble.RESET
+            ):
+                await self._async_harm_link(spot, step)
+            case _:
+                await self._async_harm_store(spot, step)
+
+    async def _async_restart(self, spot: Spot, step: Step) -> None:
+        name = f'router-{spot.number}'
+        if not self._take(name):
+            return
+        self._world.signal(name, SIGNAL_BY_TROUBLE[step.trouble])
+        while self._world.runs(name):
+            await asyncio.sleep(RESTART_S)
+        await asyncio.sleep(step.for_s / 2)
+        self._world.start_router(spot)
+        self._busy.discard(name)
+
+    async def _async_renew_server(self, spot: Spot, step: Step) -> None:
+        name = f'server-{spot.number}'
+        if not self._take(name):
+            return
+        self._world.signal(name, SIGNAL_BY_TROUBLE[step.trouble])
+        while self._world.runs(name):
+            await asyncio.sleep(RESTART_S)
+        await asyncio.sleep(step.for_s / 2)
+        self._world.start_server(spot)
+        self._busy.discard(name)
+
+    async def _async_pause(self, spot: Spot, step: Step) -> None:
+        is_router = step.trouble is Trouble.PAUSE_ROUTER
+        name = f'{"router" if is_router else "server"}-{spot.number}'
+        if not self._take(name):
+            return
+        self._world.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(step.for_s)
+        self._world.signal(name, signal.SIGCONT)
+        self._busy.discard(name)
+
+    async def _async_harm_link(self, spot: Spot, step: Step) -> None:
+        kind = step.trouble.value
+        if step.trouble in {Trouble.SILENCE, Trouble.RESET}:
+            await self._world.async_link(**{kind: [spot.ip]})
+            return
+        self._count(kind, spot.ip, 1)
+        await self._async_send_links()
+        await asyncio.sleep(step.for_s)
+        self._count(kind, spot.ip, -1)
+        await self._async_send_links()
+
+    async def _async_send_links(self) -> None:
+        slow = self._hosts(Trouble.SLOW_LINK.value)
+        await self._world.async_link(
+            cut_hosts=self._hosts(Trouble.CUT.value),
+            mute_hosts=self._hosts(Trouble.MUTE.value),
+            delay_s=dict.fromkeys(slow, RELAY_DELAY_S),
+        )
+
+    async def _async_harm_store(self, spot: Spot, step: Step) -> None:
+        if step.trouble is Trouble.CONFIGURE:
+            self._version += 1
+            await self._world.async_configure(self._version)
+            return
+        begin, end = _store_orders(spot, step)
+        await self._world.async_order(self._world.store, begin)
+        if end:
+            await asyncio.sleep(step.for_s)
+            await self._world.async_order(self._world.store, end)
+
+    def _hosts(self, kind: str) -> list[str]:
+        return [
+            host
+            for (fault, host), count in self._count_by_fault.items()
+            if fault == kind and count > 0
+        ]
+
+    def _count(self, kind: str, host: str, change: int) -> None:
+        known = self._count_by_fault.get((kind, host), 0)
+        self._count_by_fault[(kind, host)] = known + change
+
+    def _take(self, name: str) -> bool:
+        """Have one fault at a time do something to a process."""
+        if name in self._busy:
+            return False
+        self._busy.add(name)
+        return True
+
+
+def _store_orders(spot: Spot, step: Step) -> tuple[dict, dict]:
+    """Return the orders that begin and end a fault of the store."""
+    sound = {'outage': 'none'}
+    match step.trouble:
+        case Trouble.STORE_AWAY:
+            return {'outage': step.variant}, sound
+        case Trouble.STORE_AWAY_FOR_ONE:
+            host = {'host': spot.known_ip}
+            return {**host, 'outage': step.variant}, {**host, **sound}
+        case Trouble.STORE_LOSES:
+            return {**sound, **LOSSES}, sound
+    return {'forget': True}, {}
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,274 @@
+"""The processes of one run: a store, servers, routers, and relays."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import yaml
+
+from plantaingrade.clock import BootClock
+from plantaingrade.http.channel import ChannelClosedError
+from plantaingrade.http.client import Call, fetch
+from plantaingrade.http.pool import ConnectFailedError, Pool
+
+KEYED = 'cases'
+PLAIN = 'letters'
+HOST = 'x.example'
+ZONES = 3
+# Of three instances one is beside a server of the plain service.
+PLAIN_EVERY = 3
+PEERS_PORT = 17_380
+WORK_MS = 12
+SLOTS = 4
+START_LIMIT_S = 30.0
+LOOK_S = 0.1
+CALL_LIMIT_S = 1.0
+STATUS_OK = 200
+
+
+@dataclass(slots=True, frozen=True)
+class Spot:
+    """One instance: its real address and the one that peers know."""
+
+    number: int
+    zone: str
+    ip: str
+    known_ip: str
+    service: str
+
+    @property
+    def callers(self) -> str:
+        """Return where callers on this instance send requests."""
+        return f'{self.ip}:18147'
+
+    @property
+    def ready(self) -> str:
+        """Return where this instance tells whether it takes work."""
+        return f'{self.ip}:18141'
+
+
+class World:
+    """Start, signal and end the processes; order faults of the stand-ins."""
+
+    def __init__(self, count: int, block: int, folder: Path) -> None:
+        """Plan instances in a block of loopback addresses of their own."""
+        self.folder = folder
+        self.clock = BootClock()
+        self.pool = Pool(self.clock)
+        self.store = f'127.9.{block}.1:18142'
+        self.network = f'127.9.{block}.2:19002'
+        self.spots = [_spot(number, block) for number in range(count)]
+        self._process_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.links: dict[str, Any] = {}
+
+    def __enter__(self) -> 'World':
+        """Start everything."""
+        self._spawn('store', 'standins.shared_store', f'--address={self.store}')
+        routes = [
+            f'{kind}={spot.known_ip}:{PEERS_PORT}={spot.ip}:{PEERS_PORT}'
+            for spot in self.spots
+            for kind in ('tcp', 'udp')
+        ]
+        self._spawn(
+            'network',
+            'standins.network',
+            '--zone-ms=1',
+            '--caller-ms=0',
+            f'--control={self.network}',
+            *routes,
+        )
+        for spot in self.spots:
+            self.start_server(spot)
+            self.start_router(spot)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Kill everything that still runs, each by its own id."""
+        for process in self._process_by_name.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._process_by_name.values():
+            process.wait()
+        self.pool.close()
+
+    def start_server(self, spot: Spot) -> None:
+        """Start a life of an instance's server."""
+        kind = '--keyed' if spot.service == KEYED else '--plain'
+        self._spawn(
+            f'server-{spot.number}',
+            'standins.keyed_server',
+            f'--service={spot.service}',
+            f'--zone={spot.zone}',
+            f'--address={spot.ip}:18145',
+            f'--reports={spot.ip}:18144',
+            kind,
+            f'--slots={SLOTS}',
+            f'--work-ms={WORK_MS}',
+            f'--log={self.folder}/runs.jsonl',
+        )
+
+    def start_router(self, spot: Spot) -> None:
+        """Start a run of an instance's process."""
+        path = self.folder / f'settings-{spot.number}.yaml'
+        path.write_text(yaml.safe_dump(_settings(spot, self.store)))
+        self._spawn(
+            f'router-{spot.number}',
+            'plantaingrade.sidecar',
+            f'--peers-bind={spot.ip}:{PEERS_PORT}',
+            '--binds-source',
+            env={'PLANTAINGRADE_BOOT': str(path)},
+        )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that this object started."""
+        process = self._process_by_name[name]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def runs(self, name: str) -> bool:
+        """Tell whether a process runs."""
+        return self._process_by_name[name].poll() is None
+
+    async def async_configure(self, version: int) -> None:
+        """Put a configuration in force."""
+        text = json.dumps(_configuration(version))
+        await self.async_order(self.store, {'config': text})
+
+    async def async_order(self, address: str, order: dict[str, Any]) -> None:
+        """Order faults of a stand-in."""
+        call = Call('POST', address, '/-/fault', (), json.dumps(order).encode())
+        with suppress(TimeoutError, ChannelClosedError, ConnectFailedError):
+            async with asyncio.timeout(CALL_LIMIT_S):
+                await fetch(self.pool, call, fresh=True)
+
+    async def async_link(self, **changes: Any) -> None:
+        """Change what the relays do to links, beside what they do already."""
+        self.links.update(changes)
+        await self.async_order(self.network, self.links)
+        for once in ('reset', 'silence'):
+            self.links.pop(once, None)
+
+    async def async_start(self) -> bool:
+        """Configure, and wait until every instance takes work."""
+        ends = self.clock.now() + START_LIMIT_S
+        while self.clock.now() < ends:
+            await self.async_configure(1)
+            ready = [await self._is_ready(spot) for spot in self.spots]
+            if all(ready):
+                return True
+            await asyncio.sleep(LOOK_S)
+        return False
+
+    async def _is_ready(self, spot: Spot) -> bool:
+        call = Call('GET', spot.ready, '/v1/readyz')
+        try:
+            async with asyncio.timeout(CALL_LIMIT_S):
+                reply = await fetch(self.pool, call, fresh=True)
+        except (TimeoutError, ChannelClosedError, ConnectFailedError):
+            return False
+        return reply.status == STATUS_OK
+
+    def _spawn(
+        self, name: str, module: str, *flags: str, env: dict | None = None
+    ) -> None:
+        log = self.folder / f'{name}.log'
+        with log.open('ab') as sink:
+            self._process_by_name[name] = subprocess.Popen(
+                [sys.executable, '-m', module, *flags],
+                stdout=sink,
+                stderr=sink,
+                env={**os.environ, **(env or {})},
+            )
+
+
+def _spot(number: int, block: int) -> Spot:
+    zone = number % ZONES
+    host = number // ZONES + 1
+    service = PLAIN if number % PLAIN_EVERY == PLAIN_EVERY - 1 else KEYED
+    return Spot(
+        number,
+        f'z{zone}',
+        f'127.10.{block + zone}.{host}',
+        f'127.11.{block + zone}.{host}',
+        service,
+    )
+
+
+def _settings(spot: Spot, store: str) -> dict[str, Any]:
+    return {
+        'self': {
+            'nodeName': f'router-{spot.number}',
+            'ip': spot.known_ip,
+            'zone': spot.zone,
+            'appAddr': f'{spot.ip}:18145',
+            'service': spot.service,
+        },
+        'network': {
+            'listenAddrs': {
+                'outbound': spot.callers,
+                'ready': spot.ready,
+                'controlPlane': f'{spot.ip}:18144',
+            },
+            'internalPortRange': [PEERS_PORT, PEERS_PORT + 9],
+        },
+        'platform': {'heartbeat': '300ms', 'platform': {'address': store}},
+        'terms': {
+            'bounds': {
+                'drain': '2000ms',
+                'grace': '6s',
+                'maxHold': '10000ms',
+                'retryBudgetRatio': 0.2,
+                'budgetWindow': '10s',
+                'retryBudgetSlack': 58,
+            }
+        },
+    }
+
+
+def _configuration(version: int) -> dict[str, Any]:
+    return {
+        'version': f'r{version}',
+        'routes': {
+            'once': _route('/cases/', KEYED, 'unsafe'),
+            'read': _route('/read/', KEYED, 'safe'),
+            'letters': _route('/letters/', PLAIN, 'unsafe'),
+            f'added-{version}': _route(f'/added{version}/', PLAIN, 'safe'),
+        },
+        'services': {
+            KEYED: {'healthCheckPath': '/healthz', 'sharded': True},
+            PLAIN: {'healthCheckPath': '/healthz', 'sharded': False},
+        },
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 1048576,
+            'headerTimeout': '3000ms',
+            'idleTimeout': '15000ms',
+        },
+    }
+
+
+def _route(prefix: str, service: str, kind: str) -> dict[str, Any]:
+    return {
+        'host': HOST,
+        'prefix': prefix,
+        'type': kind,
+        'timeout': '1500ms',
+        'targetLatency': '300ms',
+        'priority': 1,
+        'service': service,
+        'maxAttempts': 2,
+    }
--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -7,14 +7,18 @@
 
 import asyncio
 import json
+import os
 import random
+import signal
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from enum import StrEnum
 
+import click
 import h11
 
-from plantaingrade.clock import Clock
+from plantaingrade.clock import BootClock, Clock
+from plantaingrade.const import MS_PER_S
 from plantaingrade.http.channel import Channel, ChannelClosedError
 from plantaingrade.http.client import Call, fetch, read_body
 from plantaingrade.http.pool import ConnectFailedError, Pool, split_address
@@ -40,10 +44,14 @@
 
 STATUS_OK = 200
 STATUS_CONFLICT = 409
+STATUS_FAILED = 500
+FOREVER = float('inf')
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 IDLE_S = 10.0
 ID_BYTES = 4
+# A server that leaves serves on for this long.
+DRAIN_S = 3.0
 
 
 class OrderFault(StrEnum):
@@ -86,11 +94,36 @@
 
 @dataclass(slots=True)
 class RunRecord:
-    """Runs of all servers, in order of their ends, and overlapping holds."""
+    """Runs of all servers, in order of their ends, and overlapping holds.
+
+    With a file, each begin and end is appended to it at once, so that it
+    outlives a server that is killed.
+    """
 
     runs: list[Run] = field(default_factory=list)
     two_owners: list[str] = field(default_factory=list)
     servers: list['KeyedServer'] = field(default_factory=list)
+    fd: int | None = None
+
+    @classmethod
+    def at_path(cls, path: str) -> 'RunRecord':
+        """Append to a file."""
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        return cls(fd=os.open(path, flags, 0o644))
+
+    def on_begin(self, run: Run) -> None:
+        """Note a run that begins."""
+        self._append('begin', run)
+
+    def on_end(self, run: Run) -> None:
+        """Note a run that has ended or was broken off."""
+        self.runs.append(run)
+        self._append('end', run)
+
+    def _append(self, event: str, run: Run) -> None:
+        if self.fd is not None:
+            line = json.dumps({'event': event, **asdict(run)})
+            os.write(self.fd, f'{line}\n'.encode())
 
     def times_run(self, request_id: str) -> int:
         """Return how often a request was run."""
@@ -302,29 +335,46 @@
             marks = (*echo, (HEADER_NOT_RUN, b'1'))
             self._send(channel, STATUS_UNAVAILABLE, marks)
             return
-        began = self._clock.now()
-        self.running += 1
-        self._busy.append(number or 0)
+        run = self._begin_run(headers, number)
+        held_until = self._held_until(run.key)
         try:
             await asyncio.sleep(self.plan.work_s)
         finally:
-            self._end_run(headers, number, began)
+            held_until = max(held_until, self._held_until(run.key))
+            self._end_run(run, held_until)
+        if self._clock.now() > held_until:
+            # Work that outlasts its lease ends there, whatever was done.
+            self._send(channel, STATUS_FAILED, echo)
+            return
         await self._answer_run(channel, echo, request_id)
 
-    def _end_run(self, headers: dict, key: int | None, began: float) -> None:
-        self.running -= 1
-        self._busy.remove(key or 0)
-        self.record.runs.append(
-            Run(
-                headers.get(HEADER_REQUEST_ID, b'').decode(),
-                key,
-                self.instance,
-                self.plan.service,
-                headers.get(HEADER_CALLER, b'').decode(),
-                began,
-                self._clock.now(),
-            )
+    def _begin_run(self, headers: dict, key: int | None) -> Run:
+        now = self._clock.now()
+        run = Run(
+            headers.get(HEADER_REQUEST_ID, b'').decode(),
+            key,
+            self.instance,
+            self.plan.service,
+            headers.get(HEADER_CALLER, b'').decode(),
+            now,
+            now,
         )
+        self.running += 1
+        self._busy.append(key or 0)
+        self.record.on_begin(run)
+        return run
+
+    def _held_until(self, key: int | None) -> float:
+        if not self.plan.is_keyed:
+            return FOREVER
+        ends = [hold.until for hold in self.holds if (key or 0) in hold.keys]
+        return max(ends, default=0.0)
+
+    def _end_run(self, run: Run, held_until: float) -> None:
+        self.running -= 1
+        self._busy.remove(run.key or 0)
+        ended = min(self._clock.now(), held_until)
+        self.record.on_end(replace(run, ended=ended))
 
     async def _answer_run(self, channel, echo, request_id: bytes) -> None:
         if self.faults.lose_answers:
@@ -359,3 +409,52 @@
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+async def async_serve(plan: ServerPlan, record: RunRecord) -> None:
+    """Serve until told to stop; drain first, as a planned shutdown does."""
+    server = KeyedServer(plan, record, BootClock(), os.getpid())
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    await server.async_start()
+    await stop.wait()
+    await server.async_drain()
+    await asyncio.sleep(DRAIN_S)
+    await server.async_crash()
+
+
+@click.command()
+@click.option('--service', required=True)
+@click.option('--zone', required=True)
+@click.option('--address', required=True)
+@click.option('--reports', required=True)
+@click.option('--keyed/--plain', required=True)
+@click.option('--slots', type=int, default=4)
+@click.option('--work-ms', type=float, default=10.0)
+@click.option('--log', required=True)
+def main(
+    service: str,
+    zone: str,
+    address: str,
+    reports: str,
+    keyed: bool,
+    slots: int,
+    work_ms: float,
+    log: str,
+) -> None:
+    """Run one life of a backend server."""
+    plan = ServerPlan(
+        service,
+        zone,
+        address,
+        reports,
+        slots,
+        work_ms / MS_PER_S,
+        is_keyed=keyed,
+    )
+    asyncio.run(async_serve(plan, RunRecord.at_path(log)))
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/network.py
+++ b/standins/network.py
@@ -24,6 +24,8 @@
 OK = 200
 CHUNK_BYTES = 65536
 CALLER_PREFIX = '127.3.'
+# Both ends of a relayed connection.
+Pair = tuple[Any, Any]
 
 
 @dataclass(slots=True)
@@ -33,14 +35,32 @@
     zone_delay_s: float
     caller_delay_s: float
     cut_hosts: set[str] = field(default_factory=set)
+    # Hosts from which nothing passes, though everything passes to them.
+    mute_hosts: set[str] = field(default_factory=set)
+    extra_delay_s: dict[str, float] = field(default_factory=dict)
     silenced_at: dict[str, float] = field(default_factory=dict)
+    open_by_host: dict[str, set[Pair]] = field(
+        default_factory=lambda: defaultdict(set)
+    )
 
     def delay(self, source: str, target: str) -> float:
         """Return the one-way delay in seconds."""
+        extra_s = self.extra_delay_s.get(source, 0.0)
         if source.startswith(CALLER_PREFIX):
-            return self.caller_delay_s
+            return self.caller_delay_s + extra_s
         same = source.split('.')[2] == target.split('.')[2]
-        return 0.0 if same else self.zone_delay_s
+        return extra_s if same else self.zone_delay_s + extra_s
+
+    def reset(self, host: str) -> None:
+        """Break every open connection of a host off."""
+        for pair in list(self.open_by_host[host]):
+            for transport in pair:
+                transport.abort()
+
+    def forget(self, pair: Pair, hosts: tuple[str, str]) -> None:
+        """Note that a connection has ended."""
+        for host in hosts:
+            self.open_by_host[host].discard(pair)
 
     def is_silent(self, opened_at: float, *hosts: str) -> bool:
         """Tell whether a connection was open when its host was silenced."""
@@ -48,9 +68,10 @@
             self.silenced_at.get(host, opened_at) > opened_at for host in hosts
         )
 
-    def is_cut(self, *hosts: str) -> bool:
-        """Tell whether nothing passes between these hosts."""
-        return not self.cut_hosts.isdisjoint(hosts)
+    def is_cut(self, source: str, target: str) -> bool:
+        """Tell whether nothing passes from one host to another."""
+        is_cut = not self.cut_hosts.isdisjoint((source, target))
+        return is_cut or source in self.mute_hosts
 
 
 class UdpRelay(asyncio.DatagramProtocol):
@@ -105,10 +126,16 @@
         except OSError:
             writer.transport.abort()
             return
-        await asyncio.gather(
-            self._pump(reader, far_writer, delay, hosts),
-            self._pump(far_reader, writer, delay, hosts),
-        )
+        pair = (writer.transport, far_writer.transport)
+        self._links.open_by_host[source].add(pair)
+        self._links.open_by_host[self._target[0]].add(pair)
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, delay, hosts),
+                self._pump(far_reader, writer, delay, tuple(reversed(hosts))),
+            )
+        finally:
+            self._links.forget(pair, hosts)
 
     async def _pump(
         self,
@@ -150,6 +177,10 @@
         """Serve one order, such as ``{"cut_hosts": ["127.1.0.1"]}``."""
         wanted = json.loads(await read_body(channel))
         self.links.cut_hosts = set(wanted.get('cut_hosts', ()))
+        self.links.mute_hosts = set(wanted.get('mute_hosts', ()))
+        self.links.extra_delay_s = dict(wanted.get('delay_s', {}))
+        for host in wanted.get('reset', ()):
+            self.links.reset(host)
         # Connections open now go silent for good; new ones work.
         now = asyncio.get_running_loop().time()
         for host in wanted.get('silence', ()):
--- a/standins/shared_store.py
+++ b/standins/shared_store.py
@@ -15,9 +15,10 @@
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
 
+import click
 import h11
 
-from plantaingrade.clock import Clock
+from plantaingrade.clock import BootClock, Clock
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.client import read_body
 from plantaingrade.http.pool import split_address
@@ -39,6 +40,7 @@
 STATUS_LIMITED = 429
 STATUS_BUSY = 503
 IDLE_S = 60.0
+FAULT_TARGET = b'/-/fault'
 
 
 class Outage(StrEnum):
@@ -206,6 +208,9 @@
 
     async def _serve(self, raw: h11.Request, channel: Channel) -> None:
         body = await read_body(channel)
+        if raw.target == FAULT_TARGET:
+            self._take_order(json.loads(body), channel)
+            return
         self.calls += 1
         host, _ = channel.transport.get_extra_info('peername')
         if await self._fails(host, channel):
@@ -226,6 +231,28 @@
         else:
             self._answer(channel, STATUS_BAD, {})
 
+    def _take_order(self, fields: dict[str, Any], channel: Channel) -> None:
+        """Follow an order such as ``{"outage": "busy", "host": "127.0.0.1"}``.
+
+        Without a host it is for all callers; a configuration is put with
+        ``{"config": TEXT}``.
+        """
+        if 'config' in fields:
+            self.rows.put('op', 'config', fields['config'].encode())
+        if 'host' in fields:
+            outage = Outage(fields['outage'])
+            self.faults.outage_by_host[fields['host']] = outage
+        elif 'outage' in fields:
+            self.faults = StoreFaults(
+                Outage(fields['outage']),
+                lost_share=fields.get('lost', 0),
+                late_share=fields.get('late', 0),
+                delay_s=fields.get('delay_s', 0),
+            )
+        if fields.get('forget'):
+            self.rows.forget_history()
+        self._answer(channel, STATUS_OK, {})
+
     async def _fails(self, host: str, channel: Channel) -> bool:
         match self.faults.outage_of(host):
             case Outage.NONE:
@@ -289,3 +316,22 @@
 
 def _name(fields: dict[str, Any]) -> Name:
     return fields['table'], fields.get('part', ''), fields['key']
+
+
+async def async_serve(address: str, seed: int) -> None:
+    """Serve until killed."""
+    store = SharedStore(BootClock(), seed)
+    await store.async_listen(address)
+    await asyncio.Event().wait()
+
+
+@click.command()
+@click.option('--address', required=True)
+@click.option('--seed', type=int, default=0)
+def main(address: str, seed: int) -> None:
+    """Run the store's stand-in."""
+    asyncio.run(async_serve(address, seed))
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -4,7 +4,6 @@
 import pytest
 
 from plantaingrade.platform.headers import (
-    MalformedRequestError,
     decode_reply,
     decode_request,
     encode_to_server,
@@ -12,6 +11,7 @@
 from plantaingrade.platform.reports import decode_report
 from plantaingrade.platform.units import UnreadableFieldError
 from plantaingrade.requests.entity import RoutedRequest
+from plantaingrade.requests.errors import MalformedRequestError
 
 
 def request(*headers: tuple[str, str], method: str = 'GET') -> h11.Request:
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,75 @@
+"""The soak itself: its schedule, its judge, and one short run."""
+
+import asyncio
+
+import pytest
+
+from soak.__main__ import async_run
+from soak.callers import Told
+from soak.schedule import Trouble, make_schedule
+from soak.verdict import Run, judge
+
+SPOTS = 5
+
+
+def told(request_id: str, path: str = '/cases/1', status: int = 200) -> Told:
+    return Told(request_id, path, 7, 0, 10.0, 10.1, status)
+
+
+def ran(
+    request_id: str,
+    instance: str = 'i-1',
+    service: str = 'cases',
+    at: float = 10,
+) -> Run:
+    return Run(request_id, 7, instance, service, at, at + 0.5)
+
+
+def test_a_seed_repeats_its_schedule() -> None:
+    first = make_schedule(5, 60, SPOTS)
+    assert first == make_schedule(5, 60, SPOTS)
+    assert first != make_schedule(6, 60, SPOTS)
+    assert all(0 <= step.spot < SPOTS for step in first)
+    assert all(one.at < other.at for one, other in zip(first, first[1:]))
+
+
+def test_every_trouble_is_played_in_the_end() -> None:
+    played = {
+        step.trouble
+        for seed in range(20)
+        for step in make_schedule(seed, 60, SPOTS)
+    }
+    assert played == set(Trouble)
+
+
+def test_a_kept_promise_is_no_finding() -> None:
+    verdict = judge([told('a'), told('b', status=503)], [ran('a')])
+    assert not verdict.broken()
+    assert verdict.served == 1
+    assert verdict.refused == 1
+
+
+@pytest.mark.parametrize(
+    ('name', 'tell', 'runs'),
+    [
+        ('wrong_answers', told('a'), []),
+        ('ran_twice', told('a'), [ran('a'), ran('a', at=20)]),
+        ('not_run_but_ran', told('a', status=503), [ran('a')]),
+        ('two_owners', told('a'), [ran('a'), ran('b', 'i-2', at=10.2)]),
+        ('wrong_service', told('a'), [ran('a', service='letters')]),
+    ],
+)
+def test_a_broken_promise_is_named(name, tell, runs) -> None:
+    assert judge([tell], runs).broken() == [name]
+
+
+def test_reading_may_run_twice() -> None:
+    tell = told('a', '/read/1')
+    assert not judge([tell], [ran('a'), ran('a', at=20)]).broken()
+
+
+def test_a_short_run_keeps_every_promise(tmp_path) -> None:
+    """Real programs, as processes, with two faults or more each second."""
+    verdict = asyncio.run(async_run(11, 4, SPOTS, tmp_path))
+    assert not verdict.broken(), verdict
+    assert verdict.served
