--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import shutil
 import sys
 import tempfile
@@ -15,22 +16,23 @@
 from soak.schedule import make_schedule
 from soak.trouble import Troubles
 from soak.verdict import Verdict, judge, read_runs
-from soak.world import World
+from soak.world import ZONES, World
 
 # After the last fault, everything must be served again within this time: the
 # rest of a lease, the wait after an outage, and a takeover.
 RECOVERY_S = 22.0
 CALLERS_PER_SPOT = 3
-FIRST_BLOCK = 1
+# Runs beside each other use loopback addresses of their own.
+BLOCKS = 80
 PROBE_STEP = 8192
 DEFAULT_SECONDS = 15.0
 
 
 async def async_run(
-    seed: int, seconds: float, spots: int, folder: Path
+    seed: int, seconds: float, spots: int, block: int, folder: Path
 ) -> Verdict:
     """Play one seed from start to verdict."""
-    with World(spots, FIRST_BLOCK, folder) as world:
+    with World(spots, block, folder) as world:
         if not await world.async_start():
             return Verdict(unserved_at_end=1)
         callers = Callers(world, seed)
@@ -77,9 +79,10 @@
 def main(seed: int, count: int, seconds: float, spots: int) -> None:
     """Play seeds, and keep the folder of each that broke a promise."""
     failed = 0
+    block = 1 + os.getpid() % BLOCKS * ZONES
     for each in range(seed, seed + count):
         folder = Path(tempfile.mkdtemp(prefix=f'plantaingrade-soak-{each}-'))
-        verdict = asyncio.run(async_run(each, seconds, spots, folder))
+        verdict = asyncio.run(async_run(each, seconds, spots, block, folder))
         broken = verdict.broken()
         failed += bool(broken)
         click.echo(json.dumps({'seed': each, **asdict(verdict)}))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
 from soak.verdict import Run, judge
 
 SPOTS = 5
+BLOCK = 250
 
 
 def told(request_id: str, path: str = '/cases/1', status: int = 200) -> Told:
@@ -70,6 +71,6 @@
 
 def test_a_short_run_keeps_every_promise(tmp_path) -> None:
     """Real programs, as processes, with two faults or more each second."""
-    verdict = asyncio.run(async_run(11, 4, SPOTS, tmp_path))
+    verdict = asyncio.run(async_run(11, 4, SPOTS, BLOCK, tmp_path))
     assert not verdict.broken(), verdict
     assert verdict.served
