--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -41,13 +41,16 @@
         (folder / 'schedule.json').write_text(
             json.dumps([asdict(step) for step in steps], indent=1)
         )
-        await Troubles(world).async_play(steps)
+        troubles = Troubles(world)
+        await troubles.async_play(steps)
         unserved = await _async_until_served(world, callers)
         callers.stop()
         await load
         told = [json.dumps(asdict(each)) for each in callers.told]
         (folder / 'told.jsonl').write_text('\n'.join(told))
-    verdict = judge(callers.told, read_runs(folder / 'runs.jsonl'))
+    verdict = judge(
+        callers.told, read_runs(folder / 'runs.jsonl'), troubles.pauses
+    )
     verdict.unserved_at_end = unserved
     return verdict
 
--- a/soak/trouble.py
+++ b/soak/trouble.py
@@ -4,6 +4,7 @@
 import signal
 
 from soak.schedule import Step, Trouble
+from soak.verdict import Pause
 from soak.world import Spot, World
 
 RESTART_S = 0.3
@@ -27,6 +28,7 @@
         self._count_by_fault: dict[tuple[str, str], int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._busy: set[str] = set()
+        self.pauses: list[Pause] = []
 
     async def async_play(self, steps: list[Step]) -> None:
         """Play all steps at their times, then wait for their ends."""
@@ -87,9 +89,13 @@
         name = f'{"router" if is_router else "server"}-{spot.number}'
         if not self._take(name):
             return
+        began = self._world.clock.now()
         self._world.signal(name, signal.SIGSTOP)
         await asyncio.sleep(step.for_s)
         self._world.signal(name, signal.SIGCONT)
+        if is_router:
+            pause = Pause(spot.number, began, self._world.clock.now())
+            self.pauses.append(pause)
         self._busy.discard(name)
 
     async def _async_harm_link(self, spot: Spot, step: Step) -> None:
--- a/soak/verdict.py
+++ b/soak/verdict.py
@@ -28,6 +28,15 @@
     ended: float
 
 
+@dataclass(slots=True, frozen=True)
+class Pause:
+    """Time in which an instance's process could do nothing."""
+
+    spot: int
+    began: float
+    ended: float
+
+
 @dataclass(slots=True)
 class Verdict:
     """Counts of one run; those of broken promises must be zero."""
@@ -73,7 +82,7 @@
     return list(run_by_name.values())
 
 
-def judge(told: list[Told], runs: list[Run]) -> Verdict:
+def judge(told: list[Told], runs: list[Run], pauses: list[Pause]) -> Verdict:
     """Count what was told and what was broken."""
     runs_by_id: dict[str, list[Run]] = defaultdict(list)
     for run in runs:
@@ -81,6 +90,7 @@
     verdict = Verdict(requests=len(told))
     for each in told:
         _count(verdict, each, runs_by_id[each.request_id])
+    verdict.answered_late = sum(_is_late(each, pauses) for each in told)
     verdict.two_owners = count_two_owners(runs)
     return verdict
 
@@ -99,8 +109,18 @@
     verdict.wrong_service += any(
         (run.service == KEYED) == is_letter for run in runs
     )
-    took_s = told.done_at - told.sent_at
-    verdict.answered_late += told.status > 0 and took_s > DEADLINE_S + LATE_S
+
+
+def _is_late(told: Told, pauses: list[Pause]) -> bool:
+    """Tell whether a final answer came late from a process that could act."""
+    if not told.status or told.done_at - told.sent_at <= DEADLINE_S + LATE_S:
+        return False
+    return not any(
+        pause.spot == told.spot
+        and pause.began < told.done_at
+        and told.sent_at < pause.ended
+        for pause in pauses
+    )
 
 
 def count_two_owners(runs: list[Run]) -> int:
