--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -239,4 +239,5 @@
             path=progress.path,
             ms=round(took_s * MS_PER_S, 1),
             config=self._config.version,
+            map=self._targets.map_version(routed.service),
         )
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -10,6 +10,7 @@
 from plantaingrade.admission.slots import Ticket
 from plantaingrade.backends.life import BackendLife
 from plantaingrade.clock import Clock
+from plantaingrade.const import MS_PER_S
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator
 from plantaingrade.http.channel import Channel, ChannelClosedError
@@ -108,6 +109,48 @@
 
     async def async_serve(self, routed: RoutedRequest) -> Outcome:
         """Return what became of a request."""
+        arrived = self._clock.now()
+        outcome = await self._async_decide(routed)
+        if not isinstance(outcome, Answered):
+            self._explain(routed, outcome, arrived)
+        return outcome
+
+    def _explain(
+        self, routed: RoutedRequest, outcome: NotRun | Unknown, arrived: float
+    ) -> None:
+        """Log what decided on a request that was not answered."""
+        now = self._clock.now()
+        queue = self._gate.queue
+        key = routed.caller.key
+        owned = None
+        if key is not None and self._needs_hold(routed):
+            owned = self._holds.registry.key_map.find(key)
+        self._log.write(
+            'not-served',
+            id=routed.caller.request_id.decode('ascii', 'replace'),
+            key=key,
+            kind=routed.kind,
+            outcome=type(outcome).__name__,
+            why=outcome.reason.value,
+            held_ms=round((now - arrived) * MS_PER_S, 1),
+            left_ms=round((routed.until - now) * MS_PER_S, 1),
+            due_ms=round((routed.due - now) * MS_PER_S, 1),
+            running=queue.running,
+            waiting=queue.waiting,
+            slots=queue.slots,
+            expected_ms=round(
+                queue.estimate.expected_s(routed.kind) * MS_PER_S, 1
+            ),
+            server=self._life.instance,
+            server_state=self._life.state,
+            server_heard_s=round(now - self._life.heard_at, 2),
+            owner=owned and owned.owner,
+            fence=owned and owned.fence,
+            map=self._holds.registry.key_map.version,
+            lease_left_s=round(self._holds.registry.lease_until - now, 2),
+        )
+
+    async def _async_decide(self, routed: RoutedRequest) -> Outcome:
         refusal = self._refuse_by_state(routed)
         if refusal is None and self._needs_hold(routed):
             refusal = await self._async_wait_hold(routed)
@@ -185,7 +228,11 @@
         try:
             channel = await self._pool.acquire(address, max_idle_s=max_idle_s)
         except ConnectFailedError as error:
-            self._log.write('server-not-reached', why=str(error.__cause__))
+            self._log.write(
+                'server-not-reached',
+                id=routed.caller.request_id.decode('ascii', 'replace'),
+                why=str(error.__cause__),
+            )
             return NotRun(NotRunReason.CONNECT_FAILED, DEFAULT_RETRY_AFTER_S)
         headers = tuple(self._wire.encode(routed, instance, left_s))
         caller = routed.caller
@@ -233,7 +280,11 @@
             if reply.instance and reply.instance != self._life.instance:
                 self._hooks.on_other_life(reply.instance)
             self._log.write(
-                'server-refused', status=reply.status, load=reply.load
+                'server-refused',
+                id=reply.request_id.decode('ascii', 'replace'),
+                status=reply.status,
+                named=reply.instance,
+                load=reply.load,
             )
             return NotRun(NotRunReason.SERVER_REFUSED, DEFAULT_RETRY_AFTER_S)
         return Answered(Answer(reply.status, reply.headers, whole.body))
--- a/plantaingrade/requests/targets.py
+++ b/plantaingrade/requests/targets.py
@@ -28,6 +28,10 @@
         """Return how many processes are known."""
         return len(self._directory.members())
 
+    def map_version(self, service: str) -> int:
+        """Return the version of the map that owners are chosen by."""
+        return self._maps.find(service).version
+
     def is_keyed(self, service: str) -> bool:
         """Tell whether requests of a service go to the owner of their key."""
         return bool(self._maps.find(service).version)
