Redirects tell the version of their map; maps travel small

Ruled out: the transfer itself (committed), the receiver's lease. Change: a redirect and each request between processes name the map's version; the receiver of a request by a newer map reads it before it decides, and the sender asks for it. Changes of maps take about 20 bytes a range in place of 75; one that fits no datagram is announced and asked for.

--- /dev/null
+++ b/plantaingrade/datagrams.py
@@ -0,0 +1,78 @@
+"""Typed datagrams over one UDP socket."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from plantaingrade.codec import Codec, MalformedMessageError
+from plantaingrade.http.pool import split_address
+
+# Below the smallest path unit of Ethernet, so that no datagram is cut.
+MAX_DATAGRAM_BYTES = 1400
+
+
+class TypedEndpoint(asyncio.DatagramProtocol):
+    """Send and receive messages of one codec."""
+
+    __slots__ = (
+        '_codec',
+        '_receive',
+        '_transport',
+        'bytes_received',
+        'bytes_sent',
+        'malformed',
+        'received',
+        'sent',
+    )
+
+    def __init__(self, receive: Callable[[Any], None], codec: Codec) -> None:
+        """Hand each message to ``receive``."""
+        self._receive = receive
+        self._codec = codec
+        self._transport: Any = None
+        self.sent = 0
+        self.received = 0
+        self.malformed = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def async_open(self, host: str, port: int) -> None:
+        """Bind the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(host, port),
+        )
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:  # noqa: WPS110
+        """Decode a datagram; count and drop what is none of ours."""
+        self.received += 1
+        self.bytes_received += len(data)
+        try:
+            message = self._codec.decode(data)
+        except MalformedMessageError:
+            self.malformed += 1
+            return
+        self._receive(message)
+
+    def send(self, message: Any, address: str) -> None:
+        """Send a message; like any datagram it may be lost."""
+        raw = self._codec.encode(message)
+        if self._transport is None or len(raw) > MAX_DATAGRAM_BYTES:
+            return
+        self.sent += 1
+        self.bytes_sent += len(raw)
+        self._transport.sendto(raw, split_address(address))
+
+    def fits(self, message: Any) -> bool:
+        """Tell whether a message can be sent in one datagram."""
+        return len(self._codec.encode(message)) <= MAX_DATAGRAM_BYTES
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
--- a/plantaingrade/membership/datagrams.py
+++ b/plantaingrade/membership/datagrams.py
@@ -1,79 +1,20 @@
-"""Typed datagrams between processes."""
+"""Typed datagrams between members of the stand-alone deployment."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Any
 
-from plantaingrade.codec import Codec, MalformedMessageError
-from plantaingrade.http.pool import split_address
-from plantaingrade.membership.const import MAX_DATAGRAM_BYTES
+from plantaingrade.codec import Codec
+from plantaingrade.datagrams import TypedEndpoint
 from plantaingrade.membership.entity import Datagram
 
 DATAGRAM_CODEC = Codec(Datagram, Datagram)
 
 
-class DatagramEndpoint(asyncio.DatagramProtocol):
-    """Send and receive typed datagrams on one UDP socket."""
+class DatagramEndpoint(TypedEndpoint):
+    """Send and receive the messages of members."""
 
-    __slots__ = (
-        '_codec',
-        '_receive',
-        '_transport',
-        'bytes_received',
-        'bytes_sent',
-        'malformed',
-        'received',
-        'sent',
-    )
+    __slots__ = ()
 
-    def __init__(
-        self,
-        receive: Callable[[Any], None],
-        codec: Codec = DATAGRAM_CODEC,
-    ) -> None:
+    def __init__(self, receive: Callable[[Any], None]) -> None:
         """Hand each message to ``receive``."""
-        self._receive = receive
-        self._codec = codec
-        self._transport: Any = None
-        self.sent = 0
-        self.received = 0
-        self.malformed = 0
-        self.bytes_sent = 0
-        self.bytes_received = 0
-
-    async def async_open(self, host: str, port: int) -> None:
-        """Bind the socket."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self,
-            local_addr=(host, port),
-        )
-
-    def connection_made(self, transport: Any) -> None:
-        """Keep the transport."""
-        self._transport = transport
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:  # noqa: WPS110
-        """Decode a datagram; count and drop what is none of ours."""
-        self.received += 1
-        self.bytes_received += len(data)
-        try:
-            message = self._codec.decode(data)
-        except MalformedMessageError:
-            self.malformed += 1
-            return
-        self._receive(message)
-
-    def send(self, message: Any, address: str) -> None:
-        """Send a message; like any datagram it may be lost."""
-        raw = self._codec.encode(message)
-        if self._transport is None or len(raw) > MAX_DATAGRAM_BYTES:
-            return
-        self.sent += 1
-        self.bytes_sent += len(raw)
-        self._transport.sendto(raw, split_address(address))
-
-    def close(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        super().__init__(receive, DATAGRAM_CODEC)
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from plantaingrade.balance.book import LoadBook
 from plantaingrade.balance.entity import Load
 from plantaingrade.clock import Clock
 from plantaingrade.codec import Codec, MalformedMessageError
+from plantaingrade.datagrams import TypedEndpoint
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.lease import (
     MemberRow,
@@ -27,9 +28,8 @@
     decode_map,
     encode_map,
 )
-from plantaingrade.keyspace.directory import KeyMaps, differences
+from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap
-from plantaingrade.membership.datagrams import DatagramEndpoint
 from plantaingrade.operators.wishes import (
     UnreadableWishError,
     Wish,
@@ -126,12 +126,12 @@
         self._calls = calls
         self._clock = clock
         self._log = log
-        self._endpoint = DatagramEndpoint(self._on_datagram, CODEC)
+        self._endpoint = TypedEndpoint(self._on_datagram, CODEC)
         self._welcomed: set[str] = set()
         self._pulls: dict[str, asyncio.Task[None]] = {}
 
     @property
-    def endpoint(self) -> DatagramEndpoint:
+    def endpoint(self) -> TypedEndpoint:
         """Return the socket for datagrams."""
         return self._endpoint
 
@@ -172,7 +172,10 @@
 
     def spread(self, service: str, before: KeyMap, after: KeyMap) -> None:
         """Tell every member how a map changed; some may miss it."""
-        self._send_all(_changed(service, before, after))
+        message = MapChanged.from_maps(service, self.own.name, before, after)
+        if not self._endpoint.fits(message):
+            message = replace(message, owners=(), ranges=())
+        self._send_all(message)
 
     def pull_map(self, service: str, source: Member) -> None:
         """Ask a member for a whole map, once at a time."""
@@ -260,7 +263,9 @@
         member = self._directory.find(target)
         if member is None:
             return
-        change = _changed(self.own.service, before, after)
+        change = MapChanged.from_maps(
+            self.own.service, self.own.name, before, after
+        )
         body = HANDED_CODEC.encode(Handed(change, tokens))
         await self._calls.async_post(member, PATH_HANDED, body)
 
@@ -311,18 +316,18 @@
 
     def _on_map_changed(self, message: MapChanged) -> None:
         service = message.service
-        is_known = self._maps.apply(
-            service,
-            message.before,
-            message.version,
-            message.fence,
-            message.changes,
-        )
-        if is_known:
-            return
-        owner = message.changes[0].owner if message.changes else ''
-        source = self._directory.find(owner)
-        if source is not None and source.name != self.own.name:
+        if message.ranges:
+            is_known = self._maps.apply(
+                service,
+                message.before,
+                message.version,
+                message.fence,
+                message.assignments(),
+            )
+        else:
+            is_known = self._maps.find(service).version >= message.version
+        source = self._directory.find(message.source)
+        if source is not None and not is_known:
             self.pull_map(service, source)
 
     async def _async_pull(self, service: str, source: Member) -> None:
@@ -339,13 +344,3 @@
             self._log.write('map-unreadable', why=str(error))
             return
         self._maps.offer(service, key_map)
-
-
-def _changed(service: str, before: KeyMap, after: KeyMap) -> MapChanged:
-    return MapChanged(
-        service,
-        before.version,
-        after.version,
-        after.fence,
-        differences(before, after),
-    )
--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from plantaingrade.keyspace.entity import Assignment, KeyRange
+from plantaingrade.keyspace.directory import differences
+from plantaingrade.keyspace.entity import Assignment, KeyMap, KeyRange
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,14 +47,55 @@
 class MapChanged:
     """The map of a service went from one version to the next.
 
-    ``changes`` holds each assignment that differs.
+    ``ranges`` holds first key, last key, place among ``owners`` and fence of
+    each assignment that differs, some 20 bytes each. A change that no
+    datagram can hold comes without them, and is asked for at ``source``.
     """
 
     service: str
+    source: str
     before: int
     version: int
     fence: int
-    changes: tuple[Assignment, ...]
+    owners: tuple[str, ...]
+    ranges: tuple[tuple[int, int, int, int], ...]
+
+    @classmethod
+    def from_maps(
+        cls, service: str, source: str, before: KeyMap, after: KeyMap
+    ) -> 'MapChanged':
+        """Return what differs between two maps."""
+        changes = differences(before, after)
+        owners = tuple(sorted({each.owner for each in changes}))
+        ranges = tuple(
+            (
+                each.keys.first,
+                each.keys.last,
+                owners.index(each.owner),
+                each.fence,
+            )
+            for each in changes
+        )
+        return cls(
+            service,
+            source,
+            before.version,
+            after.version,
+            after.fence,
+            owners,
+            ranges,
+        )
+
+    def assignments(self) -> tuple[Assignment, ...]:
+        """Return the assignments that differ.
+
+        Raises:
+            IndexError: a range names an owner that is not listed.
+        """
+        return tuple(
+            Assignment(KeyRange(first, last), self.owners[place], fence)
+            for first, last, place, fence in self.ranges
+        )
 
 
 @dataclass(slots=True, frozen=True)
--- a/plantaingrade/requests/const.py
+++ b/plantaingrade/requests/const.py
@@ -15,6 +15,9 @@
 CALLER_NETWORK_S = 0.02
 # Pause before another process or the same server is tried once more.
 RETRY_PAUSE_S = 0.02
+# Time that a process waits for a newer map that a request speaks of: a read of
+# the store, with room.
+CATCH_UP_S = 0.25
 # Time below which no further try is made: half the shortest work.
 MIN_TRY_S = 0.02
 # Whole answers and bodies are kept in memory up to this size.
--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -73,6 +73,8 @@
     tried: set[str] = field(default_factory=set)
     hint: str = ''
     path: list[str] = field(default_factory=list)
+    asked: str = ''
+    map_version: int = 0
 
 
 class RequestCoordinator:
@@ -162,10 +164,18 @@
                 return outcome
             if isinstance(outcome, NotRun) and outcome.owner:
                 progress.hint = outcome.owner
+                self._learn(progress, outcome)
             else:
                 progress.hint = ''
                 await self._async_pause(progress)
 
+    def _learn(self, progress: Progress, refusal: NotRun) -> None:
+        """Ask for a newer map where a redirect shows that there is one."""
+        known = self._targets.map_version(progress.routed.service)
+        progress.map_version = max(known, refusal.map_version)
+        if refusal.map_version > known:
+            self._targets.learn_from(progress.routed.service, progress.asked)
+
     async def _async_pause(self, progress: Progress) -> None:
         """Wait before the same process is asked again, not before another."""
         if self._targets.is_keyed(progress.routed.service):
@@ -182,20 +192,22 @@
         progress.path.append(member.name)
         if not self._targets.is_keyed(routed.service):
             progress.tried.add(member.name)
-        outcome = await self._async_ask(routed, member)
+        progress.asked = member.name
+        outcome = await self._async_ask(progress, member)
         if isinstance(outcome, NotRun) and outcome.reason in AWAY_REASONS:
             self._targets.avoid(member)
         return outcome
 
-    async def _async_ask(
-        self, routed: RoutedRequest, member: Member
-    ) -> Outcome:
+    async def _async_ask(self, progress: Progress, member: Member) -> Outcome:
+        routed = progress.routed
         if (
             member.name == self._own.name
             and routed.service == self._own.service
         ):
-            return await self._server.async_serve(routed)
-        return await self._peers.async_serve(routed, member)
+            return await self._server.async_serve(routed, progress.map_version)
+        return await self._peers.async_serve(
+            routed, member, progress.map_version
+        )
 
     def _may_try_again(
         self, progress: Progress, outcome: NotRun | Unknown
--- a/plantaingrade/requests/entity.py
+++ b/plantaingrade/requests/entity.py
@@ -105,12 +105,14 @@
     """The request has not run and never will.
 
     ``retry_after_s`` is when it would probably be served. ``owner`` names the
-    member that owns the key, where the refusing process knows better.
+    member that owns the key by the map that the refusing process has, and
+    ``map_version`` the version of that map.
     """
 
     reason: NotRunReason
     retry_after_s: float = 0.0
     owner: str = ''
+    map_version: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/plantaingrade/requests/hop.py
+++ b/plantaingrade/requests/hop.py
@@ -171,13 +171,14 @@
     match outcome:
         case Answered(answer):
             return answer
-        case NotRun(reason, retry_after_s, owner):
+        case NotRun(reason, retry_after_s, owner, map_version):
             headers = [
                 (NAME_OUTCOME, f'{MARK_NOT_RUN}{reason.value}'.encode()),
                 (NAME_RETRY_AFTER, str(_ms(retry_after_s)).encode()),
             ]
             if owner:
-                headers.append((NAME_OWNER, owner.encode()))
+                told = f'{map_version},{owner}'
+                headers.append((NAME_OWNER, told.encode()))
             return Answer(STATUS_FAILED, tuple(headers), b'')
         case Unknown(reason):
             mark = f'{MARK_UNKNOWN}{reason.value}'.encode()
@@ -196,10 +197,13 @@
     if not mark.startswith(MARK_NOT_RUN):
         return Unknown(_unknown_reason(reason))
     after = text_by_name.get(NAME_RETRY_AFTER, b'0')
+    told = text_by_name.get(NAME_OWNER, b'').decode('ascii', 'replace')
+    version, _, owner = told.partition(',')
     return NotRun(
         _not_run_reason(reason),
         int(after) / MS_PER_S if after.isdigit() else 0.0,
-        text_by_name.get(NAME_OWNER, b'').decode('ascii', 'replace'),
+        owner,
+        int(version) if version.isdigit() else 0,
     )
 
 
--- a/plantaingrade/requests/peer_path.py
+++ b/plantaingrade/requests/peer_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from plantaingrade.balance.book import LoadBook
 from plantaingrade.clock import Clock
@@ -55,27 +56,31 @@
         self._clock = clock
 
     async def async_serve(
-        self, routed: RoutedRequest, member: Member
+        self, routed: RoutedRequest, member: Member, map_version: int = 0
     ) -> Outcome:
-        """Return what became of a request at another process."""
+        """Return what became of a request at another process.
+
+        ``map_version`` is the newest that a redirect spoke of.
+        """
+        known = self._known(routed.service)
+        known = replace(known, key_map=max(known.key_map, map_version))
         left_s = routed.until - self._clock.now()
         try:
             async with asyncio.timeout(left_s + PEER_GRACE_S):
-                outcome = await self._async_exchange(routed, member)
+                outcome = await self._async_exchange(routed, member, known)
         except TimeoutError:
             self._directory.suspect(member.name, self._clock.now())
             return Unknown(UnknownReason.TIMEOUT)
         return outcome
 
     async def _async_exchange(
-        self, routed: RoutedRequest, member: Member
+        self, routed: RoutedRequest, member: Member, known: Known
     ) -> Outcome:
         try:
             channel = await self._pool.acquire(member.address)
         except ConnectFailedError:
             self._directory.suspect(member.name, self._clock.now())
             return NotRun(NotRunReason.PEER_DOWN, DEFAULT_RETRY_AFTER_S)
-        known = self._known(routed.service)
         headers = encode_hop(routed, known, self._clock.now())
         caller = routed.caller
         try:
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -21,6 +21,7 @@
 )
 from plantaingrade.http.pool import ConnectFailedError, Pool
 from plantaingrade.requests.const import (
+    CATCH_UP_S,
     DEFAULT_RETRY_AFTER_S,
     MAX_SKIPPED_ANSWERS,
     MIN_TRY_S,
@@ -107,14 +108,38 @@
         self._clock = clock
         self._log = log
 
-    async def async_serve(self, routed: RoutedRequest) -> Outcome:
-        """Return what became of a request."""
+    async def async_serve(
+        self, routed: RoutedRequest, map_version: int = 0
+    ) -> Outcome:
+        """Return what became of a request.
+
+        ``map_version`` is that of the map by which it was sent here.
+        """
         arrived = self._clock.now()
+        if self._needs_hold(routed):
+            await self._async_catch_up(map_version)
         outcome = await self._async_decide(routed)
         if not isinstance(outcome, Answered):
             self._explain(routed, outcome, arrived)
         return outcome
 
+    async def _async_catch_up(self, map_version: int) -> None:
+        """Wait for the map by which a request was sent here.
+
+        Failure: keys were given to this member, and the giver was killed
+        before it could tell. It shows as requests that are sent to and fro
+        between the two until their tries are spent.
+        """
+        if map_version <= self._holds.registry.key_map.version:
+            return
+        self._holds.on_hint(map_version)
+        ends = self._clock.now() + CATCH_UP_S
+        while map_version > self._holds.registry.key_map.version:
+            left_s = ends - self._clock.now()
+            if left_s <= 0:
+                return
+            await self._holds.async_wait_change(left_s)
+
     def _explain(
         self, routed: RoutedRequest, outcome: NotRun | Unknown, arrived: float
     ) -> None:
@@ -192,7 +217,12 @@
             if assignment is None:
                 return NotRun(NotRunReason.NO_OWNER, DEFAULT_RETRY_AFTER_S)
             if self._holds.find_own(key) is None:
-                return NotRun(NotRunReason.NOT_OWNER, 0.0, assignment.owner)
+                return NotRun(
+                    NotRunReason.NOT_OWNER,
+                    0.0,
+                    assignment.owner,
+                    self._holds.registry.key_map.version,
+                )
             left_s = routed.until - self._clock.now()
             left_s -= self._gate.queue.estimate.expected_s(routed.kind)
             if left_s <= 0:
--- a/plantaingrade/requests/targets.py
+++ b/plantaingrade/requests/targets.py
@@ -1,6 +1,7 @@
 """Choose the process beside the server that is to run a request."""
 
 import random
+from collections.abc import Callable
 
 from plantaingrade.clock import Clock
 from plantaingrade.keyspace.directory import KeyMaps
@@ -12,12 +13,28 @@
 class TargetChooser:
     """Choose by owner for requests with a key, else by zone and load."""
 
-    __slots__ = ('_clock', '_directory', '_maps', '_own', '_random')
+    __slots__ = (
+        '_clock',
+        '_directory',
+        '_maps',
+        '_own',
+        '_pull_map',
+        '_random',
+    )
 
     def __init__(
-        self, own: Member, directory: Directory, maps: KeyMaps, clock: Clock
+        self,
+        own: Member,
+        directory: Directory,
+        maps: KeyMaps,
+        clock: Clock,
+        pull_map: Callable[[str, Member], None],
     ) -> None:
-        """Choose on behalf of one process."""
+        """Choose on behalf of one process.
+
+        ``pull_map`` asks a member for the whole map of a service.
+        """
+        self._pull_map = pull_map
         self._own = own
         self._directory = directory
         self._maps = maps
@@ -32,6 +49,12 @@
         """Return the version of the map that owners are chosen by."""
         return self._maps.find(service).version
 
+    def learn_from(self, service: str, name: str) -> None:
+        """Ask a member for the map of a service; it has a newer one."""
+        member = self._directory.find(name)
+        if member is not None and name != self._own.name:
+            self._pull_map(service, member)
+
     def is_keyed(self, service: str) -> bool:
         """Tell whether requests of a service go to the owner of their key."""
         return bool(self._maps.find(service).version)
--- a/plantaingrade/sidecar/fronts.py
+++ b/plantaingrade/sidecar/fronts.py
@@ -220,12 +220,14 @@
             send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
             return
         self._on_known(known)
-        outcome = await self._async_serve(routed)
+        outcome = await self._async_serve(routed, known.key_map)
         answer = encode_outcome(outcome)
         headers = (*answer.headers, encode_load(self._load()))
         send_answer(channel, Answer(answer.status, headers, answer.body))
 
-    async def _async_serve(self, routed: RoutedRequest) -> Outcome:
+    async def _async_serve(
+        self, routed: RoutedRequest, map_version: int
+    ) -> Outcome:
         """Serve a request that was meant for the service here.
 
         Failure: an address passes to a process of another service, and
@@ -234,7 +236,7 @@
         """
         if routed.service != self._service:
             return NotRun(NotRunReason.OTHER_SERVICE)
-        return await self._server.async_serve(routed)
+        return await self._server.async_serve(routed, map_version)
 
 
 class ReadyFront:
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -240,7 +240,11 @@
             self._directory, self._loads, self._pool, self._clock, self._known
         )
         targets = TargetChooser(
-            self._own, self._directory, self._maps, self._clock
+            self._own,
+            self._directory,
+            self._maps,
+            self._clock,
+            self._peers.pull_map,
         )
         bounds = self._settings.bounds
         self._requests = RequestCoordinator(
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -52,10 +52,15 @@
     def __init__(self, outcomes: list[Outcome]) -> None:
         self.outcomes = deque(outcomes)
         self.asked: list[str] = []
+        self.pulled: list[str] = []
 
-    async def async_serve(self, routed, member=OWN) -> Outcome:
+    def on_pull(self, service: str, member: Member) -> None:
+        self.pulled.append(member.name)
+
+    async def async_serve(self, routed, member=OWN, version=0) -> Outcome:
         await asyncio.sleep(0.01)
-        self.asked.append(member.name)
+        name = member.name if isinstance(member, Member) else OWN.name
+        self.asked.append(name)
         return self.outcomes.popleft()
 
 
@@ -95,6 +100,7 @@
 ) -> tuple[Outcome | NoRoute, list[str]]:
     """Return the outcome of one request, and who was asked for it."""
     paths = FakePath(outcomes)
+    pulled = paths.on_pull
     directory = Directory()
     for member in members:
         directory.add(member)
@@ -111,7 +117,7 @@
         coordinator = RequestCoordinator(
             OWN,
             FakeConfig(*routes),
-            TargetChooser(OWN, directory, maps, clock),
+            TargetChooser(OWN, directory, maps, clock, pulled),
             paths,
             paths,
             RepeatBudget(0.2, 50, 10),
--- a/tests/requests/test_hop.py
+++ b/tests/requests/test_hop.py
@@ -46,7 +46,13 @@
         NotRun,
         st.sampled_from(NotRunReason),
         st.integers(0, 5000).map(lambda ms: ms / 1000),
-        st.sampled_from(['', 'cases@10.0.0.1']),
+    ),
+    st.builds(
+        NotRun,
+        st.just(NotRunReason.NOT_OWNER),
+        st.just(0),
+        st.just('cases@10.0.0.1'),
+        st.integers(0, 5000),
     ),
     st.builds(Unknown, st.sampled_from(UnknownReason)),
     st.builds(
