--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(BIN)/python -m bench.path
 	$(BIN)/python -m bench.leases
 	$(BIN)/python -m bench.failover
+	$(BIN)/python -m bench.platform
 
 capacity: $(VENV)/.installed
 	$(BIN)/python -m bench.capacity
--- a/bench/leases.py
+++ b/bench/leases.py
@@ -13,6 +13,8 @@
 
 from bench.measure import MICROS, Line
 from plantaingrade.clock import BootClock
+from plantaingrade.cloud.entity import Row
+from plantaingrade.cloud.table import TableClient
 from plantaingrade.http.pool import Pool
 from plantaingrade.journal.coordinator import JournalCoordinator
 from plantaingrade.journal.entity import MapState, MemberRow, MemberState
@@ -20,8 +22,6 @@
 from plantaingrade.leases.coordinator import LeaseCoordinator, choose_witnesses
 from plantaingrade.membership.datagrams import DATAGRAM_CODEC, DatagramEndpoint
 from plantaingrade.membership.rpc import async_pull, make_server
-from plantaingrade.cloud.entity import Row
-from plantaingrade.cloud.table import TableClient
 from standins.platform import async_serve
 
 SECONDS = 4.0
--- /dev/null
+++ b/bench/platform.py
@@ -0,0 +1,171 @@
+"""Cost of the process on the platform: latency, CPU, bytes, calls, memory.
+
+All figures of one run are taken beside each other on one machine, so ratios
+hold where absolute values drift. Run by ``make bench``.
+"""
+
+import asyncio
+import json
+import statistics
+import tempfile
+from pathlib import Path
+
+import click
+import h11
+
+from bench.measure import process_cpu_s, resident_mb
+from plantaingrade.balance.entity import Load
+from plantaingrade.http.client import Call, fetch
+from plantaingrade.http.pool import Pool
+from plantaingrade.requests.entity import (
+    Answer,
+    Answered,
+    CallerRequest,
+    RoutedRequest,
+)
+from plantaingrade.requests.hop import (
+    Known,
+    encode_hop,
+    encode_load,
+    encode_outcome,
+)
+from soak.world import HOST, World
+
+REQUESTS = 400
+BLOCK = 200
+REST_S = 20.0
+SETTLE_S = 4.0
+BODY_BYTES = 400
+CALLER_HEADERS = (
+    (b'user-agent', b'sdk-client/1.9.3'),
+    (b'accept', b'*/*'),
+    (b'accept-encoding', b'identity'),
+    (b'cookie', b'lang=en; session=1982'),
+)
+
+
+async def async_times(
+    pool: Pool, address: str, path: str, key: int, instance: str = ''
+) -> list[float]:
+    """Return the latency of requests, one after the other, in ms."""
+    took = []
+    loop = asyncio.get_running_loop()
+    for number in range(REQUESTS):
+        headers = [
+            ('attempt-id', f'{number}'),
+            ('deadline-ms', '1500'),
+            ('shard-key', str(key)),
+        ]
+        if instance:
+            headers.append(('expect-instance', instance))
+        call = Call('GET', address, path, tuple(headers), b'', HOST)
+        began = loop.time()
+        reply = await fetch(pool, call)
+        assert reply.status == 200, reply
+        took.append((loop.time() - began) * 1000)
+    return took
+
+
+async def async_path() -> None:
+    """Compare requests to the server with those through processes."""
+    folder = Path(tempfile.mkdtemp(prefix='plantaingrade-bench-'))
+    with World(2, BLOCK, folder, work_ms=0) as world:
+        assert await world.async_start()
+        await asyncio.sleep(SETTLE_S)
+        first, second = world.spots
+        routers = [world.pid(f'router-{spot.number}') for spot in world.spots]
+        with Pool(world.clock) as pool:
+            straight = await async_times(
+                pool, f'{first.ip}:18145', '/read/1', 0
+            )
+            before = sum(map(process_cpu_s, routers))
+            own = await async_times(pool, first.callers, '/read/1', 0)
+            between = sum(map(process_cpu_s, routers))
+            other = await async_times(pool, second.callers, '/read/1', 0)
+            after = sum(map(process_cpu_s, routers))
+        memory = max(map(resident_mb, routers))
+    base = statistics.median(straight)
+    print('path of a request      median ms   ratio   CPU us a request')
+    print(f'server, straight    {base:12.2f}{1:8.2f}')
+    for name, took, cpu in (
+        ('own process', own, between - before),
+        ('one other process', other, after - between),
+    ):
+        median = statistics.median(took)
+        per_request = cpu / REQUESTS * 1e6
+        print(f'{name:20}{median:12.2f}{median / base:8.2f}{per_request:12.0f}')
+    print(f'memory of a process {memory:12.1f} MB')
+
+
+def print_bytes() -> None:
+    """Print what one request takes between two processes."""
+    caller = CallerRequest(
+        b'9c41d07be2a35f68',
+        b'GET',
+        b'/lohu930/dedf/af6c',
+        b'ficu95.example',
+        59170,
+        CALLER_HEADERS,
+        b'',
+        0,
+        0.5,
+    )
+    routed = RoutedRequest(caller, 'huvo11a', 'huvo11a', True, 2, 0.5, 0.2)
+    request = h11.Request(
+        method=caller.method,
+        target=caller.target,
+        headers=list(encode_hop(routed, Known(12, 345), 0)),
+    )
+    stamp = (b'server-stamp', b'3e1b.07.5a2.600.0.c9f2a4d1')
+    answer = encode_outcome(Answered(Answer(200, (stamp,), b'x' * BODY_BYTES)))
+    response = h11.Response(
+        status_code=200,
+        headers=[
+            *answer.headers,
+            encode_load(Load(0.5, 0.06, 6)),
+            (b'content-length', str(BODY_BYTES).encode()),
+        ],
+    )
+    sent = len(h11.Connection(h11.CLIENT).send(request))
+    server = h11.Connection(h11.SERVER)
+    server.receive_data(h11.Connection(h11.CLIENT).send(request))
+    server.next_event()
+    got = len(server.send(response))
+    print(f'bytes between processes: request {sent}, answer {got} + body')
+
+
+async def async_rest(count: int) -> None:
+    """Count calls to the store while nothing is asked for."""
+    folder = Path(tempfile.mkdtemp(prefix='plantaingrade-bench-'))
+    with World(count, BLOCK, folder) as world:
+        assert await world.async_start()
+        await asyncio.sleep(SETTLE_S)
+        first = await async_count(world)
+        await asyncio.sleep(REST_S)
+        last = await async_count(world)
+    calls = (last['calls'] - first['calls']) / REST_S
+    sent = (last['bytes'] - first['bytes']) / REST_S
+    print(f'{count:5} processes at rest: {calls:8.1f} calls/s {sent:10.0f} B/s')
+
+
+async def async_count(world: World) -> dict[str, int]:
+    """Return what the store has counted."""
+    body = json.dumps({'count': True}).encode()
+    call = Call('POST', world.store, '/-/fault', (), body)
+    with Pool(world.clock) as pool:
+        reply = await fetch(pool, call)
+    return json.loads(reply.body)
+
+
+@click.command()
+@click.option('--count', multiple=True, type=int, default=(10, 30))
+def main(count: tuple[int, ...]) -> None:
+    """Measure the path, the bytes of a hop, and calls at rest."""
+    asyncio.run(async_path())
+    print_bytes()
+    for each in count:
+        asyncio.run(async_rest(each))
+
+
+if __name__ == '__main__':
+    main()
--- a/soak/world.py
+++ b/soak/world.py
@@ -58,8 +58,11 @@
 class World:
     """Start, signal and end the processes; order faults of the stand-ins."""
 
-    def __init__(self, count: int, block: int, folder: Path) -> None:
+    def __init__(
+        self, count: int, block: int, folder: Path, work_ms: float = WORK_MS
+    ) -> None:
         """Plan instances in a block of loopback addresses of their own."""
+        self._work_ms = work_ms
         self.folder = folder
         self.clock = BootClock()
         self.pool = Pool(self.clock)
@@ -117,7 +120,7 @@
             f'--reports={spot.ip}:18144',
             kind,
             f'--slots={SLOTS}',
-            f'--work-ms={WORK_MS}',
+            f'--work-ms={self._work_ms}',
             f'--log={self.folder}/runs.jsonl',
         )
 
@@ -139,6 +142,10 @@
         if process.poll() is None:
             process.send_signal(number)
 
+    def pid(self, name: str) -> int:
+        """Return the id of a process that this object started."""
+        return self._process_by_name[name].pid
+
     def runs(self, name: str) -> bool:
         """Tell whether a process runs."""
         return self._process_by_name[name].poll() is None
--- a/standins/shared_store.py
+++ b/standins/shared_store.py
@@ -191,6 +191,7 @@
         self.rows = Rows()
         self.faults = StoreFaults()
         self.calls = 0
+        self.bytes = 0
         self._clock = clock
         self._random = random.Random(seed)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -212,6 +213,7 @@
             self._take_order(json.loads(body), channel)
             return
         self.calls += 1
+        self.bytes += len(body) + len(raw.target)
         host, _ = channel.transport.get_extra_info('peername')
         if await self._fails(host, channel):
             return
@@ -249,6 +251,10 @@
                 late_share=fields.get('late', 0),
                 delay_s=fields.get('delay_s', 0),
             )
+        if fields.get('count'):
+            figures = {'calls': self.calls, 'bytes': self.bytes}
+            self._answer(channel, STATUS_OK, figures)
+            return
         if fields.get('forget'):
             self.rows.forget_history()
         self._answer(channel, STATUS_OK, {})
@@ -311,6 +317,7 @@
         fields['rowVersion'] = self.rows.version
         fields['now'] = format_time(self._clock.now())
         body = json.dumps(fields).encode()
+        self.bytes += len(body)
         send_answer(channel, Answer(status, (), body))
 
 
