--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import json
 import os
 import shutil
+import signal
 import sys
 import tempfile
 from dataclasses import asdict
@@ -81,6 +82,8 @@
 @click.option('--spots', type=int, default=6, show_default=True)
 def main(seed: int, count: int, seconds: float, spots: int) -> None:
     """Play seeds, and keep the folder of each that broke a promise."""
+    # Ending by a signal must end the processes too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     block = 1 + os.getpid() % BLOCKS * ZONES
     for each in range(seed, seed + count):
