--- a/plantaingrade/balance/const.py
+++ b/plantaingrade/balance/const.py
@@ -4,6 +4,11 @@
 # requests a second come in, so the window holds enough to cut a range by, and
 # a new hot spot shows in half of it.
 WINDOW_S = 1.5
+# Demand is counted over this long at least: some dozens of requests.
+MIN_SPAN_S = 0.5
+# Moves made at once, each to another member: a server with several times its
+# share would else need seconds to pass it on.
+MAX_MOVES = 4
 # A difference in load below this is left alone: a window's demand is a sample
 # of about 100 requests and strays by a tenth. At 0.2 a heavy day moved keys
 # seven times a second and served no better.
--- a/plantaingrade/balance/policy.py
+++ b/plantaingrade/balance/policy.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping, Sequence
 
 from plantaingrade.balance.const import (
+    MAX_MOVES,
     MIN_DIFFERENCE,
     MIN_LOAD_TO_MOVE,
     MIN_MOVED_LOAD,
@@ -22,6 +23,28 @@
 ENOUGH = 0.6
 
 
+def choose_moves(
+    own: Load,
+    load_by_member: Mapping[str, Load],
+    ranges: Sequence[KeyRange],
+    key_loads: Sequence[KeyLoad],
+) -> list[Move]:
+    """Return moves to different members that even out loads together."""
+    moves: list[Move] = []
+    others = dict(load_by_member)
+    while len(moves) < MAX_MOVES:
+        move = choose_move(own, others, ranges, key_loads)
+        if move is None:
+            break
+        moves.append(move)
+        others.pop(move.target)
+        share = own.share - move.work / max(1, own.slots)
+        own = Load(share, own.work_s, own.slots)
+        key_loads = [load for load in key_loads if load.key not in move.keys]
+        ranges = [rest for keys in ranges for rest in keys.without(move.keys)]
+    return moves
+
+
 def choose_move(
     own: Load,
     load_by_member: Mapping[str, Load],
--- a/plantaingrade/store/relay.py
+++ b/plantaingrade/store/relay.py
@@ -150,6 +150,9 @@
                 self._observe(sent_at, outcome.now_s)
             if not isinstance(outcome, NotDone):
                 return outcome
+            self._log.write(
+                'relay-refused', member=member.name, why=outcome.failure
+            )
         self._relay_bad_until = self._clock.now() + RELAY_PAUSE_S
         return NotDone(StoreFailure.NOT_REACHED)
 
