Go on asking other processes while the store is out of reach

Ruled out: peers (they were reached all the while), the store's condition. Change: the pause begins only where somebody is asked; members that could not help are asked last, the one that helped is asked first.

--- a/plantaingrade/store/relay.py
+++ b/plantaingrade/store/relay.py
@@ -31,6 +31,9 @@
 RELAY_PAUSE_S = 1.0
 # Members asked for one call, of those in different zones first.
 MAX_RELAYS = 2
+# A member that could not help is asked after all others for this long: what
+# cuts several instances off lasts for seconds.
+REFUSED_PAUSE_S = 5.0
 
 PATH_COMMIT = '/-/store/commit'
 PATH_READ = '/-/store/read'
@@ -64,7 +67,9 @@
         '_direct',
         '_direct_bad_until',
         '_log',
+        '_helper',
         '_members',
+        '_refused_until',
         '_relay_bad_until',
     )
 
@@ -84,6 +89,8 @@
         self._log = log
         self._direct_bad_until = 0.0
         self._relay_bad_until = 0.0
+        self._refused_until: dict[str, float] = {}
+        self._helper = ''
 
     @property
     def clock(self) -> StoreClock:
@@ -141,6 +148,7 @@
             sent_at = self._clock.now()
             answer = await self._calls.async_relay(member, PATH_COMMIT, body)
             if answer is None:
+                self._note_refusal(member)
                 return OutcomeUnknown(StoreFailure.LOST)
             try:
                 outcome = COMMIT_CODEC.decode(answer)
@@ -149,11 +157,12 @@
             if isinstance(outcome, Committed | Conflict):
                 self._observe(sent_at, outcome.now_s)
             if not isinstance(outcome, NotDone):
+                self._on_helped(member)
                 return outcome
+            self._note_refusal(member)
             self._log.write(
                 'relay-refused', member=member.name, why=outcome.failure
             )
-        self._relay_bad_until = self._clock.now() + RELAY_PAUSE_S
         return NotDone(StoreFailure.NOT_REACHED)
 
     async def _async_relay_read(self, body: bytes) -> ReadOutcome:
@@ -161,6 +170,7 @@
             sent_at = self._clock.now()
             answer = await self._calls.async_relay(member, PATH_READ, body)
             if answer is None:
+                self._note_refusal(member)
                 continue
             try:
                 outcome = READ_CODEC.decode(answer)
@@ -168,14 +178,38 @@
                 continue
             if isinstance(outcome, RangeRead):
                 self._observe(sent_at, outcome.now_s)
+                self._on_helped(member)
                 return outcome
-        self._relay_bad_until = self._clock.now() + RELAY_PAUSE_S
+            self._note_refusal(member)
         return NotDone(StoreFailure.NOT_REACHED)
 
     def _relays(self) -> list[Member]:
-        if self._clock.now() < self._relay_bad_until:
+        """Return whom to ask: who helped last, then who has not refused.
+
+        Failure: the pause begins anew with each call that finds it running.
+        It shows as a lease that ends although others reach the store. So the
+        pause begins only where somebody is asked, and is over in time.
+        """
+        now = self._clock.now()
+        if now < self._relay_bad_until:
             return []
-        return self._members()[:MAX_RELAYS]
+        self._relay_bad_until = now + RELAY_PAUSE_S
+        members = self._members()
+        members.sort(key=lambda member: self._rank(member, now))
+        return members[:MAX_RELAYS]
+
+    def _rank(self, member: Member, now: float) -> int:
+        if self._refused_until.get(member.name, 0.0) > now:
+            return 2
+        return int(member.name != self._helper)
+
+    def _on_helped(self, member: Member) -> None:
+        self._helper = member.name
+        self._relay_bad_until = 0.0
+
+    def _note_refusal(self, member: Member) -> None:
+        until = self._clock.now() + REFUSED_PAUSE_S
+        self._refused_until[member.name] = until
 
     def _observe(self, sent_at: float, store_s: float) -> None:
         self.clock.observe(sent_at, self._clock.now(), store_s)
