Move keys from the first look at a hot spot

Cause: the second that keys must have been here before they move was counted from the first look at a loaded server, so that a hot spot stayed where it was for 1.1 s (6.7 to 7.8 times a server's slots), and what was left of a range that had been cut waited for another second. Change: the time is counted for idle servers too, and parts inherit it.

--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -125,6 +125,7 @@
             await asyncio.sleep(LOOK_S)
             if not self._holds.registry.is_joined:
                 continue
+            self._note_ranges(self._clock.now())
             if self.is_leaving:
                 await self.async_evacuate()
             else:
@@ -203,14 +204,23 @@
         key_map = self._holds.registry.key_map
         return [each.keys for each in key_map.owned_by(self._own.name)]
 
+    def _note_ranges(self, now: float) -> None:
+        """Note since when the keys of each range have been here.
+
+        What is left of a range that was cut has been here as long as it.
+        """
+        known = self._settled_at
+        self._settled_at = {
+            keys: known.get(keys, _inherited(keys, known, now))
+            for keys in self._own_ranges()
+        }
+
     def _movable(self, now: float) -> list[KeyRange]:
         """Return ranges that have been here long enough to be measured."""
-        settled = {}
-        for keys in self._own_ranges():
-            settled[keys] = self._settled_at.get(keys, now)
-        self._settled_at = settled
         return [
-            keys for keys, since in settled.items() if now - since >= SETTLE_S
+            keys
+            for keys, since in self._settled_at.items()
+            if now - since >= SETTLE_S
         ]
 
     def _tell(self, own: Load, now: float) -> None:
@@ -220,3 +230,13 @@
         names = self._others.names()
         count = min(IDLE_TELL_COUNT, len(names))
         self._teller.tell_load(own, self._random.sample(names, count))
+
+
+def _inherited(
+    keys: KeyRange, since_by_keys: dict[KeyRange, float], now: float
+) -> float:
+    """Return since when the range that these keys were cut from is known."""
+    for known, since in since_by_keys.items():
+        if known.overlap(keys) == keys:
+            return since
+    return now
