Place requests without keys by load and failures; refuse for unreachable owners

Cause 1: servers of a service without keys were chosen at random in the own zone. Their speeds differ by 0.7 to 1.6, so a zone with a slow server refused what a fast one elsewhere had room for, and a server that failed half of its requests was asked as often as the others. Change: the less loaded of two; the excess above 0.7 of the slots spills over to other zones; who fails more than the others is passed over while they have room; after a refusal one other server is asked. Cause 2: each request for keys on a dark or cut-off instance waited for a connection of its own, up to the caller's deadline. Change: after two failures in a row requests are refused at once, and one in 0.5 s tries; connections that were kept are dropped; connecting takes 0.2 s at most, so that a lost packet leaves time for a second try.

--- a/plantaingrade/http/pool.py
+++ b/plantaingrade/http/pool.py
@@ -33,6 +33,7 @@
 
     __slots__ = (
         '_clock',
+        '_connect_timeout_s',
         '_idle_by_address',
         '_is_probed',
         '_local_host',
@@ -45,6 +46,7 @@
         local_host: str | None = None,
         *,
         is_probed: bool = False,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         """Prepare a pool whose connections start from one local address.
 
@@ -52,6 +54,7 @@
         been silent to probes.
         """
         self._is_probed = is_probed
+        self._connect_timeout_s = connect_timeout_s
         self._clock = clock
         self._local_host = local_host
         self._idle_by_address: dict[str, list[Channel]] = defaultdict(list)
@@ -128,7 +131,7 @@
         local = (self._local_host, 0) if self._local_host else None
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(self._connect_timeout_s):
                 _, channel = await loop.create_connection(
                     lambda: Channel(h11.CLIENT, self._clock),
                     host,
--- a/plantaingrade/peers/directory.py
+++ b/plantaingrade/peers/directory.py
@@ -5,18 +5,27 @@
 # A member to which no connection could be made is passed over for this long,
 # then tried by one request. A process restarts within about a second.
 SUSPECT_S = 0.5
+# Failures in a row after which a member counts as unreachable: a single one is
+# also what a lost packet leads to.
+UNREACHABLE_AFTER = 2
 
 
 class Directory:
     """Members by name, with suspicions from failed connections."""
 
-    __slots__ = ('_member_by_name', '_names_by_service', '_suspect_until')
+    __slots__ = (
+        '_failures_by_name',
+        '_member_by_name',
+        '_names_by_service',
+        '_suspect_until',
+    )
 
     def __init__(self) -> None:
         """Know nobody."""
         self._member_by_name: dict[str, Member] = {}
         self._names_by_service: dict[str, set[str]] = {}
         self._suspect_until: dict[str, float] = {}
+        self._failures_by_name: dict[str, int] = {}
 
     def add(self, member: Member) -> bool:
         """Take a member; tell whether it is new or has restarted."""
@@ -28,7 +37,7 @@
         self._member_by_name[member.name] = member
         names = self._names_by_service.setdefault(member.service, set())
         names.add(member.name)
-        self._suspect_until.pop(member.name, None)
+        self.trust(member.name)
         return True
 
     def remove(self, name: str, boot: str) -> None:
@@ -38,7 +47,7 @@
             return
         self._member_by_name.pop(name)
         self._names_by_service[known.service].discard(name)
-        self._suspect_until.pop(name, None)
+        self.trust(name)
 
     def find(self, name: str) -> Member | None:
         """Return a member."""
@@ -57,9 +66,34 @@
         """Pass a member over for a while."""
         self._suspect_until[name] = now + SUSPECT_S
 
-    def trust(self, name: str) -> None:
-        """Note that a member answered."""
+    def on_unreachable(self, name: str, now: float) -> bool:
+        """Note that a member was not reached; tell whether that is news."""
+        failures = self._failures_by_name.get(name, 0) + 1
+        self._failures_by_name[name] = failures
+        self.suspect(name, now)
+        return failures == UNREACHABLE_AFTER
+
+    def trust(self, name: str) -> bool:
+        """Note that a member answered; tell whether that is news."""
         self._suspect_until.pop(name, None)
+        failures = self._failures_by_name.pop(name, 0)
+        return failures >= UNREACHABLE_AFTER
+
+    def may_ask(self, name: str, now: float) -> bool:
+        """Tell whether a request may be sent to a member.
+
+        Failure: an instance is cut off or dark, and each request for its keys
+        waits for a connection until its caller's time is up. It shows as
+        callers that are kept waiting for nothing and cannot go elsewhere.
+        While a member is unreachable one request in ``SUSPECT_S`` tries it;
+        the others can be refused at once.
+        """
+        if self._failures_by_name.get(name, 0) < UNREACHABLE_AFTER:
+            return True
+        if self.is_suspect(name, now):
+            return False
+        self.suspect(name, now)
+        return True
 
     def is_suspect(self, name: str, now: float) -> bool:
         """Tell whether a member is passed over now."""
--- a/plantaingrade/requests/entity.py
+++ b/plantaingrade/requests/entity.py
@@ -27,6 +27,7 @@
     SERVER_REFUSED = 'server-refused'
     CONNECT_FAILED = 'connect-failed'
     PEER_DOWN = 'process-not-reached'
+    UNREACHABLE = 'process-unreachable'
     LEAVING = 'process-leaving'
     NO_ROOM = 'no-room-for-body'
 
--- a/plantaingrade/requests/peer_path.py
+++ b/plantaingrade/requests/peer_path.py
@@ -6,7 +6,8 @@
 
 from plantaingrade.balance.book import LoadBook
 from plantaingrade.clock import Clock
-from plantaingrade.http.channel import Channel, ChannelClosedError
+from plantaingrade.eventlog import EventLog
+from plantaingrade.http.channel import ChannelClosedError
 from plantaingrade.http.exchange import read_answer, send_request
 from plantaingrade.http.pool import ConnectFailedError, Pool
 from plantaingrade.peers.directory import Directory
@@ -35,7 +36,14 @@
 class PeerPath:
     """Send requests to the process beside another server."""
 
-    __slots__ = ('_clock', '_directory', '_known', '_loads', '_pool')
+    __slots__ = (
+        '_clock',
+        '_directory',
+        '_known',
+        '_loads',
+        '_log',
+        '_pool',
+    )
 
     def __init__(
         self,
@@ -44,11 +52,13 @@
         pool: Pool,
         clock: Clock,
         known: Callable[[str], Known],
+        log: EventLog,
     ) -> None:
         """Use a pool of connections to other processes.
 
         ``known`` tells the versions that this process goes by for a service.
         """
+        self._log = log
         self._loads = loads
         self._known = known
         self._directory = directory
@@ -69,7 +79,7 @@
             async with asyncio.timeout(left_s + PEER_GRACE_S):
                 outcome = await self._async_exchange(routed, member, known)
         except TimeoutError:
-            self._directory.suspect(member.name, self._clock.now())
+            self._note_unreachable(member, 'no answer')
             return Unknown(UnknownReason.TIMEOUT)
         return outcome
 
@@ -79,7 +89,7 @@
         try:
             channel = await self._pool.acquire(member.address)
         except ConnectFailedError:
-            self._directory.suspect(member.name, self._clock.now())
+            self._note_unreachable(member, 'no connection')
             return NotRun(NotRunReason.PEER_DOWN, DEFAULT_RETRY_AFTER_S)
         headers = encode_hop(routed, known, self._clock.now())
         caller = routed.caller
@@ -94,13 +104,14 @@
             whole = await read_answer(channel, request, lambda _: True)
         except ChannelClosedError:
             channel.abort()
-            self._directory.suspect(member.name, self._clock.now())
+            self._note_unreachable(member, 'connection broken')
             return Unknown(UnknownReason.PEER_BROKEN)
         except BaseException:
             channel.abort()
             raise
-        self._keep(member, channel)
-        self._directory.trust(member.name)
+        self._pool.give_back(member.address, channel)
+        if self._directory.trust(member.name):
+            self._log.write('member-regained', member=member.name)
         headers = tuple(whole.head.headers)
         load = decode_load(headers)
         if load is not None:
@@ -109,5 +120,13 @@
             Answer(whole.head.status_code, headers, whole.body)
         )
 
-    def _keep(self, member: Member, channel: Channel) -> None:
-        self._pool.give_back(member.address, channel)
+    def _note_unreachable(self, member: Member, why: str) -> None:
+        """Pass a member over, and trust none of its connections.
+
+        Failure: what lies between two instances has forgotten their
+        connections. It shows as requests that are never answered, one for
+        each connection that was kept.
+        """
+        self._pool.forget(member.address)
+        if self._directory.on_unreachable(member.name, self._clock.now()):
+            self._log.write('member-unreachable', member=member.name, why=why)
--- /dev/null
+++ b/plantaingrade/requests/placing.py
@@ -0,0 +1,99 @@
+"""Place requests that any server of a service may run. Pure.
+
+Load that answers: servers of one service differ in speed by a factor of two
+and more, and availability zones bring different numbers of requests. Chosen at
+random within the zone, slow servers refuse what a fast one next to them or in
+another zone has room for. So the less loaded of two is chosen, and what a
+zone's servers have no room for spills over to other zones.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from plantaingrade.balance.entity import Load
+from plantaingrade.peers.entity import Member
+
+# Load from which part of the requests leave the zone. Below it a server with
+# six slots lets hardly anything wait; a request that crosses zones costs about
+# a tenth of what the most urgent ones are worth.
+SPILL_FROM = 0.7
+# A server elsewhere must have this much less load: a window's demand strays by
+# a tenth, and crossing costs bytes.
+MIN_GAIN = 0.1
+# Load from which another server is not asked after one has refused.
+FULL_FROM = 0.95
+# Assumed of a server that has not told its load lately: it is tried by some
+# requests, and its answers tell the rest.
+UNKNOWN_SHARE = 0.5
+# Failures above those of the soundest server, as a share of requests, that are
+# put up with: rates of a dozen requests stray by a tenth. What all servers
+# fail alike has its cause elsewhere.
+MAX_EXCESS_FAILURES = 0.2
+
+
+@dataclass(slots=True, frozen=True)
+class Place:
+    """A member whose server may run the request.
+
+    ``load`` is what it told lately, if anything; ``failures`` the share of
+    requests that failed there.
+    """
+
+    member: Member
+    load: Load | None
+    failures: float = 0.0
+
+    @property
+    def share(self) -> float:
+        """Return the load, or what is assumed of it."""
+        return UNKNOWN_SHARE if self.load is None else self.load.share
+
+
+def choose_place(
+    near: Sequence[Place], far: Sequence[Place], chance: random.Random
+) -> Place | None:
+    """Return where a new request goes; ``near`` are those of the own zone."""
+    sound = sound_places([*near, *far])
+    if any(place.share < FULL_FROM for place in sound):
+        near = [place for place in near if place in sound]
+        far = [place for place in far if place in sound]
+    if not near:
+        return best_of_two(far, chance)
+    place = best_of_two(near, chance)
+    if place is None or not far or place.share <= SPILL_FROM:
+        return place
+    # Shedding only the excess keeps many processes that see the same load
+    # from all turning to the same other server at once.
+    if chance.random() < SPILL_FROM / place.share:
+        return place
+    other = best_of_two(far, chance)
+    if other is None or other.share > place.share - MIN_GAIN:
+        return place
+    return other
+
+
+def choose_after_refusal(
+    places: Sequence[Place], chance: random.Random
+) -> Place | None:
+    """Return who is asked after a server was full, if any may have room."""
+    with_room = [place for place in places if place.share < FULL_FROM]
+    return best_of_two(with_room, chance)
+
+
+def sound_places(places: Sequence[Place]) -> list[Place]:
+    """Return those that fail hardly more than the soundest one."""
+    least = min((place.failures for place in places), default=0.0)
+    return [
+        place
+        for place in places
+        if place.failures <= least + MAX_EXCESS_FAILURES
+    ]
+
+
+def best_of_two(places: Sequence[Place], chance: random.Random) -> Place | None:
+    """Return the less loaded of two that are drawn."""
+    if not places:
+        return None
+    drawn = chance.sample(places, min(2, len(places)))
+    return min(drawn, key=lambda place: place.share)
--- a/plantaingrade/sidecar/const.py
+++ b/plantaingrade/sidecar/const.py
@@ -4,6 +4,10 @@
 FIRST_SLOTS = 2
 # Idle connections of other processes and of the platform are kept this long.
 INTERNAL_IDLE_S = 60.0
+# Time for a connection to the own server or to another process of the region:
+# 3 ms there and back between zones. Half of the shortest deadline, so that a
+# lost opening packet leaves time for another try.
+NEAR_CONNECT_TIMEOUT_S = 0.2
 # Pause between looks at what is awaited at the start.
 VERIFY_PAUSE_S = 0.05
 # Time after SIGTERM during which callers may still come: the platform asks
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -13,6 +13,7 @@
 from plantaingrade.backends.life import BackendLife
 from plantaingrade.balance.book import LoadBook
 from plantaingrade.balance.coordinator import BalanceCoordinator
+from plantaingrade.balance.entity import Load
 from plantaingrade.balance.others import Others
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
@@ -43,6 +44,7 @@
     FINISH_PART,
     FIRST_SLOTS,
     INTERNAL_IDLE_S,
+    NEAR_CONNECT_TIMEOUT_S,
     VERIFY_PAUSE_S,
 )
 from plantaingrade.sidecar.figures import Figures
@@ -147,7 +149,9 @@
             os.urandom(BOOT_BYTES).hex(),
         )
         source = settings.ip if self._options.binds_source else None
-        self._pool = Pool(self._clock, source)
+        self._pool = Pool(
+            self._clock, source, connect_timeout_s=NEAR_CONNECT_TIMEOUT_S
+        )
         self._store_pool = Pool(self._clock, is_probed=True)
         self._order_pool = Pool(self._clock)
         self._direct_store = self._wire.make_store(self._store_pool)
@@ -164,7 +168,7 @@
             self._wire.config_key,
             self._wire.decode_config,
             self._log,
-            self._async_ask_config,
+            lambda: self._calls.async_ask_config(),
         )
         self._calls = PeerCalls(
             self._own, self._directory, self._pool, self._clock, self._log
@@ -237,7 +241,12 @@
             ),
         )
         peer_path = PeerPath(
-            self._directory, self._loads, self._pool, self._clock, self._known
+            self._directory,
+            self._loads,
+            self._pool,
+            self._clock,
+            self._known,
+            self._log,
         )
         targets = TargetChooser(
             self._own,
@@ -245,6 +254,7 @@
             self._maps,
             self._clock,
             self._peers.pull_map,
+            self._load_of,
         )
         bounds = self._settings.bounds
         self._requests = RequestCoordinator(
@@ -404,13 +414,15 @@
     def _known(self, service: str) -> Known:
         return Known(self._config.version, self._maps.find(service).version)
 
+    def _load_of(self, name: str, now: float) -> Load | None:
+        if name == self._own.name:
+            return self._balance.load()
+        return self._loads.find(name, now)
+
     def _on_known(self, known: Known) -> None:
         self._config.on_hint(known.config)
         self.holds.on_hint(known.key_map)
 
-    async def _async_ask_config(self) -> bytes | None:
-        return await self._calls.async_ask_config()
-
     def _service_names(self) -> list[str]:
         if self._config.config is None:
             return []
