Remove rows of members without keys at a stop; try lost members ever more rarely

After all processes had been killed and started again they took the row for a member, and in its zone, where it was the only one, each request went to it first: 656 referrals and 253 replies failed, nearly all of one zone. Ruled out: the farewell (it arrived; the next run of each process read the row). Change: the row is removed by version at the stop; a member that is not reached is tried after 0.5, 1, 2, 2 ... s, each try holding one request up for 0.2 s.

--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -97,6 +97,7 @@
         '_log',
         '_maps',
         '_pulls',
+        '_row_version',
         '_store',
         '_welcomed',
         'has_joined',
@@ -128,6 +129,7 @@
         self._log = log
         self._endpoint = TypedEndpoint(self._on_datagram, CODEC)
         self._welcomed: set[str] = set()
+        self._row_version = 0
         self._pulls: dict[str, asyncio.Task[None]] = {}
 
     @property
@@ -209,7 +211,25 @@
                 (Put(name, encode_member_row(row)),),
             )
         )
-        return isinstance(written, Committed)
+        if not isinstance(written, Committed):
+            return False
+        self._row_version = written.version
+        return True
+
+    async def async_deregister(self) -> None:
+        """Remove the row of a member that holds no keys.
+
+        Failure: the row outlives its instance. It shows as requests that
+        others send to an address where nobody answers, after each restart.
+        """
+        if not self._row_version:
+            return
+        name = member_row(self.own.service, self.own.name)
+        outcome = await self._store.async_commit(
+            Transaction((Expected(name, self._row_version),), deletes=(name,))
+        )
+        self._row_version = 0
+        self._log.write('row-removed', outcome=type(outcome).__name__)
 
     def _take_row(self, service: str, row: Row) -> None:
         try:
--- a/plantaingrade/peers/directory.py
+++ b/plantaingrade/peers/directory.py
@@ -5,6 +5,9 @@
 # A member to which no connection could be made is passed over for this long,
 # then tried by one request. A process restarts within about a second.
 SUSPECT_S = 0.5
+# Each further failure doubles that, up to this: rows of instances that are gone
+# for good may stay for long, and each try holds a request up for 0.2 s.
+MAX_SUSPECT_S = 2.0
 # Failures in a row after which a member counts as unreachable: a single one is
 # also what a lost packet leads to.
 UNREACHABLE_AFTER = 2
@@ -70,7 +73,9 @@
         """Note that a member was not reached; tell whether that is news."""
         failures = self._failures_by_name.get(name, 0) + 1
         self._failures_by_name[name] = failures
-        self.suspect(name, now)
+        doubled = max(0, failures - UNREACHABLE_AFTER)
+        pause_s = min(MAX_SUSPECT_S, SUSPECT_S * 2**doubled)
+        self._suspect_until[name] = now + pause_s
         return failures == UNREACHABLE_AFTER
 
     def trust(self, name: str) -> bool:
@@ -85,8 +90,8 @@
         Failure: an instance is cut off or dark, and each request for its keys
         waits for a connection until its caller's time is up. It shows as
         callers that are kept waiting for nothing and cannot go elsewhere.
-        While a member is unreachable one request in ``SUSPECT_S`` tries it;
-        the others can be refused at once.
+        While a member is unreachable one request tries it now and then; the
+        others can be refused at once.
         """
         if self._failures_by_name.get(name, 0) < UNREACHABLE_AFTER:
             return True
--- a/plantaingrade/sidecar/leaving.py
+++ b/plantaingrade/sidecar/leaving.py
@@ -83,7 +83,12 @@
             return None
         self._refuse_peers()
         loop = asyncio.get_running_loop()
-        return loop.create_task(self._holds.registry.async_leave())
+        return loop.create_task(self._async_remove())
+
+    async def _async_remove(self) -> None:
+        """Remove the row; a member has one of the two kinds."""
+        await self._holds.registry.async_leave()
+        await self._peers.async_deregister()
 
     async def _async_finish(self, end: float) -> None:
         """Serve what this process still owns, then finish what runs."""
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -328,3 +328,19 @@
     directory.on_unreachable(NEAR.name, 11.0)
     directory.add(Member('s@2', 's', 'a', '2', 'again'))
     assert directory.may_ask(NEAR.name, 11.1)
+
+
+def test_a_member_that_is_gone_for_good_is_tried_ever_more_rarely() -> None:
+    """An instance was lost, and its row stays in the store.
+
+    Each try holds a request up until no connection was made.
+    """
+    directory = Directory()
+    directory.add(NEAR)
+    tries = 0
+    for tick in range(300):
+        now = tick / 10
+        if directory.may_ask(NEAR.name, now):
+            directory.on_unreachable(NEAR.name, now)
+            tries += 1
+    assert tries <= 20
--- a/tests/sidecar/test_leaving.py
+++ b/tests/sidecar/test_leaving.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from standins.shared_store import Outage
-from tests.sidecar.rig import KEYED, WAIT_LIMIT_S, Rig
+from tests.sidecar.rig import KEYED, PLAIN, WAIT_LIMIT_S, Rig
 
 
 def test_a_stop_hands_keys_over_and_loses_nothing() -> None:
@@ -61,6 +61,33 @@
     asyncio.run(story())
 
 
+def test_a_stop_leaves_no_row_of_a_member_without_keys() -> None:
+    """A process beside a server without keys is stopped for good.
+
+    Its row went on to tell processes that started later of an address where
+    nobody answers, and their requests waited there.
+    """
+
+    async def story() -> None:
+        async with Rig(44) as rig:
+            first = await rig.async_add(PLAIN)
+            second = await rig.async_add(PLAIN)
+            await rig.async_until(lambda: _rows_of(rig, PLAIN) == 2)
+            await rig.async_until(lambda: second.process.is_ready)
+            await first.process.async_leave()
+            await rig.async_kill(first)
+            assert _rows_of(rig, PLAIN) == 1
+
+    asyncio.run(story())
+
+
+def _rows_of(rig: Rig, service: str) -> int:
+    return sum(
+        name[1] == service and not row.is_deleted
+        for name, row in rig.store.rows.row_by_name.items()
+    )
+
+
 def test_a_leaving_server_gets_no_work_and_its_keys_pass_on() -> None:
     """A server says that it drains. Its process goes on for its callers, and
     the keys are served by the other server.
