Do not say that a request has not run if one of its tries is open

Traced by their ids: a server was killed while it ran them, the connection broke (unknown), the repeats found nobody listening (not run), and the last outcome was told. Ruled out: a false refusal by the server, the judge. Change: one open try leaves the request open, whatever its repeats end with. Test: fails with both kinds of refusal on the code before, passes after.

--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -83,6 +83,7 @@
     asked: str = ''
     map_version: int = 0
     spills: int = 0
+    unknown: Unknown | None = None
     next_member: Member | None = None
 
 
@@ -169,8 +170,14 @@
             if isinstance(outcome, Answered):
                 return outcome
             progress.path.append(outcome.reason.value)
+            if isinstance(outcome, Unknown):
+                progress.unknown = outcome
             if not self._may_try_again(progress, outcome):
-                return outcome
+                # Failure: an idempotent request may have run at a server whose
+                # answer was lost, and its repeat is refused. It shows as a
+                # caller who is told that nothing ran. One open try leaves
+                # the whole request open.
+                return progress.unknown or outcome
             if isinstance(outcome, NotRun) and outcome.owner:
                 progress.hint = outcome.owner
                 self._learn(progress, outcome)
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -198,6 +198,18 @@
     assert len(asked) == 2
 
 
+@pytest.mark.parametrize('refusal', [FULL, DOWN])
+def test_a_refused_repeat_does_not_say_that_nothing_ran(refusal) -> None:
+    """A server runs a read and is killed before it answers.
+
+    The read is sent again, and the second try is refused. The caller must not
+    be told that it has not run.
+    """
+    outcome, asked = ask('/k/i/1', [BROKEN, *repeat(refusal, 9)], key=10)
+    assert outcome == BROKEN
+    assert len(asked) > 1
+
+
 def test_a_full_server_is_not_asked_again() -> None:
     """Each of the own zone's servers is full.
 
