Round times between processes to the nearest millisecond

Cause: test_an_outcome_arrives_as_it_was_sent failed once in a run: 1.001 s was sent as 1000 ms, since a float a little below 1001 was cut off. Hypothesis found the value by chance; it fails each time on that value.

--- a/plantaingrade/requests/hop.py
+++ b/plantaingrade/requests/hop.py
@@ -214,7 +214,7 @@
 
 
 def _ms(seconds: float) -> int:
-    return max(0, int(seconds * MS_PER_S))
+    return max(0, round(seconds * MS_PER_S))
 
 
 def _not_run_reason(text: str) -> NotRunReason:
