--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo soak test guards bench capacity binary format lint clean
+.PHONY: demo soak test guards bench figures capacity binary format lint clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +28,9 @@
 	$(BIN)/python -m bench.failover
 	$(BIN)/python -m bench.platform
 
+figures: $(VENV)/.installed
+	$(BIN)/python -m bench.worth
+
 capacity: $(VENV)/.installed
 	$(BIN)/python -m bench.capacity
 	$(BIN)/python -m bench.leases
