Do not wait in a test for a lock that a renewal may hold for good

The test takes the lock of the registry after the store has fallen silent. If a renewal is under way at that moment, it keeps the lock until the store is back, which it never is, and the test waits for ever. Ruled out: the product's stop (it had not begun). Change: the lock is asked for, and waited for until somebody holds it, which is the state that the test is about in either case. Nothing that it demands changed.

--- a/tests/sidecar/test_leaving.py
+++ b/tests/sidecar/test_leaving.py
@@ -48,13 +48,17 @@
             await rig.async_until_served()
             rig.store.faults.outage = Outage.SILENT
             # Another change waits for the store and ends only with it.
-            registry = place.process.holds.registry
-            await registry._writing.acquire()
+            # A renewal that is under way may hold the lock just so; then it
+            # never comes free, and waiting for it here would never end.
+            writing = place.process.holds.registry._writing
+            change = asyncio.create_task(writing.acquire())
+            await rig.async_until(writing.locked)
             leaving = asyncio.create_task(place.process.async_leave())
             async with asyncio.timeout(WAIT_LIMIT_S):
                 while not leaving.done():
                     reply = await rig.async_ask(place, '/cases/1', 'r', 5)
                     await asyncio.sleep(0.05)
+            change.cancel()
             assert reply.status == 503
             assert b'retry-after' in reply.headers
 
