Give another life of a server no fence that the life before may have had

Change: after an order without answer, after a refused connection and after the server closed a connection that was in use, the member gives its keys new fences before the next grant. A fence that no server has seen is kept.

--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -225,6 +225,7 @@
     async def _async_grant_loop(self) -> None:
         while True:
             if self.registry.is_joined and self._life.takes_work:
+                self.granter.doubt_if_closed()
                 await self._async_refence()
                 self.granter.start_grants()
             self._wake.clear()
--- a/plantaingrade/holds/granter.py
+++ b/plantaingrade/holds/granter.py
@@ -86,6 +86,16 @@
         self.ledger.clear()
         self._token_by_keys.clear()
 
+    def doubt_if_closed(self) -> None:
+        """Take new fences if the server closed a connection that was in use.
+
+        Failure: a server crashes and starts again between two renewals, so
+        that none of them fails. It shows as described at ``_doubt``. A life
+        never outlasts its connections.
+        """
+        if self._orders.has_lost_connection():
+            self.must_outrank = True
+
     def start_grants(self) -> None:
         """Send a grant for each range owned, unless one is under way."""
         member = self._registry.member.name
@@ -185,11 +195,27 @@
                     self._on_change()
             case Unanswered():
                 self.ledger.on_unanswered(grant, sent_at)
+                self.must_outrank = True
+            case Unsent():
+                self._doubt(grant)
             case Outranked():
                 self.must_outrank = True
         if first or not isinstance(outcome, Accepted):
             self._log_grant(grant, outcome)
 
+    def _doubt(self, grant: Grant) -> None:
+        """Use a new fence with whatever answers next at the server's address.
+
+        Failure: a server crashes, and its next life starts before its first
+        heartbeat is here. A renewal reaches it, and it takes keys under the
+        fence under which the life before had them. It shows as two lives that
+        cannot be told apart by their fences. Nothing but an order that failed
+        tells that the life may have changed; a fence that no server has seen
+        need not be replaced.
+        """
+        if self.ledger.may_be_known(grant.keys, grant.fence):
+            self.must_outrank = True
+
     def _log_grant(
         self, grant: Grant, outcome: Accepted | Outranked | Unanswered | Unsent
     ) -> None:
--- a/plantaingrade/holds/ledger.py
+++ b/plantaingrade/holds/ledger.py
@@ -70,6 +70,13 @@
             return False
         return record.held_until > 0
 
+    def may_be_known(self, keys: KeyRange, fence: int) -> bool:
+        """Tell whether a server may have taken these keys under a fence."""
+        return any(
+            record.fence == fence and (record.held_until or record.unsure_until)
+            for record in self._touching(keys)
+        )
+
     def ends_by(self, keys: KeyRange) -> float:
         """Return when every hold on some of these keys ends at the latest."""
         return max(
--- a/plantaingrade/holds/orders.py
+++ b/plantaingrade/holds/orders.py
@@ -16,5 +16,8 @@
     ) -> OrderOutcome:
         """Take a range back; wait until running work on it has ended."""
 
+    def has_lost_connection(self) -> bool:
+        """Tell whether the server closed a connection since the last look."""
+
     async def async_ask_instance(self, path: str) -> str | None:
         """Return the id of the server's present life, if it tells one."""
--- a/plantaingrade/http/pool.py
+++ b/plantaingrade/http/pool.py
@@ -121,6 +121,22 @@
         else:
             idle.append(channel)
 
+    def has_lost(self, address: str) -> bool:
+        """Tell whether the other end closed a connection in use, and drop it.
+
+        One that had been idle for longer than ``IDLE_TRUSTED_S`` is closed by
+        any server as a matter of course, and does not count.
+        """
+        now = self._clock.now()
+        idle = self._idle_by_address[address]
+        lost = [channel for channel in idle if channel.closed]
+        self._idle_by_address[address] = [
+            channel for channel in idle if not channel.closed
+        ]
+        return any(
+            now - channel.last_byte_at <= IDLE_TRUSTED_S for channel in lost
+        )
+
     def forget(self, address: str) -> None:
         """Close the idle connections to an address."""
         for channel in self._idle_by_address.pop(address, ()):
--- a/plantaingrade/platform/orders.py
+++ b/plantaingrade/platform/orders.py
@@ -69,6 +69,10 @@
         }
         return await self._order(PATH_RELEASE, fields, limit_s)
 
+    def has_lost_connection(self) -> bool:
+        """Tell whether the server closed a connection since the last look."""
+        return self._pool.has_lost(self._address)
+
     async def async_ask_instance(self, path: str) -> str | None:
         """Return the id of the server's present life, if it tells one.
 
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -221,6 +221,7 @@
     def __init__(self, server: FakeServer) -> None:
         """Order one server."""
         self.server = server
+        self._connected_to = server
 
     async def async_grant(self, grant: Grant, limit_s: float) -> OrderOutcome:
         """Grant a range."""
@@ -255,6 +256,12 @@
         await asyncio.sleep(CALL_S)
         return Accepted(f'token-{release.keys.first}')
 
+    def has_lost_connection(self) -> bool:
+        """Tell whether another life has come since the last look."""
+        is_lost = self._connected_to is not self.server
+        self._connected_to = self.server
+        return is_lost
+
     async def async_ask_instance(self, path: str) -> str | None:
         """Return the server's id."""
         return self.server.instance if self.server.is_up else None
@@ -331,7 +338,7 @@
 
     def add(self, name: str) -> FakePlace:
         """Add a member with a new server, and start it."""
-        place = self._make(name, self._new_server())
+        place = self._make(name, self.add_server())
         self.places.append(place)
         return place
 
@@ -359,7 +366,7 @@
         """Crash a server; another life of it starts."""
         place.server.is_up = False
         place.server.holds.clear()
-        place.server = self._new_server()
+        place.server = self.add_server()
         place.orders.server = place.server
         place.life.on_named(place.server.instance, _now())
         place.holds.on_new_life()
@@ -390,7 +397,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _new_server(self) -> FakeServer:
+    def add_server(self) -> FakeServer:
         instance = f'i-{self._random.getrandbits(LIFE_BITS):08x}'
         chooser = random.Random(self._random.random())
         server = FakeServer(instance, chooser=chooser)
--- a/tests/holds/test_coordinator.py
+++ b/tests/holds/test_coordinator.py
@@ -357,3 +357,79 @@
         return after_datagram, after_loss
 
     assert run(story()) == (0, 1)
+
+
+def test_a_life_that_starts_between_two_renewals_gets_no_old_fence() -> None:
+    """A server crashes and is back at once, so that no renewal fails.
+
+    Only the connections to it have ended. The next renewal must not reach the
+    new life under a fence of the life before.
+    """
+
+    async def story() -> tuple[int, int]:
+        world = World()
+        place, _ = (world.add(name) for name in ('m1', 'm2'))
+        await settled(world)
+        before = place.server
+        before.is_up = False
+        place.server = world.add_server()
+        place.orders.server = place.server
+        await asyncio.sleep(3.0)
+        known = max(fence for _, fence in before.fences)
+        taken = min(fence for _, fence in place.server.fences)
+        await world.async_stop()
+        return known, taken
+
+    known, taken = run(story())
+    assert taken > known
+
+
+@pytest.mark.parametrize('is_silent', [False, True])
+def test_a_life_that_nobody_told_of_gets_no_old_fence(is_silent) -> None:
+    """A server crashes, or falls silent and is replaced at its address.
+
+    Renewals fail meanwhile. The next one reaches the new life before its first
+    heartbeat is here. It must not take keys under a fence under which the life
+    before had them.
+    """
+
+    async def story() -> tuple[int, int]:
+        world = World()
+        place, _ = (world.add(name) for name in ('m1', 'm2'))
+        await settled(world)
+        before = place.server
+        before.is_silent = is_silent
+        before.is_up = is_silent
+        await asyncio.sleep(2.0)
+        before.is_up = False
+        place.server = world.add_server()
+        place.orders.server = place.server
+        await asyncio.sleep(3.0)
+        known = max(fence for _, fence in before.fences)
+        taken = min(fence for _, fence in place.server.fences)
+        await world.async_stop()
+        return known, taken
+
+    known, taken = run(story())
+    assert taken > known
+
+
+def test_a_server_that_is_down_costs_no_change_a_second() -> None:
+    """Nothing listens at the server's address for long.
+
+    A fence that no server has seen stays, and the store is left alone.
+    """
+
+    async def story() -> int:
+        world = World()
+        place, _ = (world.add(name) for name in ('m1', 'm2'))
+        await settled(world)
+        place.server.is_up = False
+        await asyncio.sleep(2.0)
+        version = place.maps.find('cases').version
+        await asyncio.sleep(6.0)
+        changes = place.maps.find('cases').version - version
+        await world.async_stop()
+        return changes
+
+    assert run(story()) == 0
