--- a/plantaingrade/holds/granter.py
+++ b/plantaingrade/holds/granter.py
@@ -209,9 +209,9 @@
         Failure: a server crashes, and its next life starts before its first
         heartbeat is here. A renewal reaches it, and it takes keys under the
         fence under which the life before had them. It shows as two lives that
-        cannot be told apart by their fences. Nothing but an order that failed
-        tells that the life may have changed; a fence that no server has seen
-        need not be replaced.
+        cannot be told apart by their fences. An order that failed, or a
+        connection that was closed, is the first sign of a changed life; a
+        fence that no server has seen need not be replaced.
         """
         if self.ledger.may_be_known(grant.keys, grant.fence):
             self.must_outrank = True
--- a/plantaingrade/requests/placing.py
+++ b/plantaingrade/requests/placing.py
@@ -15,8 +15,9 @@
 from plantaingrade.peers.entity import Member
 
 # Load from which part of the requests leave the zone. Below it a server with
-# six slots lets hardly anything wait; a request that crosses zones costs about
-# a tenth of what the most urgent ones are worth.
+# six slots lets hardly anything wait. Crossing is dear for long answers: 6.5 KB
+# there and back cost about a third of what the most urgent requests are worth,
+# the calls of servers to each other, without bodies, hardly anything.
 SPILL_FROM = 0.7
 # A server elsewhere must have this much less load: a window's demand strays by
 # a tenth, and crossing costs bytes.
