Tell lives of a server apart by id and start; take heartbeats by schema

A server may start again under the id that it had. BackendLife now follows (id, born): the later start is the present life whatever its sequence, and nothing of the life before is kept. A start that seems earlier is believed once it is heard on and on (clock steps). The server itself can bring an id back that had ended.

Heartbeats are read field by field with types and bounds; one that names another service or address, or that cannot be read, is answered with 400, logged, counted and changes nothing. An id may hold only what can go out again as a header.

Seen to fail on, by a script against its API: a server named after it was gone stayed unused; a restart under the id with a lower sequence, and one after a farewell, were passed over; capacity true, -3, 1.5 and '6', coldRemaining nans, -5s and infs, sequence true, -1 and 2.5, service null were taken; an id with a line break was taken; deep nesting ended in RecursionError.

--- a/plantaingrade/backends/life.py
+++ b/plantaingrade/backends/life.py
@@ -3,11 +3,23 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from plantaingrade.backends.report import Farewell, Heartbeat, ReportedState
+from plantaingrade.backends.report import (
+    Farewell,
+    Heartbeat,
+    ReportedState,
+    ServerLife,
+)
 
 # Lives that are remembered as over. A server restarts some times a day, and
 # heartbeats are late by seconds, so a few would do.
 MAX_ENDED_LIVES = 64
+# Time between two heartbeats of a life that seems to be an earlier one, after
+# which it is believed if the present life was not heard meanwhile. Heartbeats
+# come about each second, so a server whose clock stepped back is believed by
+# its second or third heartbeat, within two seconds of its start. Heartbeats
+# that a cut held up arrive together.
+DOUBT_S = 0.5
+NOBODY = ServerLife('')
 
 
 class LifeState(StrEnum):
@@ -31,24 +43,58 @@
 NO_CHANGE = LifeChange()
 
 
+@dataclass(slots=True, frozen=True)
+class DoubtedLife:
+    """A life that seems to be over, and its first heartbeat of late."""
+
+    life: ServerLife
+    sequence: int
+    heard_at: float
+
+
 class BackendLife:
     """Follow the lives of one server from its heartbeats.
 
+    A life is an id and the moment of its start. The rule:
+
+    - Of two lives with one id the one that started later is the present one,
+      whatever its ``sequence``. It knows nothing of before, so nothing that
+      the life before told is kept.
+    - Of two lives with different ids the server itself, when asked, names the
+      present one; heartbeats may cross on their way.
+    - A life that was followed by another has ended, and what it said still
+      arrives late: it is passed over, by id and start. Only the server itself
+      can bring an id back.
+    - A life with the present id and an earlier start that is not known to have
+      ended is doubted. It is believed once its heartbeats have risen over
+      ``DOUBT_S`` with nothing heard of the present life between them.
+    - Where no start is told an id is a life.
+
     Failure: a heartbeat that was held up arrives after its sender has crashed
     and another life has registered at the same address. It shows as grants
-    and requests for a life that is over. A life that has ended is never taken
-    up again, and a second unknown life is only believed once the server
-    itself has named it.
+    and requests for a life that is over, or as a server that is taken for
+    draining. The rule holds because a life says nothing more after its end,
+    and what is still on its way arrives together or between heartbeats of the
+    life that runs.
+
+    Failure: a server crashes, and its clock has stepped back when it starts
+    again under its id. It shows as a server that is passed over for good. The
+    present life is silent then and the new one is not, which the rule on doubt
+    tells. A late heartbeat that is believed by mistake costs new fences and
+    no more: the next heartbeat of the present life starts later and is taken
+    up. What such a server holds meanwhile does not depend on this belief: it
+    is granted keys anew whenever its connections were lost.
     """
 
     __slots__ = (
+        '_doubted',
         '_ended',
-        '_sequence',
         '_finish_s',
+        '_sequence',
         'cold_until',
         'finish_until',
         'heard_at',
-        'instance',
+        'present',
         'slots',
         'state',
     )
@@ -59,14 +105,15 @@
         A server that leaves may get work on its keys for ``finish_s`` more.
         """
         self._finish_s = finish_s
-        self.finish_until = 0.0
-        self.instance = ''
-        self.state = LifeState.UNKNOWN
-        self.slots = 0
-        self.cold_until = 0.0
+        self._ended: dict[ServerLife, None] = {}
+        self._doubted: DoubtedLife | None = None
+        self._reset(NOBODY)
         self.heard_at = 0.0
-        self._sequence = -1
-        self._ended: dict[str, None] = {}
+
+    @property
+    def instance(self) -> str:
+        """Return the id of the present life, empty while none is known."""
+        return self.present.instance
 
     def is_finishing(self, now: float) -> bool:
         """Tell whether a leaving server may still get work on its keys."""
@@ -79,61 +126,122 @@
 
     def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> LifeChange:
         """Take a heartbeat."""
-        instance = heartbeat.instance
-        if instance in self._ended:
+        life = heartbeat.life
+        if life in self._ended:
             return NO_CHANGE
-        if instance != self.instance:
+        if life.instance != self.instance:
             if self.instance and self.state is not LifeState.GONE:
-                return LifeChange(must_verify=instance)
-            self._begin(instance)
-            self._apply(heartbeat, now)
-            return LifeChange(is_new_life=True)
-        if heartbeat.sequence <= self._sequence:
+                return LifeChange(must_verify=life.instance)
+            return self._begin_by(heartbeat, now)
+        if self.present.is_before(life):
+            return self._begin_by(heartbeat, now)
+        if life.is_before(self.present):
+            return self._doubt(heartbeat, now)
+        if life.born_ms is None and self.present.born_ms is not None:
+            # This server tells its start, so these are another's words.
             return NO_CHANGE
-        was_leaving = self.state is LifeState.DRAINING
-        self._apply(heartbeat, now)
-        is_leaving = self.state is LifeState.DRAINING and not was_leaving
-        if is_leaving:
-            self.finish_until = now + self._finish_s
-        return LifeChange(is_leaving=is_leaving)
+        if self.state is LifeState.GONE:
+            return self._begin_by(heartbeat, now)
+        return self._go_on(heartbeat, now)
 
     def on_farewell(self, farewell: Farewell, now: float) -> LifeChange:
         """Take the word that a life leaves; it still serves for a while."""
-        if farewell.instance != self.instance:
-            self._end(farewell.instance)
+        life = farewell.life
+        if life.instance != self.instance:
+            self._end(life)
             return NO_CHANGE
-        if self.state is LifeState.DRAINING:
+        if life in self._ended or life.is_before(self.present):
             return NO_CHANGE
-        self.state = LifeState.DRAINING
-        self.finish_until = now + self._finish_s
-        return LifeChange(is_leaving=True)
+        is_new_life = self.present.is_before(life)
+        if is_new_life:
+            self._begin(life, now)
+        if self.state in {LifeState.DRAINING, LifeState.GONE}:
+            return NO_CHANGE
+        self._leave(now)
+        return LifeChange(is_new_life=is_new_life, is_leaving=True)
 
     def on_named(self, instance: str, now: float) -> LifeChange:
-        """Take the id that the server itself gave just now."""
-        if instance == self.instance or instance in self._ended:
+        """Take the id that the server itself gave just now.
+
+        It may be one that had ended: a server may start again under its id.
+        """
+        is_gone = self.state is LifeState.GONE
+        if instance == self.instance and not is_gone:
             return NO_CHANGE
-        self._begin(instance)
-        self.heard_at = now
+        self._begin(ServerLife(instance), now)
+        self._bring_back(instance)
         self.state = LifeState.READY
         return LifeChange(is_new_life=True)
 
     def on_gone(self) -> None:
         """Note that nothing listens at the server's address any more."""
-        self._end(self.instance)
+        self._end(self.present)
         self.state = LifeState.GONE
 
-    def _begin(self, instance: str) -> None:
+    def _doubt(self, heartbeat: Heartbeat, now: float) -> LifeChange:
+        """Believe a life that seems to be over once it is heard on and on."""
+        first = self._doubted
+        if first is None or first.life != heartbeat.life:
+            self._doubted = DoubtedLife(heartbeat.life, heartbeat.sequence, now)
+            return NO_CHANGE
+        is_rising = heartbeat.sequence > first.sequence
+        if is_rising and now - first.heard_at >= DOUBT_S:
+            return self._begin_by(heartbeat, now)
+        return NO_CHANGE
+
+    def _go_on(self, heartbeat: Heartbeat, now: float) -> LifeChange:
+        """Take a heartbeat of the present life."""
+        if heartbeat.sequence <= self._sequence:
+            return NO_CHANGE
+        self.present = heartbeat.life
+        self._doubted = None
+        was_leaving = self.state is LifeState.DRAINING
+        self._apply(heartbeat, now)
+        is_leaving = self.state is LifeState.DRAINING and not was_leaving
+        if is_leaving:
+            self._leave(now)
+        return LifeChange(is_leaving=is_leaving)
+
+    def _begin_by(self, heartbeat: Heartbeat, now: float) -> LifeChange:
+        """Begin a life by its first heartbeat here, which may be its last."""
+        self._begin(heartbeat.life, now)
+        self._apply(heartbeat, now)
+        is_leaving = self.state is LifeState.DRAINING
+        if is_leaving:
+            self._leave(now)
+        return LifeChange(is_new_life=True, is_leaving=is_leaving)
+
+    def _begin(self, life: ServerLife, now: float) -> None:
         if self.instance:
-            self._end(self.instance)
-        self.instance = instance
-        self._sequence = -1
+            self._end(self.present)
+        self._reset(life)
+        self.heard_at = now
+
+    def _reset(self, life: ServerLife) -> None:
+        """Know of a life that it runs, and nothing else."""
+        self.present = life
         self.state = LifeState.UNKNOWN
+        self.slots = 0
+        self.cold_until = 0.0
+        self.finish_until = 0.0
+        self._sequence = -1
+        self._doubted = None
+
+    def _leave(self, now: float) -> None:
+        self.state = LifeState.DRAINING
+        self.finish_until = now + self._finish_s
 
-    def _end(self, instance: str) -> None:
-        self._ended[instance] = None
+    def _end(self, life: ServerLife) -> None:
+        self._ended[life] = None
         if len(self._ended) > MAX_ENDED_LIVES:
             self._ended.pop(next(iter(self._ended)))
 
+    def _bring_back(self, instance: str) -> None:
+        """Forget that lives with this id have ended: one of them runs."""
+        self._ended = {
+            life: None for life in self._ended if life.instance != instance
+        }
+
     def _apply(self, heartbeat: Heartbeat, now: float) -> None:
         self._sequence = heartbeat.sequence
         self.slots = heartbeat.slots
--- a/plantaingrade/backends/report.py
+++ b/plantaingrade/backends/report.py
@@ -1,4 +1,4 @@
-"""Heartbeats of the backend server beside this process, typed."""
+"""What a backend server says of itself, typed."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -11,15 +11,36 @@
     DRAINING = 'draining'
 
 
+@dataclass(slots=True, frozen=True)
+class ServerLife:
+    """One life of a backend server: its id, and when it started.
+
+    A server may start again under the id that it had, so that the id alone
+    does not name a life. ``born_ms`` is the start in milliseconds of the
+    server's own clock, or nothing where that was not told.
+    """
+
+    instance: str
+    born_ms: int | None = None
+
+    def is_before(self, other: 'ServerLife') -> bool:
+        """Tell whether both bear one id and this one started earlier."""
+        if self.instance != other.instance:
+            return False
+        if self.born_ms is None or other.born_ms is None:
+            return False
+        return self.born_ms < other.born_ms
+
+
 @dataclass(slots=True, frozen=True)
 class Heartbeat:
     """One heartbeat.
 
-    ``instance`` names one life of the server, ``sequence`` rises with each
-    heartbeat of that life, and ``cold_s`` is how long it will stay slow.
+    ``sequence`` rises with each heartbeat of one life of the server, and
+    ``cold_s`` is how long it will stay slow.
     """
 
-    instance: str
+    life: ServerLife
     service: str
     address: str
     slots: int
@@ -32,4 +53,4 @@
 class Farewell:
     """The server says that this life of it leaves."""
 
-    instance: str
+    life: ServerLife
--- a/plantaingrade/platform/units.py
+++ b/plantaingrade/platform/units.py
@@ -1,11 +1,17 @@
 """Times and versions as the platform writes them."""
 
+import re
+
 from plantaingrade.const import MS_PER_S
 from plantaingrade.errors import PlantaingradeError
 
 SUFFIX_MS = 'ms'
 SUFFIX_S = 's'
-VERSION_TAG = 'r'
+# As many digits as any time or version has; text without a bound could stand
+# for a number that is infinite.
+TIME = re.compile(r'(\d{1,15}(?:\.\d{1,20})?)(ms|s)', re.ASCII)
+MAX_SHOWN = 80
+VERSION = re.compile(r'r(\d{1,15})', re.ASCII)
 
 
 class UnreadableFieldError(PlantaingradeError):
@@ -20,16 +26,11 @@
     Raises:
         UnreadableFieldError: the text is no time.
     """
-    if not isinstance(text, str):
-        raise UnreadableFieldError(f'{text!r} is not a time with a unit.')
-    try:
-        if text.endswith(SUFFIX_MS):
-            return float(text.removesuffix(SUFFIX_MS)) / MS_PER_S
-        if text.endswith(SUFFIX_S):
-            return float(text.removesuffix(SUFFIX_S))
-    except ValueError as error:
-        raise UnreadableFieldError(f'{text!r} is not a time.') from error
-    raise UnreadableFieldError(f'{text!r} is not a time with a unit.')
+    found = TIME.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise UnreadableFieldError(f'{shown(text)} is no time with a unit.')
+    amount, unit = found.groups()
+    return float(amount) / MS_PER_S if unit == SUFFIX_MS else float(amount)
 
 
 def format_time(seconds: float) -> str:
@@ -43,8 +44,12 @@
     Raises:
         UnreadableFieldError: the text is no version.
     """
-    if isinstance(text, str) and text.startswith(VERSION_TAG):
-        digits = text.removeprefix(VERSION_TAG)
-        if digits.isdigit():
-            return int(digits)
-    raise UnreadableFieldError(f'{text!r} is not a version.')
+    found = VERSION.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise UnreadableFieldError(f'{shown(text)} is no version.')
+    return int(found.group(1))
+
+
+def shown(raw: object) -> str:
+    """Return what a message shows of a field, however long that is."""
+    return repr(raw)[:MAX_SHOWN]
--- a/plantaingrade/sidecar/fronts.py
+++ b/plantaingrade/sidecar/fronts.py
@@ -51,6 +51,8 @@
 STATUS_HEAD_TOO_LARGE = 431
 # Bytes around one header's name and text.
 SEPARATORS = 4
+# Characters of a rejected report that the log shows.
+MAX_WHY_CHARS = 200
 BODILESS = frozenset((204, 304))
 DecodeRequest = Callable[[h11.Request, bytes, float], CallerRequest]
 OwnHeaders = Callable[[bytes], Headers]
@@ -279,10 +281,13 @@
     def __init__(
         self,
         decode: DecodeReport,
-        on_report: Callable[[Heartbeat | Farewell], None],
+        on_report: Callable[[Heartbeat | Farewell], bool],
         log: EventLog,
     ) -> None:
-        """Hand typed reports to ``on_report``."""
+        """Hand typed reports to ``on_report``.
+
+        It tells whether a report was of the own server.
+        """
         self._decode = decode
         self._on_report = on_report
         self._log = log
@@ -293,12 +298,18 @@
         try:
             report = self._decode(raw, body)
         except PlantaingradeError as error:
-            self._log.write('report-rejected', why=str(error))
-            send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
+            self._reject(channel, str(error))
             return
         if report is None:
             send_answer(channel, Answer(STATUS_NOT_FOUND, (), b''))
             return
-        self._on_report(report)
+        if not self._on_report(report):
+            self._reject(channel, 'It names another server.')
+            return
         json_type = ((b'content-type', b'application/json'),)
         send_answer(channel, Answer(STATUS_OK, json_type, b'{}'))
+
+    def _reject(self, channel: Channel, why: str) -> None:
+        """Refuse a report that nothing is learned from."""
+        self._log.write('report-rejected', why=why[:MAX_WHY_CHARS])
+        send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -57,7 +57,7 @@
     refuse_malformed,
 )
 from plantaingrade.sidecar.leaving import Leaving
-from plantaingrade.sidecar.server_watch import ServerWatch
+from plantaingrade.sidecar.server_watch import OwnServer, ServerWatch
 from plantaingrade.sidecar.settings import InstanceSettings, OwnOptions
 from plantaingrade.sidecar.wire import PlatformWire
 from plantaingrade.store.relay import RelayDesk, RelayedStore
@@ -273,7 +273,7 @@
 
     def _build_fronts(self) -> None:
         self._watch = ServerWatch(
-            self._own.service,
+            OwnServer(self._own.service, self._settings.backend),
             self._life,
             self._orders,
             self.holds,
--- a/plantaingrade/sidecar/server_watch.py
+++ b/plantaingrade/sidecar/server_watch.py
@@ -1,6 +1,7 @@
 """Follow the backend server beside this process through its lives."""
 
 import asyncio
+from dataclasses import dataclass
 
 from plantaingrade.admission.gate import Gate
 from plantaingrade.backends.life import BackendLife, LifeChange
@@ -11,6 +12,27 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator
 from plantaingrade.holds.orders import ServerOrders
+from plantaingrade.sidecar.const import FIRST_SLOTS
+
+
+@dataclass(slots=True, frozen=True)
+class OwnServer:
+    """The server beside this process, as the settings name it."""
+
+    service: str
+    address: str
+
+    def is_named_by(self, heartbeat: Heartbeat) -> bool:
+        """Tell whether a heartbeat is of this server.
+
+        Failure: another writer sends heartbeats here, or a server of another
+        service was started at another address. It shows as grants under an id
+        that this server does not have.
+        """
+        return (
+            heartbeat.service == self.service
+            and heartbeat.address == self.address
+        )
 
 
 class ServerWatch:
@@ -25,13 +47,13 @@
         '_life',
         '_log',
         '_orders',
-        '_service',
+        '_server',
         '_verifying',
     )
 
     def __init__(
         self,
-        service: str,
+        server: OwnServer,
         life: BackendLife,
         orders: ServerOrders,
         holds: HoldCoordinator,
@@ -41,8 +63,8 @@
         clock: Clock,
         log: EventLog,
     ) -> None:
-        """Follow a server of one service."""
-        self._service = service
+        """Follow one server."""
+        self._server = server
         self._life = life
         self._orders = orders
         self._holds = holds
@@ -53,17 +75,21 @@
         self._log = log
         self._verifying: asyncio.Task[None] | None = None
 
-    def on_report(self, report: Heartbeat | Farewell) -> None:
-        """Take what the server reports."""
+    def on_report(self, report: Heartbeat | Farewell) -> bool:
+        """Take what the server reports; tell whether it was of this server."""
         now = self._clock.now()
         match report:
             case Heartbeat():
+                if not self._server.is_named_by(report):
+                    return False
                 self._follow(self._life.on_heartbeat(report, now))
-            case Farewell():
+            case Farewell(life):
+                self._log.write(
+                    'server-farewell', instance=life.instance, born=life.born_ms
+                )
                 self._follow(self._life.on_farewell(report, now))
-        slots = self._life.slots
-        if slots and slots != self._gate.queue.slots:
-            self._gate.resize(slots)
+        self._resize()
+        return True
 
     def verify(self, instance: str) -> None:
         """Ask the server which life it is, once at a time."""
@@ -80,7 +106,7 @@
     async def async_ask(self) -> None:
         """Ask the server who it is, rather than wait for a heartbeat."""
         config = self._config.config
-        service = config and config.service_by_name.get(self._service)
+        service = config and config.service_by_name.get(self._server.service)
         if not service:
             return
         instance = await self._orders.async_ask_instance(service.health_path)
@@ -94,11 +120,21 @@
 
     def _follow(self, change: LifeChange) -> None:
         if change.is_new_life:
-            self._log.write('server-life', instance=self._life.instance)
+            self._log_life('server-life')
+            self._gate.resize(self._life.slots or FIRST_SLOTS)
             self._holds.on_new_life()
             self._balance.stay()
         if change.is_leaving:
-            self._log.write('server-leaves', instance=self._life.instance)
+            self._log_life('server-leaves')
             self._balance.leave()
         if change.must_verify:
             self.verify(change.must_verify)
+
+    def _resize(self) -> None:
+        slots = self._life.slots
+        if slots and slots != self._gate.queue.slots:
+            self._gate.resize(slots)
+
+    def _log_life(self, event: str) -> None:
+        life = self._life.present
+        self._log.write(event, instance=life.instance, born=life.born_ms)
--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -10,6 +10,7 @@
 import os
 import random
 import signal
+import time
 from contextlib import suppress
 from dataclasses import asdict, dataclass, field, replace
 from enum import StrEnum
@@ -157,15 +158,25 @@
     """One life of a backend server."""
 
     def __init__(
-        self, plan: ServerPlan, record: RunRecord, clock: Clock, seed: int
+        self,
+        plan: ServerPlan,
+        record: RunRecord,
+        clock: Clock,
+        seed: int,
+        instance: str = '',
     ) -> None:
-        """Start with no keys."""
+        """Start with no keys, under the id of an earlier life if one is given.
+
+        Starts are told in milliseconds, and no two lives start in the same.
+        """
         self.plan = plan
         self.record = record
         self.faults = ServerFaults()
         self._clock = clock
         self._random = random.Random(seed)
-        self.instance = f'i-{self._random.getrandbits(8 * ID_BYTES):08x}'
+        drawn = f'i-{self._random.getrandbits(8 * ID_BYTES):08x}'
+        self.instance = instance or drawn
+        self.born_ms = int(time.time() * MS_PER_S)
         self.state = 'ready'
         self.is_up = False
         self.running = 0
@@ -210,6 +221,7 @@
             'state': self.state,
             'coldRemaining': format_time(0),
             'sequence': self._sequence,
+            'born': self.born_ms,
         }
         call = Call(
             'PUT',
--- a/tests/sidecar/rig.py
+++ b/tests/sidecar/rig.py
@@ -126,11 +126,13 @@
         await self.async_start(place)
         return place
 
-    async def async_start_server(self, place: Place) -> None:
-        """Start a new life of a place's server."""
+    async def async_start_server(
+        self, place: Place, instance: str = ''
+    ) -> None:
+        """Start a new life of a place's server, under its old id if given."""
         self._seed += 1
         place.server = KeyedServer(
-            place.plan, self.record, self.clock, self._seed
+            place.plan, self.record, self.clock, self._seed, instance
         )
         await place.server.async_start()
 
--- /dev/null
+++ b/tests/sidecar/test_lives.py
@@ -0,0 +1,182 @@
+"""Servers that start again under their ids, and heartbeats of strangers."""
+
+import asyncio
+import json
+
+from plantaingrade.http.client import Call, Reply, fetch
+from plantaingrade.http.pool import Pool
+from tests.sidecar.rig import KEYED, PLAIN, Place, Rig
+
+RESTART_S = 0.3
+STEP_S = 0.02
+
+
+async def async_report(
+    rig: Rig, place: Place, instance: str, body: bytes
+) -> Reply:
+    """Send something to where a server sends its heartbeats."""
+    pool = Pool(rig.clock)
+    call = Call(
+        'PUT',
+        place.settings.listeners.reports,
+        f'/v1/instances/{instance}',
+        (),
+        body,
+    )
+    try:
+        return await fetch(pool, call)
+    finally:
+        pool.close()
+
+
+async def async_restart(rig: Rig, place: Place, pause_s: float) -> None:
+    """Crash a server and start it under its id, until its process knows."""
+    instance = place.server.instance
+    await place.server.async_crash()
+    await asyncio.sleep(pause_s)
+    await rig.async_start_server(place, instance)
+    await rig.async_until(lambda: is_known(place))
+
+
+def heartbeat(place: Place, **changes: object) -> bytes:
+    fields = {
+        'service': place.plan.service,
+        'address': place.plan.address,
+        'zone': place.plan.zone,
+        'version': 'v1',
+        'capacity': 4,
+        'state': 'ready',
+        'coldRemaining': '0ms',
+        'sequence': 10_000,
+        'born': place.server.born_ms,
+    }
+    return json.dumps({**fields, **changes}).encode()
+
+
+def present(place: Place):
+    return place.process._life.present
+
+
+def is_known(place: Place) -> bool:
+    return present(place).born_ms == place.server.born_ms
+
+
+def fences(place: Place) -> set[int]:
+    return {hold.fence for hold in place.server.holds}
+
+
+def test_a_restart_under_the_id_gets_new_fences() -> None:
+    """A server crashes and is back under its id between two renewals.
+
+    Its new life holds nothing and counts its heartbeats anew. They were
+    passed over for as long as the life before had sent some, so that it kept
+    the id's old figures, and what it was granted depended on luck.
+    """
+
+    async def story() -> None:
+        async with Rig(61) as rig:
+            place = await rig.async_add(KEYED)
+            await rig.async_add(KEYED)
+            await rig.async_until_served()
+            # Some heartbeats, so that the count of the next life is lower.
+            await asyncio.sleep(2)
+            for _ in range(2):
+                before = fences(place)
+                instance = place.server.instance
+                await async_restart(rig, place, RESTART_S)
+                await rig.async_until_served()
+                assert present(place).instance == instance
+                assert min(fences(place)) > max(before)
+            assert not rig.record.two_owners
+
+    asyncio.run(story())
+
+
+def test_a_restart_after_leaving_is_used_again() -> None:
+    """A server drains, ends, and starts again under the id that it had.
+
+    The life that drained stays over; the new one takes work at once. Without
+    its start it was taken for the one that drains, for good.
+    """
+
+    async def story() -> None:
+        async with Rig(62) as rig:
+            place = await rig.async_add(PLAIN)
+            await rig.async_add(KEYED)
+            await rig.async_until(lambda: place.process.is_ready)
+            await asyncio.sleep(1)
+            assert await place.server.async_drain()
+            instance = place.server.instance
+            await place.server.async_crash()
+            await asyncio.sleep(STEP_S)
+            await rig.async_start_server(place, instance)
+            await rig.async_until(lambda: place.process._life.takes_work)
+            reply = await rig.async_ask(place, '/letters/1', 'after', 5)
+            assert reply.status == 200
+
+    asyncio.run(story())
+
+
+def test_heartbeats_of_strangers_change_nothing() -> None:
+    """Another writer sends heartbeats to the process of a server.
+
+    Some name another service or address, some cannot be read. Each is
+    refused and counted, and the server goes on as it was.
+    """
+
+    async def story() -> None:
+        async with Rig(63) as rig:
+            place = await rig.async_add(KEYED)
+            await rig.async_until_served()
+            life = present(place)
+            bodies = (
+                heartbeat(place, state='draining', service=PLAIN),
+                heartbeat(place, state='draining', address='127.0.0.1:1'),
+                heartbeat(place, state='draining', sequence='9'),
+                heartbeat(place, state='draining', born='soon'),
+                heartbeat(place, state='draining', capacity=True),
+                heartbeat(place, state='gone'),
+                b'\xff',
+                b'[' * 50_000,
+            )
+            for body in bodies:
+                reply = await async_report(
+                    rig, place, place.server.instance, body
+                )
+                assert reply.status == 400
+            reply = await async_report(rig, place, 'i%0d%0a', heartbeat(place))
+            assert reply.status == 400
+            assert present(place) == life
+            assert place.process._life.takes_work
+            counted = place.process._figures.to_text().decode()
+            line = next(
+                line
+                for line in counted.splitlines()
+                if 'kind="report-rejected"' in line
+            )
+            assert float(line.split()[-1]) == len(bodies) + 1
+            reply = await rig.async_ask(place, '/cases/1', 'r1', 9)
+            assert reply.status == 200
+
+    asyncio.run(story())
+
+
+def test_a_heartbeat_of_the_life_before_arrives_late() -> None:
+    """A cut held up a heartbeat in which the life before said that it drains.
+
+    The server has crashed and is back under its id when it arrives.
+    """
+
+    async def story() -> None:
+        async with Rig(64) as rig:
+            place = await rig.async_add(KEYED)
+            await rig.async_until_served()
+            old = place.server
+            late = heartbeat(place, state='draining')
+            await async_restart(rig, place, STEP_S)
+            reply = await async_report(rig, place, old.instance, late)
+            assert reply.status == 200
+            assert place.process._life.takes_work
+            await rig.async_until_served()
+
+    asyncio.run(story())
--- /dev/null
+++ b/tests/strangers.py
@@ -0,0 +1,87 @@
+"""What another writer may put in place of a field or of a whole body."""
+
+from typing import Any
+
+from hypothesis import strategies as st
+
+ODD_TEXTS = (
+    '',
+    ' ',
+    'x',
+    '7',
+    '-1',
+    'nan',
+    'NaN',
+    'infs',
+    '1e9ms',
+    '\x00',
+    '\r\n',
+    '\ud800',
+    'é',
+    '９',
+    '²',
+    'r²',
+    'x' * 400,
+    '9' * 400,
+)
+ODD_NUMBERS = (
+    -1,
+    0,
+    1,
+    65_535,
+    65_536,
+    2**31,
+    2**53 + 1,
+    2**64,
+    10**30,
+    -(10**30),
+    0.5,
+    1e308,
+    -1e308,
+    float('nan'),
+    float('inf'),
+    float('-inf'),
+)
+LEAVES = st.sampled_from((None, True, False, *ODD_TEXTS, *ODD_NUMBERS))
+# Any value that JSON, or what Python takes for JSON, can hold.
+ANY_JSON = st.recursive(
+    LEAVES,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(ODD_TEXTS), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+# Bytes that no writer of ours produces.
+BAD_BODIES = (
+    b'',
+    b'\xff\xfe',
+    b'[]',
+    b'5',
+    b'null',
+    b'NaN',
+    b'"text"',
+    b'{',
+    b'{}',
+    b'[' * 100_000,
+    b'{"a":' * 100_000,
+    b'{"until":' + b'9' * 5000 + b'}',
+)
+
+
+def changed(good: dict[str, Any]) -> st.SearchStrategy[dict[str, Any]]:
+    """Return good fields of which some are changed or left out."""
+    names = sorted(good)
+    odd = st.dictionaries(st.sampled_from(names), ANY_JSON, max_size=3)
+    dropped = st.sets(st.sampled_from(names), max_size=2)
+    return st.builds(_changed, st.just(good), odd, dropped)
+
+
+def _changed(
+    good: dict[str, Any], odd: dict[str, Any], dropped: set[str]
+) -> dict[str, Any]:
+    return {
+        name: odd.get(name, known)
+        for name, known in good.items()
+        if name not in dropped
+    }
