Take rows, configurations and messages of strangers by schema

Each field of member rows, maps, wishes, configurations, times, versions and messages between processes is checked for type and bounds. A row of the store that cannot be decoded leaves the others of its range as they are, is logged and counted once a version, and erases nothing known before.

A member whose row exists but cannot be read is not absent: its keys pass on only when no lease can run any more, and takeovers of others go on beside it. A member whose own row was overwritten joins again over it. A lease that ends in a far future gets no keys. A map that was overwritten is never replaced by an older one, and changes that it blocks end at once instead of being sent again without a pause. A member without a usable address is not met.

--- a/plantaingrade/backends/life.py
+++ b/plantaingrade/backends/life.py
@@ -19,6 +19,11 @@
 # its second or third heartbeat, within two seconds of its start. Heartbeats
 # that a cut held up arrive together.
 DOUBT_S = 0.5
+# Time after a farewell that tells no start, from which on a heartbeat with one
+# shows that it was not of the present life: a server that has said farewell
+# sends no more heartbeats, and the last one before may be late.
+FAREWELL_DOUBT_S = 2.0
+NEVER = float('inf')
 NOBODY = ServerLife('')
 
 
@@ -68,7 +73,10 @@
     - A life with the present id and an earlier start that is not known to have
       ended is doubted. It is believed once its heartbeats have risen over
       ``DOUBT_S`` with nothing heard of the present life between them.
-    - Where no start is told an id is a life.
+    - Where no start is told an id is a life. A farewell without a start ends
+      the present life with its id; if that tells starts and still says that
+      it is ready ``FAREWELL_DOUBT_S`` later, it was of an earlier life, and
+      the server takes work again as a new one.
 
     Failure: a heartbeat that was held up arrives after its sender has crashed
     and another life has registered at the same address. It shows as grants
@@ -89,6 +97,7 @@
     __slots__ = (
         '_doubted',
         '_ended',
+        '_farewell_at',
         '_finish_s',
         '_sequence',
         'cold_until',
@@ -158,6 +167,8 @@
         if self.state in {LifeState.DRAINING, LifeState.GONE}:
             return NO_CHANGE
         self._leave(now)
+        if life.born_ms is None and self.present.born_ms is not None:
+            self._farewell_at = now
         return LifeChange(is_new_life=is_new_life, is_leaving=True)
 
     def on_named(self, instance: str, now: float) -> LifeChange:
@@ -193,6 +204,8 @@
         """Take a heartbeat of the present life."""
         if heartbeat.sequence <= self._sequence:
             return NO_CHANGE
+        if self._refutes_farewell(heartbeat, now):
+            return self._begin_by(heartbeat, now)
         self.present = heartbeat.life
         self._doubted = None
         was_leaving = self.state is LifeState.DRAINING
@@ -202,6 +215,11 @@
             self._leave(now)
         return LifeChange(is_leaving=is_leaving)
 
+    def _refutes_farewell(self, heartbeat: Heartbeat, now: float) -> bool:
+        if heartbeat.state is not ReportedState.READY:
+            return False
+        return now - self._farewell_at >= FAREWELL_DOUBT_S
+
     def _begin_by(self, heartbeat: Heartbeat, now: float) -> LifeChange:
         """Begin a life by its first heartbeat here, which may be its last."""
         self._begin(heartbeat.life, now)
@@ -212,7 +230,7 @@
         return LifeChange(is_new_life=True, is_leaving=is_leaving)
 
     def _begin(self, life: ServerLife, now: float) -> None:
-        if self.instance:
+        if self.instance and life != self.present:
             self._end(self.present)
         self._reset(life)
         self.heard_at = now
@@ -225,6 +243,7 @@
         self.cold_until = 0.0
         self.finish_until = 0.0
         self._sequence = -1
+        self._farewell_at = NEVER
         self._doubted = None
 
     def _leave(self, now: float) -> None:
--- a/plantaingrade/codec.py
+++ b/plantaingrade/codec.py
@@ -1,5 +1,6 @@
 """JSON codec for typed messages, built on cattrs."""
 
+import math
 from enum import StrEnum
 from functools import partial
 from typing import Any
@@ -29,9 +30,13 @@
 
 def _strict(kind: type, raw: Any, _: type) -> Any:
     exact = raw.__class__
-    if exact is kind or (kind is float and exact is int):
-        return kind(raw)
-    raise ValueError(f'expected {kind.__name__}')
+    if exact is not kind and not (kind is float and exact is int):
+        raise ValueError(f'expected {kind.__name__}')
+    typed = kind(raw)
+    # Loads and times are compared, and nothing compares with NaN.
+    if kind is float and not math.isfinite(typed):
+        raise ValueError('expected a finite number')
+    return typed
 
 
 def _to_enum(raw: Any, kind: type) -> Any:
--- a/plantaingrade/holds/const.py
+++ b/plantaingrade/holds/const.py
@@ -28,6 +28,11 @@
 # its end: a holder's own time and the store's are related within
 # CLOCK_MARGIN_S, and the rest is spare.
 TAKEOVER_MARGIN_S = 0.3
+# A writer's estimate of the store's clock is off by half a call at most, and a
+# call takes 1 s at most; the rest is spare.
+ESTIMATE_SLACK_S = 2.0
+# No lease ends later than this after it was written.
+UNREADABLE_S = LEASE_S + ESTIMATE_SLACK_S
 # After an outage of the store, members renew within one pause and one call;
 # whoever has not renewed after this time is gone.
 RETURN_GRACE_S = 2.0
--- a/plantaingrade/holds/lease.py
+++ b/plantaingrade/holds/lease.py
@@ -1,10 +1,14 @@
 """The lease of one member, as its row in the store holds it."""
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.peers.entity import Member
+from plantaingrade.schema import SchemaError, parse_object
+
+# Far above any reading of the store's clock, which counts from its start.
+MAX_STORE_S = 1e12
 
 
 class UnreadableLeaseError(PlantaingradeError):
@@ -29,6 +33,21 @@
     takes_keys: bool = True
     version: int = 0
 
+    def as_of(self, latest_end_s: float) -> 'MemberRow':
+        """Return the row as it is to be used, given how long a lease can be.
+
+        Failure: another writer puts a lease there that ends in a far future.
+        It shows as keys that are given to a member that does not exist.
+        """
+        if self.until_s <= latest_end_s:
+            return self
+        return replace(self, takes_keys=False)
+
+
+def unreadable_row(member: Member, version: int, until_s: float) -> MemberRow:
+    """Return what stands for a row that is there and cannot be read."""
+    return MemberRow(member, until_s, '', takes_keys=False, version=version)
+
 
 def encode_member_row(row: MemberRow) -> bytes:
     """Return a row's body."""
@@ -52,20 +71,22 @@
         UnreadableLeaseError: the bytes are no member.
     """
     try:
-        fields = json.loads(body)
+        fields = parse_object(body)
         member = Member(
             name,
-            str(fields['service']),
-            str(fields['zone']),
-            str(fields['address']),
-            str(fields['boot']),
+            fields.text('service'),
+            fields.text('zone'),
+            fields.text('address', min_chars=0),
+            fields.text('boot'),
         )
         return MemberRow(
             member,
-            float(fields['until']),
-            str(fields['write']),
-            bool(fields['takes']),
+            fields.number('until', 0, MAX_STORE_S),
+            fields.text('write'),
+            fields.flag('takes'),
             version,
         )
-    except (ValueError, KeyError, TypeError) as error:
-        raise UnreadableLeaseError('Member row not understood.') from error
+    except SchemaError as error:
+        raise UnreadableLeaseError(
+            f'Member row not understood: {error}'
+        ) from error
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -13,12 +13,13 @@
 
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.const import LEASE_S, RETRY_S
+from plantaingrade.holds.const import LEASE_S, RETRY_S, UNREADABLE_S
 from plantaingrade.holds.lease import (
     MemberRow,
     UnreadableLeaseError,
     decode_member_row,
     encode_member_row,
+    unreadable_row,
 )
 from plantaingrade.keyspace.codec import (
     UnreadableMapError,
@@ -43,6 +44,7 @@
     TransactionOutcome,
 )
 from plantaingrade.store.interface import Store
+from plantaingrade.store.unreadable import UnreadableRows
 
 TABLE = 'plantaingrade'
 KEY_MAP = 'map'
@@ -115,6 +117,7 @@
         '_log',
         '_maps',
         '_store',
+        '_unreadable',
         '_write_numbers',
         '_writing',
         'is_joined',
@@ -139,6 +142,7 @@
         self._maps = maps
         self._clock = clock
         self._log = log
+        self._unreadable = UnreadableRows(log)
         self._write_numbers = count(1)
         self._writing = asyncio.Lock()
         self.member = member
@@ -170,10 +174,11 @@
         if not isinstance(outcome, RangeRead):
             self._log.write('store-read-failed', why=outcome.failure)
             return False
+        self.read_now_s = outcome.now_s
+        known = self.row_by_name
         self.row_by_name = {}
         for row in outcome.rows:
-            self._take_row(row)
-        self.read_now_s = outcome.now_s
+            self._take_row(row, known, outcome.now_s)
         return True
 
     async def async_commit(
@@ -303,16 +308,44 @@
         """Take the rows as they stand; tell whether that ends the attempt."""
         own_name = member_row(self.member.service, self.member.name)
         found = None
+        is_blocked = False
         for row in conflict.rows:
             if row.name == own_name and row.version and not row.is_deleted:
                 found = row
-            else:
-                self._take_row(row)
+                continue
+            is_read = self._take_row(row, self.row_by_name, conflict.now_s)
+            # A member's row that cannot be read is passed over from now on.
+            is_blocked |= row.name.key == KEY_MAP and not is_read
+        ended = self._on_own_row(found, sent_by_id)
+        if ended is None and is_blocked and not sent_by_id:
+            return self._give_up()
+        return ended
+
+    def _give_up(self) -> CommitResult:
+        """End an attempt that what cannot be read would fail at once again.
+
+        Failure: another writer overwrites the map. It shows as transactions
+        that follow each other without a pause and fail, all for one row.
+        """
+        self._log.write('commit-blocked', map_version=self.key_map.version)
+        return CommitResult.FAILED
+
+    def _on_own_row(
+        self, found: Row | None, sent_by_id: dict[str, SentWrite]
+    ) -> CommitResult | None:
+        """Act on the own row as it stands; tell if that ends the attempt."""
         if found is None:
             return self._on_own_row_gone()
         own = self._decode_own(found)
         if own is None:
+            self._unreadable.note(found, 'Own row.')
+        if own is None and self.is_joined:
             return self._lose('own row unreadable')
+        if own is None:
+            # Nothing sent before it was written can be applied any more.
+            sent_by_id.clear()
+            self.own = unreadable_row(self.member, found.version, 0)
+            return None
         earlier = sent_by_id.get(own.write_id)
         if earlier is not None:
             self._on_committed(earlier, found.version)
@@ -343,14 +376,23 @@
         except UnreadableLeaseError:
             return None
 
-    def _take_row(self, row: Row) -> None:
-        """Keep what a row says; a row that cannot be read is left out."""
+    def _take_row(
+        self, row: Row, known: dict[str, MemberRow], now_s: float
+    ) -> bool:
+        """Keep what a row says; tell whether it could be read.
+
+        A row that cannot be read takes nothing from what others say. A member
+        with such a row is not absent, and its lease may still run.
+        """
         try:
-            self._keep(row)
+            self._keep(row, now_s)
         except (UnreadableMapError, UnreadableLeaseError) as error:
-            self._log.write('row-unreadable', row=row.name.key, why=str(error))
+            self._unreadable.note(row, str(error))
+            self._keep_unreadable(row, known, now_s)
+            return False
+        return True
 
-    def _keep(self, row: Row) -> None:
+    def _keep(self, row: Row, now_s: float) -> None:
         if row.name.key == KEY_MAP:
             if row.version:
                 key_map = decode_map(row.body, row.version)
@@ -363,6 +405,33 @@
             self.row_by_name.pop(name, None)
             return
         found = decode_member_row(name, row.body, row.version)
-        self.row_by_name[name] = found
+        if found.member.service != self.member.service:
+            raise UnreadableLeaseError('The row names another service.')
+        self.row_by_name[name] = found.as_of(now_s + UNREADABLE_S)
         if name == self.member.name and not self.is_joined:
             self.own = found
+
+    def _keep_unreadable(
+        self, row: Row, known: dict[str, MemberRow], now_s: float
+    ) -> None:
+        """Keep that a member has a row, if that matters to somebody.
+
+        Failure: the row of a member is overwritten by another writer. It
+        shows as keys that nobody takes over, or, if the member passed for
+        absent, as takeovers of all others that fail with it. A member that
+        lives writes its row again within a renewal. So what stays as it was
+        for longer than any lease is over.
+        """
+        if not row.name.key.startswith(KEY_MEMBER):
+            return
+        name = row.name.key.removeprefix(KEY_MEMBER)
+        if name == self.member.name and not self.is_joined:
+            self.own = unreadable_row(self.member, row.version, 0)
+        if name not in self.key_map.owners():
+            return
+        before = known.get(name)
+        if before is None or before.version != row.version:
+            member = Member(name, self.member.service, '', '', '')
+            until_s = now_s + UNREADABLE_S
+            before = unreadable_row(member, row.version, until_s)
+        self.row_by_name[name] = before
--- a/plantaingrade/operators/wishes.py
+++ b/plantaingrade/operators/wishes.py
@@ -10,9 +10,12 @@
 
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.holds.registry import TABLE
+from plantaingrade.schema import SchemaError, parse_object
 from plantaingrade.store.entity import Row, RowName
 
 KEY_WISH = 'wish/'
+# Names of commands and operators come from headers, which may be long.
+MAX_NAME_CHARS = 4096
 
 
 class WishedState(StrEnum):
@@ -64,12 +67,12 @@
         UnreadableWishError: the bytes are no wish.
     """
     try:
-        fields = json.loads(row.body)
+        fields = parse_object(row.body)
         return Wish(
-            WishedState(fields['state']),
-            str(fields['command']),
-            str(fields['operator']),
+            WishedState(fields.text('state')),
+            fields.text('command', MAX_NAME_CHARS),
+            fields.text('operator', MAX_NAME_CHARS, 0),
             row.version,
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, SchemaError) as error:
         raise UnreadableWishError('Wish not understood.') from error
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -58,6 +58,7 @@
     Transaction,
 )
 from plantaingrade.store.interface import Store
+from plantaingrade.store.unreadable import UnreadableRows
 
 CODEC = Codec(Datagram, Datagram)
 HANDED_CODEC = Codec(Handed)
@@ -70,6 +71,7 @@
 # does not repair is repaired by this.
 REFRESH_S = 20.0
 HEADER_VERSION = b'v'
+MAX_VERSION_DIGITS = 18
 
 
 @dataclass(slots=True, frozen=True)
@@ -99,6 +101,7 @@
         '_pulls',
         '_row_version',
         '_store',
+        '_unreadable',
         '_welcomed',
         'has_joined',
         'own',
@@ -128,6 +131,7 @@
         self._clock = clock
         self._log = log
         self._endpoint = TypedEndpoint(self._on_datagram, CODEC)
+        self._unreadable = UnreadableRows(log)
         self._welcomed: set[str] = set()
         self._row_version = 0
         self._pulls: dict[str, asyncio.Task[None]] = {}
@@ -235,7 +239,7 @@
         try:
             self._keep(service, row)
         except UNREADABLE as error:
-            self._log.write('row-unreadable', row=row.name.key, why=str(error))
+            self._unreadable.note(row, str(error))
 
     def _keep(self, service: str, row: Row) -> None:
         if row.name.key == KEY_MAP:
@@ -248,11 +252,17 @@
         name = row.name.key.removeprefix(KEY_MEMBER)
         if name == self.own.name:
             return
-        self._meet(decode_member_row(name, row.body, row.version).member)
+        member = decode_member_row(name, row.body, row.version).member
+        if member.service != service:
+            raise UnreadableLeaseError('The row names another service.')
+        self._meet(member)
 
     def _meet(self, member: Member) -> None:
         if member.name == self.own.name:
             return
+        if not member.is_addressed():
+            self._log.write('member-unusable', member=member.name)
+            return
         if self._directory.add(member):
             self._welcomed.discard(member.name)
             self._log.write(
@@ -319,7 +329,7 @@
 
     def _on_datagram(self, message: Datagram) -> None:
         match message:
-            case Hello(member):
+            case Hello(member) if member.is_addressed():
                 self._meet(member)
                 self._endpoint.send(Welcome(self.own), member.address)
             case Welcome(member):
@@ -337,26 +347,35 @@
     def _on_map_changed(self, message: MapChanged) -> None:
         service = message.service
         if message.ranges:
-            is_known = self._maps.apply(
-                service,
-                message.before,
-                message.version,
-                message.fence,
-                message.assignments(),
-            )
+            is_known = self._apply(message)
         else:
             is_known = self._maps.find(service).version >= message.version
         source = self._directory.find(message.source)
         if source is not None and not is_known:
             self.pull_map(service, source)
 
+    def _apply(self, message: MapChanged) -> bool:
+        """Apply a change; tell whether the map is now as new as that."""
+        try:
+            changes = message.assignments()
+        except ValueError as error:
+            self._log.write('map-change-unreadable', why=str(error))
+            return False
+        return self._maps.apply(
+            message.service,
+            message.before,
+            message.version,
+            message.fence,
+            changes,
+        )
+
     async def _async_pull(self, service: str, source: Member) -> None:
         call = Call('GET', source.address, f'{PATH_MAP}{service}')
         reply = await self._calls.async_fetch(call)
         if reply is None:
             return
         version = reply.headers.get(HEADER_VERSION, b'0')
-        if not version.isdigit():
+        if not version.isdigit() or len(version) > MAX_VERSION_DIGITS:
             return
         try:
             key_map = decode_map(reply.body, int(version))
--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -1,9 +1,19 @@
 """Typed members and the datagrams between them."""
 
+import ipaddress
 from dataclasses import dataclass
 
 from plantaingrade.keyspace.directory import differences
-from plantaingrade.keyspace.entity import Assignment, KeyMap, KeyRange
+from plantaingrade.keyspace.entity import (
+    KEY_COUNT,
+    Assignment,
+    KeyMap,
+    KeyRange,
+)
+
+MAX_PORT = 65_535
+# One more than any port has, so that a longer number is out of bounds.
+MAX_PORT_DIGITS = 6
 
 
 @dataclass(slots=True, frozen=True)
@@ -20,6 +30,20 @@
     address: str
     boot: str
 
+    def is_addressed(self) -> bool:
+        """Tell whether the address is one that can be sent to.
+
+        Failure: a row or a datagram of another writer names a member without
+        a usable address. It shows as a loop over all members that ends there.
+        """
+        host, _, port = self.address.rpartition(':')
+        try:
+            ipaddress.ip_address(host)
+        except ValueError:
+            return False
+        is_number = port.isascii() and port.isdigit()
+        return is_number and 0 < int(port[:MAX_PORT_DIGITS]) <= MAX_PORT
+
 
 @dataclass(slots=True, frozen=True)
 class Hello:
@@ -90,12 +114,17 @@
         """Return the assignments that differ.
 
         Raises:
-            IndexError: a range names an owner that is not listed.
+            ValueError: a range is none, or its owner is not listed.
         """
-        return tuple(
-            Assignment(KeyRange(first, last), self.owners[place], fence)
-            for first, last, place, fence in self.ranges
-        )
+        return tuple(self._assignment(each) for each in self.ranges)
+
+    def _assignment(self, numbers: tuple[int, int, int, int]) -> Assignment:
+        first, last, place, fence = numbers
+        is_range = 0 <= first <= last and last < KEY_COUNT
+        is_listed = 0 <= place < len(self.owners)
+        if not is_range or not is_listed or not 0 <= fence <= self.fence:
+            raise ValueError(f'no assignment: {numbers}')
+        return Assignment(KeyRange(first, last), self.owners[place], fence)
 
 
 @dataclass(slots=True, frozen=True)
--- a/plantaingrade/platform/config.py
+++ b/plantaingrade/platform/config.py
@@ -1,8 +1,5 @@
 """Decode the operator's configuration."""
 
-import json
-from typing import Any
-
 from plantaingrade.config.entity import (
     Limits,
     Route,
@@ -16,11 +13,14 @@
     parse_time,
     parse_version,
 )
+from plantaingrade.schema import Fields, SchemaError, parse_object
 
 DEFAULT_PRIORITY = 1
 DEFAULT_MAX_SERVERS = 1
 DEFAULT_CONNECTIONS = 100
-DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+# Hosts and paths may be longer than names.
+MAX_PATH_CHARS = 4096
+MAX_WEIGHT = 1e9
 
 
 def decode_config(body: bytes) -> RoutingConfig:
@@ -30,83 +30,97 @@
         UnreadableFieldError: the bytes are no configuration that can be used.
     """
     try:
-        return _read_config(json.loads(body), body)
-    except DECODE_ERRORS as error:
+        return _read_config(parse_object(body), body)
+    except SchemaError as error:
         raise UnreadableFieldError(
-            f'Configuration not understood: {error!r}.',
+            f'Configuration not understood: {error}',
         ) from error
 
 
-def _read_config(fields: dict[str, Any], body: bytes) -> RoutingConfig:
+def _read_config(fields: Fields, body: bytes) -> RoutingConfig:
     services = {
-        name: _read_service(name, raw)
-        for name, raw in fields['services'].items()
+        name: _read_service(name, Fields(raw))
+        for name, raw in fields.table('services').items()
     }
     routes = tuple(
-        _read_route(name, raw) for name, raw in fields['routes'].items()
+        _read_route(name, Fields(raw))
+        for name, raw in fields.table('routes').items()
     )
     for route in routes:
         _check_services(route, services)
     return RoutingConfig(
-        version=parse_version(fields['version']),
+        version=parse_version(fields.take('version')),
         routes=routes,
         service_by_name=services,
-        limits=_read_limits(fields['limits']),
+        limits=_read_limits(Fields(fields.take('limits'))),
         source=body,
     )
 
 
-def _read_service(name: str, raw: dict[str, Any]) -> ServiceConfig:
+def _read_service(name: str, raw: Fields) -> ServiceConfig:
     return ServiceConfig(
         name=name,
-        is_keyed=bool(raw.get('sharded', False)),
-        health_path=raw['healthCheckPath'],
-        max_connections=int(raw.get('maxConnections', DEFAULT_CONNECTIONS)),
+        is_keyed=raw.flag('sharded') if raw.has('sharded') else False,
+        health_path=raw.text('healthCheckPath', MAX_PATH_CHARS),
+        max_connections=_count(raw, 'maxConnections', DEFAULT_CONNECTIONS),
     )
 
 
-def _read_route(name: str, raw: dict[str, Any]) -> Route:
-    kind = raw['type']
+def _read_route(name: str, raw: Fields) -> Route:
+    kind = raw.text('type')
     if kind not in {TYPE_IDEMPOTENT, TYPE_ONCE}:
-        raise ValueError(f'{name}: unknown type {kind!r}')
-    timeout_s = parse_time(raw['timeout'])
+        raise SchemaError(f'{name}: unknown type.')
+    timeout_s = parse_time(raw.take('timeout'))
+    objective_s = timeout_s
+    if raw.has('targetLatency'):
+        objective_s = parse_time(raw.take('targetLatency'))
     return Route(
         name=name,
-        host=raw['host'],
-        prefix=raw['prefix'],
+        host=raw.text('host', MAX_PATH_CHARS),
+        prefix=raw.text('prefix', MAX_PATH_CHARS),
         shares=_read_shares(raw),
         # Their word for idempotent; it says nothing of the method.
         is_idempotent=kind == TYPE_IDEMPOTENT,
         timeout_s=timeout_s,
-        objective_s=parse_time(raw.get('targetLatency', raw['timeout'])),
-        priority=int(raw.get('priority', DEFAULT_PRIORITY)),
+        objective_s=objective_s,
+        priority=_count(raw, 'priority', DEFAULT_PRIORITY),
         # Counts backend servers, not tries.
-        max_servers=int(raw.get('maxAttempts', DEFAULT_MAX_SERVERS)),
+        max_servers=_count(raw, 'maxAttempts', DEFAULT_MAX_SERVERS),
     )
 
 
-def _read_shares(raw: dict[str, Any]) -> tuple[ServiceShare, ...]:
-    parts = raw.get('weightedServices')
-    if not parts:
-        return (ServiceShare(raw['service'], 1.0),)
+def _count(raw: Fields, name: str, default: int) -> int:
+    return raw.whole(name) if raw.has(name) else default
+
+
+def _read_shares(raw: Fields) -> tuple[ServiceShare, ...]:
+    has_parts = raw.has('weightedServices') and raw.take('weightedServices')
+    if not has_parts:
+        return (ServiceShare(raw.text('service'), 1.0),)
     shares = tuple(
-        ServiceShare(part['service'], float(part['weight'])) for part in parts
+        _read_share(Fields(part)) for part in raw.rows('weightedServices')
     )
     if sum(share.weight for share in shares) <= 0:
-        raise ValueError('weights add up to nothing')
+        raise SchemaError('Weights add up to nothing.')
     return shares
 
 
+def _read_share(part: Fields) -> ServiceShare:
+    return ServiceShare(
+        part.text('service'), part.number('weight', 0, MAX_WEIGHT)
+    )
+
+
 def _check_services(route: Route, services: dict[str, ServiceConfig]) -> None:
     for share in route.shares:
         if share.service not in services:
-            raise ValueError(f'{route.name}: no service {share.service!r}')
+            raise SchemaError(f'{route.name}: no service {share.service!r}.')
 
 
-def _read_limits(raw: dict[str, Any]) -> Limits:
+def _read_limits(raw: Fields) -> Limits:
     return Limits(
-        max_header_bytes=int(raw['maxHeaderBytes']),
-        max_body_bytes=int(raw['maxBodyBytes']),
-        header_timeout_s=parse_time(raw['headerTimeout']),
-        idle_timeout_s=parse_time(raw['idleTimeout']),
+        max_header_bytes=raw.whole('maxHeaderBytes'),
+        max_body_bytes=raw.whole('maxBodyBytes'),
+        header_timeout_s=parse_time(raw.take('headerTimeout')),
+        idle_timeout_s=parse_time(raw.take('idleTimeout')),
     )
--- a/plantaingrade/platform/store.py
+++ b/plantaingrade/platform/store.py
@@ -21,6 +21,7 @@
     format_time,
     parse_time,
 )
+from plantaingrade.schema import Fields, SchemaError
 from plantaingrade.store.clock import StoreClock
 from plantaingrade.store.entity import (
     Changes,
@@ -59,6 +60,7 @@
     KeyError,
     TypeError,
     AttributeError,
+    RecursionError,
     UnreadableFieldError,
 )
 
@@ -152,9 +154,12 @@
         if reply.status != STATUS_OK:
             return NotDone(_failure(reply.status))
         try:
-            return json.loads(reply.body)
-        except ValueError:
+            answer = json.loads(reply.body)
+        except (ValueError, RecursionError):
             return NotDone(StoreFailure.MALFORMED)
+        if isinstance(answer, dict):
+            return answer
+        return NotDone(StoreFailure.MALFORMED)
 
     async def _call(self, call: Call, timeout_s: float) -> Reply:
         self.calls += 1
@@ -170,14 +175,14 @@
             return Committed(int(fields['rowVersion']), now_s)
         if reply.status == STATUS_CONFLICT:
             fields = json.loads(reply.body)
-            rows = tuple(decode_row(raw) for raw in fields.get('rows', ()))
+            rows = decode_rows(fields.get('rows', ()))
             return Conflict(rows, self._observe(fields, sent_at))
         return NotDone(_failure(reply.status))
 
     def _decode_rows(
         self, fields: dict[str, Any], sent_at: float, *, waits: bool = False
     ) -> RangeRead:
-        rows = tuple(decode_row(raw) for raw in fields['rows'])
+        rows = decode_rows(fields['rows'])
         # A feed's answer may have been read long after it was asked for, so
         # it is of no use as a sample of the clock.
         now_s = (
@@ -218,14 +223,41 @@
     return {'table': name.table, 'part': name.part, 'key': name.key}
 
 
-def decode_row(raw: dict[str, Any]) -> Row:
-    """Return a row as the store writes it."""
-    name = RowName(raw['table'], raw.get('part', ''), raw['key'])
-    is_deleted = bool(raw.get('deleted', False))
-    body = raw.get('value') or ''
-    return Row(
-        name,
-        base64.b64decode(body),
-        int(raw.get('rowVersion', 0)),
-        is_deleted,
-    )
+def decode_rows(found: Any) -> tuple[Row, ...]:
+    """Return the rows of an answer; what names no row is left out.
+
+    Raises:
+        ValueError: there is no list of rows.
+    """
+    if not isinstance(found, list | tuple):
+        raise ValueError('no rows')
+    rows = (decode_row(raw) for raw in found)
+    return tuple(row for row in rows if row is not None)
+
+
+def decode_row(raw: Any) -> Row | None:
+    """Return a row as the store writes it, or nothing if it has no name.
+
+    Failure: one row holds what cannot be decoded. It shows as a part of which
+    nothing can be read any more. Such a row has no bytes, which whoever uses
+    it finds unreadable; it still has its name and its version, so that it is
+    not taken for one that is not there.
+    """
+    try:
+        fields = Fields(raw)
+        part = fields.text('part', min_chars=0) if fields.has('part') else ''
+        name = RowName(fields.text('table'), part, fields.text('key'))
+        version = fields.whole('rowVersion') if fields.has('rowVersion') else 0
+    except SchemaError:
+        return None
+    is_deleted = raw.get('deleted') is True
+    return Row(name, _decode_body(raw.get('value')), version, is_deleted)
+
+
+def _decode_body(encoded: Any) -> bytes:
+    if not isinstance(encoded, str):
+        return b''
+    try:
+        return base64.b64decode(encoded, validate=True)
+    except ValueError:
+        return b''
--- a/plantaingrade/schema.py
+++ b/plantaingrade/schema.py
@@ -69,8 +69,10 @@
             raise SchemaError(f'{name} is missing.')
         return self._raw[name]
 
-    def text(self, name: str, max_chars: int = MAX_CHARS) -> str:
-        """Return a text that is not empty.
+    def text(
+        self, name: str, max_chars: int = MAX_CHARS, min_chars: int = 1
+    ) -> str:
+        """Return a text that can be printed, within bounds of its length.
 
         Raises:
             SchemaError: the field is missing or no such text.
@@ -79,7 +81,7 @@
         # What cannot be printed cannot stand in a header or a log, and half
         # of a surrogate pair cannot even be written as UTF-8.
         is_text = isinstance(raw, str) and raw.isprintable()
-        if is_text and 0 < len(raw) <= max_chars:
+        if is_text and min_chars <= len(raw) <= max_chars:
             return raw
         raise SchemaError(f'{name} is not a text.')
 
@@ -117,3 +119,25 @@
         if isinstance(raw, bool):
             return raw
         raise SchemaError(f'{name} is not a truth value.')
+
+    def rows(self, name: str) -> list[Any]:
+        """Return a list, whatever is in it.
+
+        Raises:
+            SchemaError: the field is missing or something else.
+        """
+        raw = self.take(name)
+        if isinstance(raw, list):
+            return raw
+        raise SchemaError(f'{name} is not a list.')
+
+    def table(self, name: str) -> dict[str, Any]:
+        """Return an object by its names, whatever is in it.
+
+        Raises:
+            SchemaError: the field is missing or something else.
+        """
+        raw = self.take(name)
+        if isinstance(raw, dict):
+            return raw
+        raise SchemaError(f'{name} is not an object.')
--- a/tests/backends/test_life.py
+++ b/tests/backends/test_life.py
@@ -306,3 +306,34 @@
     assert life.present.born_ms == BORN + MAX_ENDED_LIVES + 4
     late = beat('i-1', 99, 'draining', BORN)
     assert not life.on_heartbeat(late, 90.0).is_leaving
+
+
+def test_a_late_farewell_without_a_start_keeps_nobody_out_for_good() -> None:
+    """A cut held up a farewell, which tells an id alone. Its sender crashed
+    and is back under its id when it arrives.
+
+    It cannot be told from one of the present life, so keys are given away.
+    The server still says that it is ready, and must be used again.
+    """
+    life = BackendLife(finish_s=1.4)
+    life.on_heartbeat(beat('i-1', 5, born=LATER), 10.0)
+    assert life.on_farewell(bye('i-1'), 10.1).is_leaving
+    # This one may have been sent before the farewell.
+    life.on_heartbeat(beat('i-1', 6, born=LATER), 10.9)
+    assert not life.takes_work
+    change = life.on_heartbeat(beat('i-1', 9, born=LATER), 12.2)
+    assert change.is_new_life
+    assert life.takes_work
+    assert not life.on_heartbeat(beat('i-1', 10, born=LATER), 13.0).is_new_life
+    assert life.on_heartbeat(
+        beat('i-1', 11, 'draining', LATER), 14.0
+    ).is_leaving
+
+
+def test_a_farewell_with_its_start_is_final() -> None:
+    life = BackendLife(finish_s=1.4)
+    life.on_heartbeat(beat('i-1', 5, born=BORN), 10.0)
+    life.on_farewell(bye('i-1', BORN), 10.1)
+    for number in range(6, 12):
+        life.on_heartbeat(beat('i-1', number, born=BORN), 10.0 + number)
+    assert not life.takes_work
