Let only the joining change itself join a run

Cause: a run whose joining change got no answer in a second gives it up and makes sure by a renewal that it can no longer be applied. That renewal counted as having joined, so the run granted keys under the fences of the run before; a server that had started again meanwhile took them as the life before had them. Change: such a renewal renews the row and joins nothing.

--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -287,6 +287,12 @@
         row, change = write.row, write.change
         self.own = replace(row, version=version)
         self.row_by_name[self.member.name] = self.own
+        if write.is_fence and not self.is_joined:
+            # Failure: a run gives its joining up, and the renewal that makes
+            # sure of that would let it grant keys under the fences of the
+            # run before. It shows as a life that takes a key under a fence
+            # that another life had. Only the change itself joins.
+            return
         self.lease_until = self._store.clock.earliest_local(row.until_s)
         self.is_joined = True
         for lapsed in change.removed:
