--- a/tests/guards.py
+++ b/tests/guards.py
@@ -198,6 +198,34 @@
         'if False:',
         'tests/admission',
     ),
+    Guard(
+        'a fence stands in one session',
+        'plantaingrade/holds/granter.py',
+        'return self._session_by_fence.get(fence, session) == session',
+        'return True',
+        'tests/holds',
+    ),
+    Guard(
+        'only the joining change joins a run',
+        'plantaingrade/holds/registry.py',
+        'if write.is_fence and not self.is_joined:',
+        'if False:',
+        'tests/holds',
+    ),
+    Guard(
+        'a connection joins a session only once that is proven',
+        'plantaingrade/http/session.py',
+        'self._candidates.append((next(self._steps), channel))',
+        'self._members.add(channel)\n        self._free.put_nowait(channel)',
+        'tests/http',
+    ),
+    Guard(
+        'an order of an old session is not sent',
+        'plantaingrade/http/session.py',
+        'if session is None or session.number != number:',
+        'if session is None:',
+        'tests/http',
+    ),
 )
 
 
