Show that a move given up on the way leaves two owners

Found by reading for further ways to two owners: a statement of an operator runs in the task of its connection, which ends when the operator hangs up.

--- a/tests/holds/test_coordinator.py
+++ b/tests/holds/test_coordinator.py
@@ -591,3 +591,30 @@
         return found
 
     assert not run(story())
+
+
+def test_who_asked_for_a_move_may_leave_while_it_is_under_way() -> None:
+    """An operator asks for a move and hangs up; the store answers late.
+
+    The process gave the move up with the request, and granted the range to
+    its server again, while the change was still to be applied. Then two
+    servers hold the keys until the next renewal tells of the change.
+    """
+
+    async def story() -> None:
+        world = World()
+        places = [world.add(name) for name in ('m1', 'm2')]
+        await settled(world)
+        # Just after a renewal, so that the next one is 2.5 s away.
+        await asyncio.sleep(0.5)
+        places[0].store.faults.append(Fault.LATE)
+        places[0].store.late_s = 0.6
+        world.move(places[0], KeyRange(100, 200), 'm2')
+        await asyncio.sleep(0.3)
+        places[0].moves[0].cancel()
+        await watch(world, 6.0)
+        assert world.held_keys() == KEY_COUNT
+        assert places[0].maps.find('cases').find(150).owner == 'm2'
+        await world.async_stop()
+
+    run(story())
