Let servers move keys only where requests begin to wait

Cause: a server with a load of 0.35 moved keys to the least loaded of all others. Of 67 measured loads that stray by a tenth the least always lies far below, so moves never ended. Change: no move below 0.7, from where on requests wait.

--- a/plantaingrade/balance/const.py
+++ b/plantaingrade/balance/const.py
@@ -13,8 +13,12 @@
 # of about 100 requests and strays by a tenth. At 0.2 a heavy day moved keys
 # seven times a second and served no better.
 MIN_DIFFERENCE = 0.35
-# Below this load a server has room for every burst it sees.
-MIN_LOAD_TO_MOVE = 0.35
+# Below this load hardly anything waits at a server with six slots, so a move
+# would win nothing. The least loaded of many others always seems far below:
+# measured loads stray by a tenth, and of 67 servers with the same load some
+# pair differs by 0.5 at any time. From 0.35 on, one that was asked for half of
+# what it can do moved keys without end.
+MIN_LOAD_TO_MOVE = 0.7
 # Part of what would even out two loads that is moved at once. More would
 # overshoot, since a window's demand is a sample.
 SHARE_OF_DIFFERENCE = 0.8
--- a/tests/balance/fleet.py
+++ b/tests/balance/fleet.py
@@ -124,12 +124,14 @@
 
     def tell_load(self, load: Load, names: list[str]) -> None:
         now = asyncio.get_running_loop().time()
+        servers = self.fleet.servers
         for name in names:
-            self.fleet.servers[name].book.note(self.name, load, now)
+            servers[name].book.note(self.name, load, now)
 
     async def async_offer(self, target: str, offer: Offer) -> OfferReply:
         await asyncio.sleep(STORE_WAY_S)
-        return self.fleet.servers[target].balance.on_offer(offer)
+        servers = self.fleet.servers
+        return servers[target].balance.on_offer(offer)
 
     async def async_give(self, keys: list[KeyRange], target: str) -> bool:
         """Release, change the map, hand over: as the transfers do."""
@@ -159,7 +161,8 @@
         self.ranges = [
             rest for each in self.ranges for rest in each.without(keys)
         ]
-        self.fleet.servers[target].ranges.append(keys)
+        servers = self.fleet.servers
+        servers[target].ranges.append(keys)
 
     def is_unheld(self, key: int, now: float) -> bool:
         """Tell whether a request for a key would be refused."""
--- a/tests/balance/test_fleet.py
+++ b/tests/balance/test_fleet.py
@@ -11,6 +11,8 @@
 from tests.balance.fleet import Demand, Fleet, Seen
 
 SERVERS = 67
+MAX_UNHELD_PART = 0.02
+MAX_FAILED_PART = 0.1
 UNEVEN = Demand(share=0.5, skew=0.5)
 PATCH = Demand(share=0.5, skew=0.5, patch_share=0.38, patch_keys=200)
 
@@ -29,13 +31,13 @@
 
 def test_keys_stay_held_while_loads_are_evened_out(uneven: Seen) -> None:
     assert uneven.moves['done']
-    assert uneven.unheld_part < 0.02
+    assert uneven.unheld_part < MAX_UNHELD_PART
 
 
 def test_moves_that_are_begun_are_nearly_all_done(uneven: Seen) -> None:
-    assert uneven.moves['failed'] < 0.1 * uneven.moves['done']
+    assert uneven.moves['failed'] < MAX_FAILED_PART * uneven.moves['done']
 
 
 def test_keys_stay_held_while_a_patch_is_spread(patch: Seen) -> None:
     assert patch.moves['done']
-    assert patch.unheld_part < 0.02
+    assert patch.unheld_part < MAX_UNHELD_PART
