Pause before a change of the map that came too late is sent again

Cause: all members change one row under its version. Of changes made from the same version one is done, the others took a turn in the store's part for nothing and were sent again at once. With 13 at a time the part did 11 changes a second; more than half of the moves failed after 2 s, with their keys released. Change: a random pause whose window doubles when a change comes too late and halves when one is done.

--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import StrEnum
@@ -20,6 +21,7 @@
     decode_member_row,
     encode_member_row,
 )
+from plantaingrade.holds.turns import TurnPauses
 from plantaingrade.keyspace.codec import (
     UnreadableMapError,
     decode_map,
@@ -115,6 +117,7 @@
         '_log',
         '_maps',
         '_store',
+        '_turns',
         '_write_numbers',
         '_writing',
         'is_joined',
@@ -139,6 +142,7 @@
         self._maps = maps
         self._clock = clock
         self._log = log
+        self._turns = TurnPauses(random.Random(member.boot))
         self._write_numbers = count(1)
         self._writing = asyncio.Lock()
         self.member = member
@@ -228,14 +232,22 @@
         """Send one transaction; return nothing if another must be sent."""
         outcome = await self._store.async_commit(self._transaction(write))
         ended = self._take_outcome(write, outcome, sent_by_id)
-        if ended is not None or isinstance(outcome, Conflict):
+        if ended is not None:
             return ended
+        if isinstance(outcome, Conflict):
+            await self._async_give_way(write)
+            return None
         self._log.write(
             'store-write-open', why=str(outcome), unknown=len(sent_by_id)
         )
         await asyncio.sleep(RETRY_S)
         return None
 
+    async def _async_give_way(self, write: SentWrite) -> None:
+        """Let others change the map before this member tries once more."""
+        if write.change.key_map is not None:
+            await asyncio.sleep(self._turns.on_late())
+
     def _take_outcome(
         self,
         write: SentWrite,
@@ -292,6 +304,7 @@
         for lapsed in change.removed:
             self.row_by_name.pop(lapsed.member.name, None)
         if change.key_map is not None:
+            self._turns.on_done()
             key_map = change.key_map.at_version(version)
             self._maps.offer(self.member.service, key_map)
 
--- a/tests/balance/fleet.py
+++ b/tests/balance/fleet.py
@@ -21,6 +21,7 @@
 from plantaingrade.balance.coordinator import BalanceCoordinator
 from plantaingrade.balance.entity import Load
 from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.turns import TurnPauses
 from plantaingrade.holds.transfer import MOVE_LIMIT_S
 from plantaingrade.holds.unheld import MAX_UNHELD_WAIT_S
 from plantaingrade.keyspace.assign import cut
@@ -90,6 +91,7 @@
         self.fleet = fleet
         self.moving_since: dict[KeyRange, float] = {}
         self.writing = asyncio.Lock()
+        self.turns = TurnPauses(random.Random(name))
         self.registry = SimpleNamespace(
             is_joined=True, takes_keys=True, key_map=self
         )
@@ -154,7 +156,9 @@
             while loop.time() <= ends:
                 row = self.fleet.row
                 if await row.async_change(row.version):
+                    self.turns.on_done()
                     return True
+                await asyncio.sleep(self.turns.on_late())
         return False
 
     def _pass_on(self, keys: KeyRange, target: str) -> None:
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -66,6 +66,16 @@
         """Start empty."""
         self.row_by_name: dict[RowName, Row] = {}
         self.version = 0
+        # How long the part works on one transaction, before the next.
+        self.turn_s = 0.0
+        self._free_at = 0.0
+
+    async def async_take_turn(self) -> None:
+        """Wait until the part has worked on all that came before."""
+        if not self.turn_s:
+            return
+        self._free_at = max(self._free_at, _now()) + self.turn_s
+        await asyncio.sleep(self._free_at - _now())
 
     def commit(self, transaction: Transaction) -> bool:
         """Apply a transaction or nothing of it."""
@@ -114,6 +124,7 @@
         self.commits += 1
         sent_at = _now()
         await asyncio.sleep(CALL_S)
+        await self.rows.async_take_turn()
         fault = self._fault_of(transaction)
         match fault:
             case Fault.BUSY:
