Pass ranges on together that were released at the same moment

Cause: four moves of one server were four changes of the map, one after the other; the last waited for all before it, with its keys unheld, and each competed for the one row of the map with those of 60 other members. Change: what is ready when a change may be made goes with it, to several receivers; one datagram tells of all. A change that ends on the way is made anew by the next.

--- a/plantaingrade/holds/plans.py
+++ b/plantaingrade/holds/plans.py
@@ -6,7 +6,7 @@
 from plantaingrade.holds.lease import MemberRow
 from plantaingrade.holds.registry import Change, Registry
 from plantaingrade.keyspace.assign import reassign, split_evenly
-from plantaingrade.keyspace.entity import Assignment, KeyMap, KeyRange
+from plantaingrade.keyspace.entity import KeyMap, KeyRange
 
 # A transaction of the platform holds at most 100 entries.
 MAX_REMOVED = 40
@@ -50,26 +50,6 @@
     return Change(key_map, removed, tuple(absent))
 
 
-def plan_transfer(
-    registry: Registry, pieces: list[Assignment], target: str
-) -> Change | None:
-    """Pass ranges on, if they stand as they did when they were released.
-
-    Failure: part of a range has passed on by another change since it was
-    released here. It shows as keys that are taken from their new owner.
-    """
-    for piece in pieces:
-        present = registry.key_map.find(piece.keys.first)
-        if present is None or present.fence != piece.fence:
-            return None
-        if present.owner != registry.member.name:
-            return None
-        if piece.keys.last > present.keys.last:
-            return None
-    owner_by_keys = {piece.keys: target for piece in pieces}
-    return Change(reassign(registry.key_map, owner_by_keys))
-
-
 def live_members(registry: Registry) -> list[str]:
     """Return the members that have a lease and take keys."""
     now_s = registry.store_now()
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -1,13 +1,14 @@
 """Pass ranges of keys on to other members."""
 
 import asyncio
+from dataclasses import dataclass
 
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.granter import Granter
-from plantaingrade.holds.plans import plan_transfer
+from plantaingrade.holds.passing import Passage, has_passed, plan_passages
 from plantaingrade.holds.registry import CommitResult, Registry
-from plantaingrade.keyspace.entity import Assignment, KeyRange
+from plantaingrade.keyspace.entity import Assignment, KeyMap, KeyRange
 from plantaingrade.peers.courier import Courier
 from plantaingrade.peers.entity import Token
 
@@ -15,10 +16,37 @@
 MOVE_LIMIT_S = 2.0
 
 
+@dataclass(slots=True, eq=False)
+class Ready:
+    """A passage whose keys have been released, and what came of it.
+
+    ``before`` and ``after`` are the maps around its change; ``spreads`` tells
+    whether the others are to be told of that change by it.
+    """
+
+    passage: Passage
+    outcome: CommitResult | None = None
+    before: KeyMap | None = None
+    after: KeyMap | None = None
+    spreads: bool = False
+
+
 class Transfers:
-    """Release, commit, tell: in this order, whatever fails on the way."""
+    """Release, commit, tell: in this order, whatever fails on the way.
+
+    What has been released while another change was under way is passed on by
+    one change: several moves then wait for the row of the map once.
+    """
 
-    __slots__ = ('_clock', '_courier', '_granter', '_log', '_registry')
+    __slots__ = (
+        '_clock',
+        '_committing',
+        '_courier',
+        '_granter',
+        '_log',
+        '_ready',
+        '_registry',
+    )
 
     def __init__(
         self,
@@ -34,6 +62,8 @@
         self._clock = clock
         self._log = log
         self._courier = courier
+        self._committing = asyncio.Lock()
+        self._ready: list[Ready] = []
 
     async def async_give(self, keys: list[KeyRange], target: str) -> bool:
         """Pass ranges to another member; tell whether they have passed.
@@ -58,32 +88,71 @@
         tokens = await asyncio.gather(
             *(self._async_free(piece) for piece in pieces)
         )
-        before = self._registry.key_map
-        committed = await self._registry.async_commit(
-            lambda registry: plan_transfer(registry, pieces, target),
-            MOVE_LIMIT_S,
-        )
+        ready = await self._async_commit(Passage(tuple(pieces), target))
         self._log.write(
             'keys-given',
             ranges=[(piece.keys.first, piece.keys.last) for piece in pieces],
             to=target,
-            outcome=committed,
+            outcome=ready.outcome,
         )
-        if committed is not CommitResult.DONE:
+        if ready.outcome is not CommitResult.DONE:
             return False
         for piece in pieces:
             self._granter.ledger.forget(piece.keys)
-        after = self._registry.key_map
         given = tuple(
             Token(piece.keys, token)
             for piece, token in zip(pieces, tokens, strict=True)
             if token
         )
         # The receiver first, with its tokens: a grant without would be cold.
+        before, after = ready.before, ready.after
         await self._courier.async_hand(target, before, after, given)
-        self._courier.spread(self._registry.member.service, before, after)
+        if ready.spreads:
+            service = self._registry.member.service
+            self._courier.spread(service, before, after)
         return True
 
+    async def _async_commit(self, passage: Passage) -> Ready:
+        """Change the map for a passage, and for all that are ready then.
+
+        Failure: who changes the map for several is cancelled on the way. The
+        next of them sends a change of its own, which makes an open one fail
+        or finds that it was done.
+        """
+        ready = Ready(passage)
+        self._ready.append(ready)
+        try:
+            async with self._committing:
+                if ready.outcome is None:
+                    await self._async_commit_all(list(self._ready))
+        finally:
+            if ready in self._ready:
+                self._ready.remove(ready)
+        return ready
+
+    async def _async_commit_all(self, joint: list[Ready]) -> None:
+        passages = [each.passage for each in joint]
+        before = self._registry.key_map
+        committed = await self._registry.async_commit(
+            lambda registry: plan_passages(registry, passages),
+            MOVE_LIMIT_S,
+        )
+        after = self._registry.key_map
+        for each in joint:
+            each.before = before
+            each.after = after
+            each.outcome = committed
+            if committed is CommitResult.DONE:
+                own = self._registry.member.name
+                if not has_passed(after, each.passage, own):
+                    each.outcome = CommitResult.NOT_WANTED
+        done = [each for each in joint if each.outcome is CommitResult.DONE]
+        if done:
+            done[0].spreads = True
+        for each in joint:
+            if each in self._ready:
+                self._ready.remove(each)
+
     async def _async_free(self, piece: Assignment) -> str | None:
         """Make sure that the server works on a range no more."""
         token = await self._granter.async_release(piece)
--- /dev/null
+++ b/tests/holds/test_passing.py
@@ -0,0 +1,128 @@
+"""Several ranges pass on at the same moment.
+
+A busy patch leaves its server in four moves at once. Each was a change of the
+map of its own, one after the other, and each waited with its keys unheld for
+the row that 60 other members change too.
+"""
+
+import asyncio
+
+from plantaingrade.holds.passing import Passage, has_passed, plan_passages
+from plantaingrade.keyspace.entity import KEY_COUNT, KeyMap, KeyRange
+from tests.holds.fakes import CALL_S, Fault, World
+from tests.virtual import run
+
+NAMES = ('m1', 'm2', 'm3')
+PIECES = 4
+PIECE = 100
+SETTLED_S = 6.0
+WATCHED_S = 12.0
+LOOK_S = 0.05
+
+
+def pieces_of(world: World) -> list[KeyRange]:
+    first = world.places[0].maps.find('cases').owned_by('m1')[0].keys.first
+    return [
+        KeyRange(first + place * PIECE, first + (place + 1) * PIECE - 1)
+        for place in range(PIECES)
+    ]
+
+
+async def async_start() -> World:
+    world = World()
+    for name in NAMES:
+        world.add(name)
+    await asyncio.sleep(SETTLED_S)
+    assert world.held_keys() == KEY_COUNT
+    return world
+
+
+async def async_watch(world: World, seconds: float) -> None:
+    for _ in range(int(seconds / LOOK_S)):
+        await asyncio.sleep(LOOK_S)
+        assert not world.overlaps()
+
+
+def owners(world: World, pieces: list[KeyRange]) -> list[str]:
+    key_map = world.places[0].maps.find('cases')
+    return [key_map.find(piece.first).owner for piece in pieces]
+
+
+def test_ranges_that_are_ready_together_pass_by_two_changes() -> None:
+    """The first goes at once, the others by one change after it."""
+
+    async def story() -> None:
+        world = await async_start()
+        pieces = pieces_of(world)
+        versions = set()
+        world.places[0].maps.listen(
+            lambda _, key_map: versions.add(key_map.version)
+        )
+        gives = [
+            world.places[0].holds.async_give([piece], NAMES[1 + place % 2])
+            for place, piece in enumerate(pieces)
+        ]
+        assert all(await asyncio.gather(*gives))
+        assert owners(world, pieces) == ['m2', 'm3', 'm2', 'm3']
+        assert len(versions) <= 2
+        await async_watch(world, WATCHED_S)
+        assert world.held_keys() == KEY_COUNT
+        await world.async_stop()
+
+    run(story())
+
+
+def test_lost_and_late_answers_leave_each_range_with_one_owner() -> None:
+    async def story(fault: Fault) -> None:
+        world = await async_start()
+        pieces = pieces_of(world)
+        faults = world.places[0].store.faults
+        faults.extend([fault, fault])
+        for place, piece in enumerate(pieces):
+            world.move(world.places[0], piece, NAMES[1 + place % 2])
+        await async_watch(world, WATCHED_S)
+        assert world.held_keys() == KEY_COUNT
+        moves = [move.result() for move in world.places[0].moves]
+        is_given = [owner != 'm1' for owner in owners(world, pieces)]
+        assert moves == is_given
+        await world.async_stop()
+
+    for fault in (Fault.LOST, Fault.LATE, Fault.BUSY):
+        run(story(fault))
+
+
+def test_a_cancelled_change_leaves_the_other_ranges_to_the_next() -> None:
+    """The move that changes the map for all ends on the way."""
+
+    async def story() -> None:
+        world = await async_start()
+        pieces = pieces_of(world)
+        for place, piece in enumerate(pieces):
+            world.move(world.places[0], piece, NAMES[1 + place % 2])
+        moves = world.places[0].moves
+        while not moves[0].done():
+            await asyncio.sleep(CALL_S / 2)
+        moves[1].cancel()
+        await async_watch(world, WATCHED_S)
+        assert all(move.result() for move in moves[2:])
+        assert owners(world, pieces[2:]) == ['m2', 'm3']
+        await world.async_stop()
+
+    run(story())
+
+
+def test_a_range_that_stands_no_more_leaves_the_others_as_they_are() -> None:
+    async def story() -> None:
+        world = await async_start()
+        registry = world.places[0].holds.registry
+        own = registry.key_map.owned_by('m1')[0]
+        other = registry.key_map.owned_by('m2')[0]
+        passages = [Passage((own,), 'm3'), Passage((other,), 'm3')]
+        change = plan_passages(registry, passages)
+        assert has_passed(change.key_map, passages[0], 'm1')
+        assert change.key_map.find(other.keys.first).owner == 'm2'
+        assert plan_passages(registry, passages[1:]) is None
+        assert not has_passed(KeyMap((), 0), passages[0], 'm1')
+        await world.async_stop()
+
+    run(story())
