Let the difference that moves keys grow with the number of members

Cause: loads are counted over 1.5 s, some 36 requests, and stray by a sixth. Of 67 members with the same load the highest and the lowest then differ by 0.6, and by 0.35 nearly always, so members moved keys to each other for nothing. Change: keys are moved from the difference that chance does not bring among so many members; at few members it is as before.

--- a/plantaingrade/balance/policy.py
+++ b/plantaingrade/balance/policy.py
@@ -6,6 +6,7 @@
 that brings it: keys that hardly anybody asks for stay where they are.
 """
 
+import math
 from collections.abc import Mapping, Sequence
 
 from plantaingrade.balance.const import (
@@ -14,10 +15,14 @@
     MIN_LOAD_TO_MOVE,
     MIN_MOVED_LOAD,
     SHARE_OF_DIFFERENCE,
+    WINDOW_S,
 )
 from plantaingrade.balance.entity import KeyLoad, Load, Move
 from plantaingrade.keyspace.entity import KeyRange
 
+# The range of ``n`` samples of a normal distribution is close to this times the
+# square root of ``ln n``, in standard deviations: 2.7 for 7, 4.7 for 67.
+EXTREMES = 2.2
 # A run that brings this part of what is wanted is good enough to prefer one
 # with fewer keys.
 ENOUGH = 0.6
@@ -60,7 +65,7 @@
         return None
     target = min(load_by_member, key=lambda name: load_by_member[name].share)
     other = load_by_member[target]
-    if own.share - other.share < MIN_DIFFERENCE:
+    if own.share - other.share < least_difference(own, len(load_by_member)):
         return None
     wanted = work_to_move(own, other)
     found = densest_run(ranges, key_loads, wanted)
@@ -70,6 +75,18 @@
     return Move(keys, target, work)
 
 
+def least_difference(own: Load, others: int) -> float:
+    """Return the difference from which loads differ for certain.
+
+    A load is counted over a window, so it strays like a sample of as many
+    requests. Of many members with the same load the highest and the lowest
+    lie the further apart the more there are.
+    """
+    strays = math.sqrt(own.share * own.work_s / (max(1, own.slots) * WINDOW_S))
+    extremes = EXTREMES * math.sqrt(math.log(max(1, others)))
+    return max(MIN_DIFFERENCE, strays * extremes)
+
+
 def work_to_move(own: Load, other: Load) -> float:
     """Return the work, in seconds of an own slot, that evens out two loads.
 
--- a/tests/balance/fleet.py
+++ b/tests/balance/fleet.py
@@ -91,6 +91,7 @@
         self.fleet = fleet
         self.moving_since: dict[KeyRange, float] = {}
         self.writing = asyncio.Lock()
+        self.ready: list[asyncio.Future[bool]] = []
         self.turns = TurnPauses(random.Random(name))
         self.registry = SimpleNamespace(
             is_joined=True, takes_keys=True, key_map=self
@@ -150,15 +151,27 @@
         return is_done
 
     async def _async_commit(self) -> bool:
+        """Change the map for all moves that are ready then."""
+        move = asyncio.get_running_loop().create_future()
+        self.ready.append(move)
+        async with self.writing:
+            if not move.done():
+                joint = self.ready
+                self.ready = []
+                is_done = await self._async_change()
+                for each in joint:
+                    each.set_result(is_done)
+        return move.result()
+
+    async def _async_change(self) -> bool:
         loop = asyncio.get_running_loop()
         ends = loop.time() + MOVE_LIMIT_S
-        async with self.writing:
-            while loop.time() <= ends:
-                row = self.fleet.row
-                if await row.async_change(row.version):
-                    self.turns.on_done()
-                    return True
-                await asyncio.sleep(self.turns.on_late())
+        while loop.time() <= ends:
+            row = self.fleet.row
+            if await row.async_change(row.version):
+                self.turns.on_done()
+                return True
+            await asyncio.sleep(self.turns.on_late())
         return False
 
     def _pass_on(self, keys: KeyRange, target: str) -> None:
--- a/tests/balance/test_policy.py
+++ b/tests/balance/test_policy.py
@@ -4,7 +4,7 @@
 
 from pytest import approx
 
-from plantaingrade.balance.const import MIN_DIFFERENCE
+from plantaingrade.balance.const import MIN_DIFFERENCE, WINDOW_S
 from plantaingrade.balance.entity import KeyLoad, Load
 from plantaingrade.balance.meter import LoadMeter
 from plantaingrade.balance.policy import (
@@ -181,3 +181,36 @@
     assert busiest_before > 2.0 * mean
     assert max(shares().values()) < 1.45 * mean
     assert moves <= 12
+
+
+def test_many_members_with_the_same_demand_move_next_to_nothing() -> None:
+    """Each of 67 is asked for four fifths of what it can do.
+
+    Counted over a window their loads differ by 0.6 at any time, by chance
+    alone, so that some always moved keys to each other.
+    """
+    chance = random.Random(3)
+    work_s = 0.2
+    demand = 0.8 * SLOTS / work_s
+    looks = 400
+    moves = 0
+    for _ in range(looks):
+        shares = [
+            _arrivals(chance, demand) * work_s / WINDOW_S / SLOTS
+            for _ in range(67)
+        ]
+        own, *others = [load(share, work_s) for share in shares]
+        load_by_name = {str(place): each for place, each in enumerate(others)}
+        keys = [KeyLoad(key, 0.05) for key in range(100)]
+        moves += choose_move(own, load_by_name, [ALL], keys) is not None
+    assert moves < looks / 20
+
+
+def _arrivals(chance: random.Random, per_s: float) -> int:
+    """Return how many requests come within a window."""
+    count = 0
+    at = chance.expovariate(per_s)
+    while at < WINDOW_S:
+        count += 1
+        at += chance.expovariate(per_s)
+    return count
