Let a move go on without whoever asked for it

Cause: a move ran in the task of its request and ended with it, also between the sending of its change and its answer. Its ranges were granted here again while the change was still to be applied. Ruled out: moves of the balance and of a stop (nothing cancels those before the process ends). Change: a move is a task of its own, which whoever asks only waits for. Before: test_who_asked_for_a_move_may_leave_while_it_is_under_way fails (two servers hold keys 100 to 200).

--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -71,7 +71,7 @@
             self.registry, orders, clock, log, self._notify, self._wake_grants
         )
         self._transfers = Transfers(
-            self.registry, self.granter, clock, log, courier
+            self.registry, self.granter, clock, log, courier, self._stir
         )
         self._changed = asyncio.Event()
         self._hinted = asyncio.Event()
@@ -150,14 +150,12 @@
                 tasks.create_task(self._async_scan_loop())
                 tasks.create_task(self._async_hint_loop())
         finally:
+            self._transfers.stop()
             await self.granter.async_stop()
 
     async def async_give(self, keys: list[KeyRange], target: str) -> bool:
         """Pass ranges to another member; tell whether they have passed."""
-        try:
-            return await self._transfers.async_give(keys, target)
-        finally:
-            self._stir()
+        return await self._transfers.async_give(keys, target)
 
     def _wake_grants(self) -> None:
         self._wake.set()
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -1,6 +1,7 @@
 """Pass ranges of keys on to other members."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from plantaingrade.clock import Clock
@@ -44,6 +45,8 @@
         '_courier',
         '_granter',
         '_log',
+        '_moves',
+        '_on_ended',
         '_ready',
         '_registry',
     )
@@ -55,19 +58,41 @@
         clock: Clock,
         log: EventLog,
         courier: Courier,
+        on_ended: Callable[[], None],
     ) -> None:
-        """Pass on what one member owns."""
+        """Pass on what one member owns; ``on_ended`` is called after each."""
         self._registry = registry
         self._granter = granter
         self._clock = clock
         self._log = log
         self._courier = courier
+        self._on_ended = on_ended
+        self._moves: set[asyncio.Task[bool]] = set()
         self._committing = asyncio.Lock()
         self._ready: list[Ready] = []
 
     async def async_give(self, keys: list[KeyRange], target: str) -> bool:
         """Pass ranges to another member; tell whether they have passed.
 
+        Failure: who asked for it leaves while the change is under way, and
+        the ranges are granted here again before the change is applied. It
+        shows as two servers that hold the same keys. So a move that has
+        begun goes on without whoever asked for it.
+        """
+        loop = asyncio.get_running_loop()
+        move = loop.create_task(self._async_give(keys, target))
+        self._moves.add(move)
+        move.add_done_callback(self._moves.discard)
+        return await asyncio.shield(move)
+
+    def stop(self) -> None:
+        """Cancel every move, as the process ends."""
+        for move in self._moves:
+            move.cancel()
+
+    async def _async_give(self, keys: list[KeyRange], target: str) -> bool:
+        """Pass ranges to another member; tell whether they have passed.
+
         Ranges that are being passed on already are left to that transfer.
         """
         moving = self._granter.moving
@@ -78,6 +103,7 @@
             return await self._async_pass(keys, target)
         finally:
             moving.difference_update(keys)
+            self._on_ended()
 
     async def _async_pass(self, keys: list[KeyRange], target: str) -> bool:
         for each in keys:
