--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -20,8 +20,8 @@
 from plantaingrade.clock import BootClock, Clock
 from plantaingrade.const import MS_PER_S
 from plantaingrade.http.channel import Channel, ChannelClosedError
-from plantaingrade.http.client import Call, fetch, read_body
-from plantaingrade.http.pool import ConnectFailedError, Pool, split_address
+from plantaingrade.http.client import read_body
+from plantaingrade.http.pool import Pool, split_address
 from plantaingrade.http.server import HttpServer
 from plantaingrade.keyspace.entity import KeyRange
 from plantaingrade.platform.const import (
@@ -36,11 +36,12 @@
     HEADER_STAMP,
     PATH_GRANT,
     PATH_RELEASE,
-    PATH_REPORTS,
 )
-from plantaingrade.platform.units import format_time, parse_time
+from plantaingrade.platform.units import parse_time
 from plantaingrade.requests.entity import Answer
 from plantaingrade.sidecar.fronts import refuse_malformed, send_answer
+from standins.life import Heartbeat, Life
+from standins.reports import Reporter
 
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -49,7 +50,6 @@
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 IDLE_S = 10.0
-ID_BYTES = 4
 # A server that leaves serves on for this long.
 DRAIN_S = 3.0
 
@@ -86,6 +86,7 @@
     request_id: str
     key: int | None
     instance: str
+    born: int
     service: str
     caller_service: str
     began: float
@@ -157,27 +158,46 @@
     """One life of a backend server."""
 
     def __init__(
-        self, plan: ServerPlan, record: RunRecord, clock: Clock, seed: int
+        self,
+        plan: ServerPlan,
+        record: RunRecord,
+        clock: Clock,
+        seed: int,
+        life: Life | None = None,
     ) -> None:
-        """Start with no keys."""
+        """Start with no keys; without a life given, under an id of its own."""
         self.plan = plan
         self.record = record
         self.faults = ServerFaults()
         self._clock = clock
         self._random = random.Random(seed)
-        self.instance = f'i-{self._random.getrandbits(8 * ID_BYTES):08x}'
+        self.life = life or Life.from_seed(seed)
         self.state = 'ready'
         self.is_up = False
         self.running = 0
         self.holds: list[Hold] = []
         self._fence_by_key: dict[KeyRange, int] = {}
         self._busy: list[int] = []
-        self._sequence = 0
         self._pool = Pool(clock)
+        first = Heartbeat(
+            self.life,
+            plan.service,
+            plan.address,
+            plan.zone,
+            plan.slots,
+            self.state,
+            sequence=1,
+        )
+        self.reporter = Reporter(first, plan.reports, self._pool)
         self._tasks: set[asyncio.Task[None]] = set()
         self._server = HttpServer(clock, self._serve, refuse_malformed, IDLE_S)
         record.servers.append(self)
 
+    @property
+    def instance(self) -> str:
+        """Return the id of this life, which others may have had."""
+        return self.life.instance
+
     async def async_start(self) -> None:
         """Listen, and begin to send heartbeats."""
         await self._server.async_listen(*split_address(self.plan.address))
@@ -200,30 +220,7 @@
 
     async def async_heartbeat(self) -> bool:
         """Send one heartbeat; tell whether it was acknowledged."""
-        self._sequence += 1
-        fields = {
-            'service': self.plan.service,
-            'address': self.plan.address,
-            'zone': self.plan.zone,
-            'version': 'v1',
-            'capacity': self.plan.slots,
-            'state': self.state,
-            'coldRemaining': format_time(0),
-            'sequence': self._sequence,
-        }
-        call = Call(
-            'PUT',
-            self.plan.reports,
-            f'{PATH_REPORTS.decode()}{self.instance}',
-            (),
-            json.dumps(fields).encode(),
-        )
-        try:
-            async with asyncio.timeout(1):
-                reply = await fetch(self._pool, call)
-        except (TimeoutError, ConnectFailedError, ChannelClosedError):
-            return False
-        return reply.status == STATUS_OK
+        return await self.reporter.async_say(self.state) == STATUS_OK
 
     def holds_key(self, key: int) -> bool:
         """Tell whether this server may work on a key now."""
@@ -294,7 +291,7 @@
                 continue
             if other.holds_some(keys, now):
                 self.record.two_owners.append(
-                    f'{self.instance} and {other.instance} hold {keys}'
+                    f'{self.life} and {other.life} hold {keys}'
                 )
 
     async def _release(self, fields: dict, channel: Channel) -> None:
@@ -354,6 +351,7 @@
             headers.get(HEADER_REQUEST_ID, b'').decode(),
             key,
             self.instance,
+            self.life.born,
             self.plan.service,
             headers.get(HEADER_CALLER, b'').decode(),
             now,
@@ -411,9 +409,13 @@
         task.add_done_callback(self._tasks.discard)
 
 
-async def async_serve(plan: ServerPlan, record: RunRecord) -> None:
+async def async_serve(
+    plan: ServerPlan, record: RunRecord, instance: str
+) -> None:
     """Serve until told to stop; drain first, as a planned shutdown does."""
-    server = KeyedServer(plan, record, BootClock(), os.getpid())
+    seed = os.getpid()
+    life = Life.under_id(instance) if instance else Life.from_seed(seed)
+    server = KeyedServer(plan, record, BootClock(), seed, life)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -433,6 +435,7 @@
 @click.option('--slots', type=int, default=4)
 @click.option('--work-ms', type=float, default=10.0)
 @click.option('--log', required=True)
+@click.option('--instance', default='', help='Id; without it, a new one.')
 def main(
     service: str,
     zone: str,
@@ -442,6 +445,7 @@
     slots: int,
     work_ms: float,
     log: str,
+    instance: str,
 ) -> None:
     """Run one life of a backend server."""
     plan = ServerPlan(
@@ -453,7 +457,7 @@
         work_ms / MS_PER_S,
         is_keyed=keyed,
     )
-    asyncio.run(async_serve(plan, RunRecord.at_path(log)))
+    asyncio.run(async_serve(plan, RunRecord.at_path(log), instance))
 
 
 if __name__ == '__main__':
--- a/standins/shared_store.py
+++ b/standins/shared_store.py
@@ -116,11 +116,11 @@
         self._wake()
         return STATUS_OK, {}
 
-    def put(self, table: str, key: str, body: bytes) -> None:
-        """Write a row without a condition, as the operator does."""
+    def put(self, table: str, key: str, body: bytes, part: str = '') -> None:
+        """Write a row without a condition, as other writers do."""
         entry = {
             'table': table,
-            'part': '',
+            'part': part,
             'key': key,
             'value': base64.b64encode(body).decode(),
         }
@@ -237,8 +237,11 @@
         """Follow an order such as ``{"outage": "busy", "host": "127.0.0.1"}``.
 
         Without a host it is for all callers; a configuration is put with
-        ``{"config": TEXT}``.
+        ``{"config": TEXT}``, any row with ``{"puts": [ENTRY]}``, as in a
+        transaction without conditions.
         """
+        if 'puts' in fields:
+            self.rows.commit({'puts': fields['puts']})
         if 'config' in fields:
             self.rows.put('op', 'config', fields['config'].encode())
         if 'host' in fields:
--- a/tests/sidecar/rig.py
+++ b/tests/sidecar/rig.py
@@ -18,6 +18,7 @@
     Listeners,
 )
 from standins.keyed_server import KeyedServer, RunRecord, ServerPlan
+from standins.life import Life
 from standins.shared_store import SharedStore
 
 WAIT_LIMIT_S = 20.0
@@ -126,11 +127,13 @@
         await self.async_start(place)
         return place
 
-    async def async_start_server(self, place: Place) -> None:
-        """Start a new life of a place's server."""
+    async def async_start_server(
+        self, place: Place, life: Life | None = None
+    ) -> None:
+        """Start a new life of a place's server, as given or as a new one."""
         self._seed += 1
         place.server = KeyedServer(
-            place.plan, self.record, self.clock, self._seed
+            place.plan, self.record, self.clock, self._seed, life
         )
         await place.server.async_start()
 
