Soak: restart servers under their id, and let strangers speak

The judge tells owners apart by id and born, and names processes that ended by themselves. The two restarts are one function. Seeds that failed once draw from the kinds that there were then, so their schedules stay the same.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,7 @@
 
 from plantaingrade.http.pool import Pool
 from soak.callers import KEYS, STATUS_OK, Callers
-from soak.schedule import make_schedule
+from soak.schedule import ALL_TROUBLES, Trouble, make_schedule
 from soak.trouble import Troubles
 from soak.verdict import Verdict, judge, read_runs
 from soak.world import ZONES, World
@@ -30,7 +30,12 @@
 
 
 async def async_run(
-    seed: int, seconds: float, spots: int, block: int, folder: Path
+    seed: int,
+    seconds: float,
+    spots: int,
+    block: int,
+    folder: Path,
+    troubles: tuple[Trouble, ...] = ALL_TROUBLES,
 ) -> Verdict:
     """Play one seed from start to verdict."""
     with World(spots, block, folder) as world:
@@ -38,21 +43,23 @@
             return Verdict(unserved_at_end=1)
         callers = Callers(world, seed)
         load = asyncio.create_task(callers.async_run(CALLERS_PER_SPOT))
-        steps = make_schedule(seed, seconds, spots)
+        steps = make_schedule(seed, seconds, spots, troubles)
         (folder / 'schedule.json').write_text(
             json.dumps([asdict(step) for step in steps], indent=1)
         )
-        troubles = Troubles(world)
-        await troubles.async_play(steps)
+        player = Troubles(world)
+        await player.async_play(steps)
         unserved = await _async_until_served(world, callers)
         callers.stop()
         await load
+        ended = world.ended()
         told = [json.dumps(asdict(each)) for each in callers.told]
         (folder / 'told.jsonl').write_text('\n'.join(told))
     verdict = judge(
-        callers.told, read_runs(folder / 'runs.jsonl'), troubles.pauses
+        callers.told, read_runs(folder / 'runs.jsonl'), player.pauses
     )
     verdict.unserved_at_end = unserved
+    verdict.ended_by_itself = len(ended)
     return verdict
 
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -32,6 +32,11 @@
     STORE_LOSES = 'store-loses'
     STORE_FORGETS = 'store-forgets'
     CONFIGURE = 'configure'
+    # A server is killed and back at once under the id that it had.
+    RESTART_SERVER = 'restart-server'
+    # A writer that keeps to no rule speaks to a process, or to the store.
+    STRANGE_REPORT = 'strange-report'
+    STRANGE_ROW = 'strange-row'
 
 
 @dataclass(slots=True, frozen=True)
@@ -48,7 +53,15 @@
 OUTAGES = ('busy', 'limited', 'reset', 'silent')
 
 
-def make_schedule(seed: int, seconds: float, spots: int) -> list[Step]:
+ALL_TROUBLES = tuple(Trouble)
+
+
+def make_schedule(
+    seed: int,
+    seconds: float,
+    spots: int,
+    troubles: tuple[Trouble, ...] = ALL_TROUBLES,
+) -> list[Step]:
     """Return the steps of a run, in order."""
     chooser = random.Random(seed)
     steps = []
@@ -57,7 +70,7 @@
         steps.append(
             Step(
                 round(at, 3),
-                chooser.choice(list(Trouble)),
+                chooser.choice(troubles),
                 chooser.randrange(spots),
                 round(chooser.uniform(MIN_LENGTH_S, MAX_LENGTH_S), 3),
                 chooser.choice(OUTAGES),
--- a/soak/trouble.py
+++ b/soak/trouble.py
@@ -1,11 +1,15 @@
 """Make a schedule's faults happen, and put them right again."""
 
 import asyncio
+import random
 import signal
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from soak.schedule import Step, Trouble
+from soak.strangers import async_put_row, async_report
 from soak.verdict import Pause
-from soak.world import Spot, World
+from soak.world import Spot, World, router_name, server_name
 
 RESTART_S = 0.3
 RELAY_DELAY_S = 0.15
@@ -14,7 +18,12 @@
     Trouble.STOP_ROUTER: signal.SIGTERM,
     Trouble.KILL_SERVER: signal.SIGKILL,
     Trouble.DRAIN_SERVER: signal.SIGTERM,
+    Trouble.RESTART_SERVER: signal.SIGKILL,
 }
+# Of a step's length, the share for which its process is down. What starts
+# again at once is back between two renewals of its grants.
+DOWN_SHARE = 0.5
+DOWN_SHARE_AT_ONCE = 0.05
 LOSSES = {'lost': 0.3, 'late': 0.3}
 
 
@@ -43,14 +52,30 @@
         await asyncio.gather(*self._tasks)
 
     async def _async_step(self, step: Step) -> None:
-        spot = self._world.spots[step.spot]
+        await self._work_of(self._world.spots[step.spot], step)
+
+    def _work_of(self, spot: Spot, step: Step) -> Coroutine[Any, Any, None]:
+        """Return what makes a step's fault happen and ends it."""
         match step.trouble:
             case Trouble.KILL_ROUTER | Trouble.STOP_ROUTER:
-                await self._async_restart(spot, step)
-            case Trouble.KILL_SERVER | Trouble.DRAIN_SERVER:
-                await self._async_renew_server(spot, step)
+                return self._async_restart(
+                    router_name(spot),
+                    step,
+                    lambda: self._world.start_router(spot),
+                )
+            case (
+                Trouble.KILL_SERVER
+                | Trouble.DRAIN_SERVER
+                | Trouble.RESTART_SERVER
+            ):
+                keeps_id = step.trouble is Trouble.RESTART_SERVER
+                return self._async_restart(
+                    server_name(spot),
+                    step,
+                    lambda: self._world.start_server(spot, keeps_id=keeps_id),
+                )
             case Trouble.PAUSE_ROUTER | Trouble.PAUSE_SERVER:
-                await self._async_pause(spot, step)
+                return self._async_pause(spot, step)
             case (
                 Trouble.CUT
                 | Trouble.MUTE
@@ -58,35 +83,30 @@
                 | Trouble.SILENCE
                 | Trouble.RESET
             ):
-                await self._async_harm_link(spot, step)
-            case _:
-                await self._async_harm_store(spot, step)
-
-    async def _async_restart(self, spot: Spot, step: Step) -> None:
-        name = f'router-{spot.number}'
-        if not self._take(name):
-            return
-        self._world.signal(name, SIGNAL_BY_TROUBLE[step.trouble])
-        while self._world.runs(name):
-            await asyncio.sleep(RESTART_S)
-        await asyncio.sleep(step.for_s / 2)
-        self._world.start_router(spot)
-        self._busy.discard(name)
-
-    async def _async_renew_server(self, spot: Spot, step: Step) -> None:
-        name = f'server-{spot.number}'
+                return self._async_harm_link(spot, step)
+            case Trouble.STRANGE_REPORT:
+                return async_report(self._world, spot, random.Random(step.at))
+            case Trouble.STRANGE_ROW:
+                return async_put_row(self._world, spot, random.Random(step.at))
+        return self._async_harm_store(spot, step)
+
+    async def _async_restart(
+        self, name: str, step: Step, start: Callable[[], None]
+    ) -> None:
         if not self._take(name):
             return
+        is_at_once = step.trouble is Trouble.RESTART_SERVER
+        share = DOWN_SHARE_AT_ONCE if is_at_once else DOWN_SHARE
         self._world.signal(name, SIGNAL_BY_TROUBLE[step.trouble])
         while self._world.runs(name):
             await asyncio.sleep(RESTART_S)
-        await asyncio.sleep(step.for_s / 2)
-        self._world.start_server(spot)
+        await asyncio.sleep(step.for_s * share)
+        start()
         self._busy.discard(name)
 
     async def _async_pause(self, spot: Spot, step: Step) -> None:
         is_router = step.trouble is Trouble.PAUSE_ROUTER
-        name = f'{"router" if is_router else "server"}-{spot.number}'
+        name = router_name(spot) if is_router else server_name(spot)
         if not self._take(name):
             return
         began = self._world.clock.now()
--- a/soak/verdict.py
+++ b/soak/verdict.py
@@ -7,6 +7,7 @@
 
 from soak.callers import STATUS_OK, Told
 from soak.world import KEYED
+from standins.life import Life
 
 # Runs of one key at two servers may touch, by the reading of two clocks.
 TOUCH_S = 0.001
@@ -26,6 +27,12 @@
     service: str
     began: float
     ended: float
+    born: int = 0
+
+    @property
+    def life(self) -> Life:
+        """Return the life that ran it; an id may have had several."""
+        return Life(self.instance, self.born)
 
 
 @dataclass(slots=True, frozen=True)
@@ -53,6 +60,7 @@
     wrong_service: int = 0
     answered_late: int = 0
     unserved_at_end: int = 0
+    ended_by_itself: int = 0
 
     def broken(self) -> list[str]:
         """Return the names of the promises that were broken."""
@@ -63,10 +71,11 @@
 
 def read_runs(path: Path) -> list[Run]:
     """Return the runs that servers noted."""
-    run_by_name: dict[tuple[str, str, float], Run] = {}
+    run_by_name: dict[tuple[str, Life, float], Run] = {}
     for line in path.read_text().splitlines():
         fields = json.loads(line)
-        name = (fields['request_id'], fields['instance'], fields['began'])
+        life = Life(fields['instance'], fields['born'])
+        name = (fields['request_id'], life, fields['began'])
         if fields['event'] == 'begin':
             run_by_name[name] = Run(
                 fields['request_id'],
@@ -76,6 +85,7 @@
                 fields['began'],
                 # A server that was killed has ended its work with its life.
                 fields['began'],
+                life.born,
             )
         else:
             run_by_name[name].ended = fields['ended']
@@ -124,7 +134,7 @@
 
 
 def count_two_owners(runs: list[Run]) -> int:
-    """Count runs on a key that overlap with one at another server."""
+    """Count runs on a key that overlap with one of another life."""
     runs_by_key: dict[int, list[Run]] = defaultdict(list)
     for run in runs:
         if run.service == KEYED:
@@ -135,7 +145,7 @@
         latest = on_key[0]
         for run in on_key[1:]:
             overlaps = run.began + TOUCH_S < latest.ended
-            found += overlaps and run.instance != latest.instance
+            found += overlaps and run.life != latest.life
             if run.ended > latest.ended:
                 latest = run
     return found
--- a/soak/world.py
+++ b/soak/world.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+from collections import Counter
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
@@ -49,6 +50,16 @@
         """Return where callers on this instance send requests."""
         return f'{self.ip}:18147'
 
+    @property
+    def server(self) -> str:
+        """Return where this instance's server listens."""
+        return f'{self.ip}:18145'
+
+    @property
+    def reports(self) -> str:
+        """Return where this instance's server sends its heartbeats."""
+        return f'{self.ip}:18144'
+
     @property
     def ready(self) -> str:
         """Return where this instance tells whether it takes work."""
@@ -70,6 +81,7 @@
         self.network = f'127.9.{block}.2:19002'
         self.spots = [_spot(number, block) for number in range(count)]
         self._process_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self._count_by_spot: Counter[int] = Counter()
         self.links: dict[str, Any] = {}
 
     def __enter__(self) -> 'World':
@@ -108,28 +120,35 @@
             process.wait()
         self.pool.close()
 
-    def start_server(self, spot: Spot) -> None:
-        """Start a life of an instance's server."""
+    def start_server(self, spot: Spot, *, keeps_id: bool = False) -> None:
+        """Start a life of an instance's server, under a new id or its last."""
+        if not keeps_id:
+            self._count_by_spot[spot.number] += 1
         kind = '--keyed' if spot.service == KEYED else '--plain'
         self._spawn(
-            f'server-{spot.number}',
+            server_name(spot),
             'standins.keyed_server',
             f'--service={spot.service}',
             f'--zone={spot.zone}',
-            f'--address={spot.ip}:18145',
-            f'--reports={spot.ip}:18144',
+            f'--address={spot.server}',
+            f'--reports={spot.reports}',
+            f'--instance={self.server_id(spot)}',
             kind,
             f'--slots={SLOTS}',
             f'--work-ms={self._work_ms}',
             f'--log={self.folder}/runs.jsonl',
         )
 
+    def server_id(self, spot: Spot) -> str:
+        """Return the id under which an instance's server was last started."""
+        return f'i-{spot.number}-{self._count_by_spot[spot.number]}'
+
     def start_router(self, spot: Spot) -> None:
         """Start a run of an instance's process."""
         path = self.folder / f'settings-{spot.number}.yaml'
         path.write_text(yaml.safe_dump(_settings(spot, self.store)))
         self._spawn(
-            f'router-{spot.number}',
+            router_name(spot),
             'plantaingrade.sidecar',
             f'--peers-bind={spot.ip}:{PEERS_PORT}',
             '--binds-source',
@@ -146,6 +165,10 @@
         """Return the id of a process that this object started."""
         return self._process_by_name[name].pid
 
+    def ended(self) -> list[str]:
+        """Return the names of processes that do not run."""
+        return [name for name in self._process_by_name if not self.runs(name)]
+
     def runs(self, name: str) -> bool:
         """Tell whether a process runs."""
         return self._process_by_name[name].poll() is None
@@ -202,6 +225,16 @@
             )
 
 
+def router_name(spot: Spot) -> str:
+    """Return the name of an instance's process."""
+    return f'router-{spot.number}'
+
+
+def server_name(spot: Spot) -> str:
+    """Return the name of the process of an instance's server."""
+    return f'server-{spot.number}'
+
+
 def _spot(number: int, block: int) -> Spot:
     zone = number % ZONES
     host = number // ZONES + 1
@@ -218,17 +251,17 @@
 def _settings(spot: Spot, store: str) -> dict[str, Any]:
     return {
         'self': {
-            'nodeName': f'router-{spot.number}',
+            'nodeName': router_name(spot),
             'ip': spot.known_ip,
             'zone': spot.zone,
-            'appAddr': f'{spot.ip}:18145',
+            'appAddr': spot.server,
             'service': spot.service,
         },
         'network': {
             'listenAddrs': {
                 'outbound': spot.callers,
                 'ready': spot.ready,
-                'controlPlane': f'{spot.ip}:18144',
+                'controlPlane': spot.reports,
             },
             'internalPortRange': [PEERS_PORT, PEERS_PORT + 9],
         },
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,7 @@
 
 from soak.__main__ import async_run
 from soak.callers import Told
-from soak.schedule import Trouble, make_schedule
+from soak.schedule import ALL_TROUBLES, Trouble, make_schedule
 from soak.verdict import Pause, Run, judge
 
 SPOTS = 5
@@ -19,6 +19,17 @@
     # ran them, and their repeats found nobody listening.
     2004: 230,
 }
+# The schedules of those seeds draw from the kinds that there were then.
+TROUBLES_THEN = tuple(
+    trouble
+    for trouble in ALL_TROUBLES
+    if trouble
+    not in {
+        Trouble.RESTART_SERVER,
+        Trouble.STRANGE_REPORT,
+        Trouble.STRANGE_ROW,
+    }
+)
 USUAL_SECONDS = 15
 USUAL_SPOTS = 6
 
@@ -32,8 +43,9 @@
     instance: str = 'i-1',
     service: str = 'cases',
     at: float = 10,
+    born: int = 1,
 ) -> Run:
-    return Run(request_id, 7, instance, service, at, at + 0.5)
+    return Run(request_id, 7, instance, service, at, at + 0.5, born)
 
 
 def test_a_seed_repeats_its_schedule() -> None:
@@ -53,6 +65,10 @@
     assert played == set(Trouble)
 
 
+def test_one_life_may_run_requests_on_a_key_at_once() -> None:
+    assert not judge([told('a')], [ran('a'), ran('b', at=10.2)], []).broken()
+
+
 def test_a_kept_promise_is_no_finding() -> None:
     verdict = judge([told('a'), told('b', status=503)], [ran('a')], [])
     assert not verdict.broken()
@@ -67,6 +83,7 @@
         ('ran_twice', told('a'), [ran('a'), ran('a', at=20)]),
         ('not_run_but_ran', told('a', status=503), [ran('a')]),
         ('two_owners', told('a'), [ran('a'), ran('b', 'i-2', at=10.2)]),
+        ('two_owners', told('a'), [ran('a'), ran('b', born=2, at=10.2)]),
         ('wrong_service', told('a'), [ran('a', service='letters')]),
     ],
 )
@@ -99,6 +116,13 @@
 def test_a_seed_that_failed_once_keeps_every_promise(seed, tmp_path) -> None:
     block = BLOCK_BY_FAILED_SEED[seed]
     verdict = asyncio.run(
-        async_run(seed, USUAL_SECONDS, USUAL_SPOTS, block, tmp_path)
+        async_run(
+            seed,
+            USUAL_SECONDS,
+            USUAL_SPOTS,
+            block,
+            tmp_path,
+            TROUBLES_THEN,
+        )
     )
     assert not verdict.broken(), verdict
