Tell of a change of the map at once, from the map that it was made from

Cause: a change that came too late is made anew from a newer map, but was told as the difference from the map of its first try. Whoever knew a newer one could not apply it and fetched the whole map, each of 88 members. Besides, all were told only after the receiver had its call, and whoever knew nothing of a change for those some 20 ms made its own change in vain. Change: the registry keeps the map that a change was made from; all but the receivers are told at once, and a receiver by datagram only if its call failed. Ruled out: the size of the datagrams themselves (some 60 bytes a member and move). The first new test fails on the code before.

--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -28,7 +28,7 @@
     encode_map,
 )
 from plantaingrade.keyspace.directory import KeyMaps
-from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.keyspace.entity import NO_MAP, KeyMap
 from plantaingrade.peers.entity import Member
 from plantaingrade.store.entity import (
     Committed,
@@ -78,12 +78,13 @@
     """A row and a change that were sent together.
 
     A fence is a renewal that only makes sure that earlier writes can no
-    longer be applied.
+    longer be applied. ``base`` is the map that the change was made from.
     """
 
     row: MemberRow
     change: Change
     is_fence: bool
+    base: KeyMap
 
     @property
     def ending(self) -> 'CommitResult | None':
@@ -120,6 +121,7 @@
         '_turns',
         '_write_numbers',
         '_writing',
+        'changed_from',
         'is_joined',
         'lease_until',
         'member',
@@ -146,6 +148,8 @@
         self._write_numbers = count(1)
         self._writing = asyncio.Lock()
         self.member = member
+        # The map that the last change done here was made from.
+        self.changed_from = NO_MAP
         self.takes_keys = True
         self.own: MemberRow | None = None
         self.is_joined = False
@@ -221,7 +225,9 @@
             if change is None and not sent_by_id:
                 return _unsent(is_late=is_late)
             is_fence = change is None
-            write = SentWrite(self._next_row(), change or RENEWAL, is_fence)
+            write = SentWrite(
+                self._next_row(), change or RENEWAL, is_fence, self.key_map
+            )
             ended = await self._async_send(write, sent_by_id)
             if ended is not None:
                 return ended
@@ -305,6 +311,7 @@
             self.row_by_name.pop(lapsed.member.name, None)
         if change.key_map is not None:
             self._turns.on_done()
+            self.changed_from = write.base
             key_map = change.key_map.at_version(version)
             self._maps.offer(self.member.service, key_map)
 
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -20,15 +20,13 @@
 class Ready:
     """A passage whose keys have been released, and what came of it.
 
-    ``before`` and ``after`` are the maps around its change; ``spreads`` tells
-    whether the others are to be told of that change by it.
+    ``before`` and ``after`` are the maps around its change.
     """
 
     passage: Passage
     outcome: CommitResult | None = None
     before: KeyMap | None = None
     after: KeyMap | None = None
-    spreads: bool = False
 
 
 class Transfers:
@@ -104,12 +102,7 @@
             for piece, token in zip(pieces, tokens, strict=True)
             if token
         )
-        # The receiver first, with its tokens: a grant without would be cold.
-        before, after = ready.before, ready.after
-        await self._courier.async_hand(target, before, after, given)
-        if ready.spreads:
-            service = self._registry.member.service
-            self._courier.spread(service, before, after)
+        await self._courier.async_hand(target, ready.before, ready.after, given)
         return True
 
     async def _async_commit(self, passage: Passage) -> Ready:
@@ -132,26 +125,45 @@
 
     async def _async_commit_all(self, joint: list[Ready]) -> None:
         passages = [each.passage for each in joint]
-        before = self._registry.key_map
         committed = await self._registry.async_commit(
             lambda registry: plan_passages(registry, passages),
             MOVE_LIMIT_S,
         )
-        after = self._registry.key_map
+        before, after = self._registry.changed_from, self._registry.key_map
         for each in joint:
             each.before = before
             each.after = after
-            each.outcome = committed
-            if committed is CommitResult.DONE:
-                own = self._registry.member.name
-                if not has_passed(after, each.passage, own):
-                    each.outcome = CommitResult.NOT_WANTED
-        done = [each for each in joint if each.outcome is CommitResult.DONE]
-        if done:
-            done[0].spreads = True
-        for each in joint:
+            each.outcome = self._outcome(each.passage, committed)
             if each in self._ready:
                 self._ready.remove(each)
+        if committed is CommitResult.DONE:
+            self._spread(before, after, passages)
+
+    def _outcome(
+        self, passage: Passage, committed: CommitResult
+    ) -> CommitResult:
+        """Return what a change made for several means for one of them."""
+        registry = self._registry
+        if committed is not CommitResult.DONE or has_passed(
+            registry.key_map, passage, registry.member.name
+        ):
+            return committed
+        return CommitResult.NOT_WANTED
+
+    def _spread(
+        self, before: KeyMap, after: KeyMap, passages: list[Passage]
+    ) -> None:
+        """Tell all members at once, but those that get keys.
+
+        Whoever does not know of a change makes its own from an older map, in
+        vain. Receivers are told with their tokens: a grant without is cold.
+        """
+        self._courier.spread(
+            self._registry.member.service,
+            before,
+            after,
+            frozenset(passage.target for passage in passages),
+        )
 
     async def _async_free(self, piece: Assignment) -> str | None:
         """Make sure that the server works on a range no more."""
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -1,7 +1,7 @@
 """Find the other processes, and keep the key maps of all services fresh."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, replace
 
 from plantaingrade.balance.book import LoadBook
@@ -172,12 +172,21 @@
         """Tell every member that this one leaves."""
         self._send_all(Goodbye(self.own.name, self.own.boot))
 
-    def spread(self, service: str, before: KeyMap, after: KeyMap) -> None:
-        """Tell every member how a map changed; some may miss it."""
+    def spread(
+        self,
+        service: str,
+        before: KeyMap,
+        after: KeyMap,
+        skipped: Collection[str] = (),
+    ) -> None:
+        """Tell every member how a map changed; some may miss it.
+
+        ``skipped`` names those that are told otherwise.
+        """
         message = MapChanged.from_maps(service, self.own.name, before, after)
         if not self._endpoint.fits(message):
             message = replace(message, owners=(), ranges=())
-        self._send_all(message)
+        self._send_all(message, skipped)
 
     def pull_map(self, service: str, source: Member) -> None:
         """Ask a member for a whole map, once at a time."""
@@ -277,8 +286,8 @@
     ) -> None:
         """Tell the member that got keys; it grants them at once.
 
-        If this is lost the member learns of its keys from the datagram that
-        all get, or from the first request, and its server starts cold.
+        If this is lost the member learns of its keys from a datagram, or from
+        the first request, and its server starts cold.
         """
         member = self._directory.find(target)
         if member is None:
@@ -287,7 +296,9 @@
             self.own.service, self.own.name, before, after
         )
         body = HANDED_CODEC.encode(Handed(change, tokens))
-        await self._calls.async_post(member, PATH_HANDED, body)
+        reply = await self._calls.async_post(member, PATH_HANDED, body)
+        if reply is None:
+            self._endpoint.send(change, member.address)
 
     def tell_load(self, load: Load, names: Iterable[str]) -> None:
         """Tell some members of this member's load."""
@@ -312,9 +323,11 @@
         self._on_map_changed(handed.change)
         return handed
 
-    def _send_all(self, message: Datagram) -> None:
+    def _send_all(
+        self, message: Datagram, skipped: Collection[str] = ()
+    ) -> None:
         for member in self._directory.members():
-            if member.name != self.own.name:
+            if member.name != self.own.name and member.name not in skipped:
                 self._endpoint.send(message, member.address)
 
     def _on_datagram(self, message: Datagram) -> None:
--- a/plantaingrade/peers/courier.py
+++ b/plantaingrade/peers/courier.py
@@ -1,5 +1,6 @@
 """How changes of a key map reach other members."""
 
+from collections.abc import Collection
 from typing import Protocol
 
 from plantaingrade.keyspace.entity import KeyMap
@@ -9,8 +10,17 @@
 class Courier(Protocol):
     """Tell other members of changes that were committed."""
 
-    def spread(self, service: str, before: KeyMap, after: KeyMap) -> None:
-        """Tell every member how a map changed; some may miss it."""
+    def spread(
+        self,
+        service: str,
+        before: KeyMap,
+        after: KeyMap,
+        skipped: Collection[str] = (),
+    ) -> None:
+        """Tell every member how a map changed; some may miss it.
+
+        ``skipped`` names those that are told otherwise.
+        """
 
     async def async_hand(
         self,
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -4,6 +4,7 @@
 import os
 import random
 from collections import deque
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -290,11 +291,20 @@
         """Send on behalf of one member."""
         self._world = world
         self._own = own
+        self.told: list[tuple[KeyMap, KeyMap]] = []
 
-    def spread(self, service: str, before: KeyMap, after: KeyMap) -> None:
+    def spread(
+        self,
+        service: str,
+        before: KeyMap,
+        after: KeyMap,
+        skipped: Collection[str] = (),
+    ) -> None:
         """Tell every member."""
+        self.told.append((before, after))
         for place in self._world.places:
-            if place.name != self._own and self._world.is_heard():
+            is_told = place.name != self._own and place.name not in skipped
+            if is_told and self._world.is_heard():
                 place.maps.offer(service, after)
 
     async def async_hand(
@@ -324,6 +334,7 @@
     life: BackendLife
     orders: FakeOrders
     holds: HoldCoordinator
+    courier: FakeCourier
     task: asyncio.Task[None] | None = None
     moves: list[asyncio.Task[bool]] = field(default_factory=list)
 
@@ -426,6 +437,7 @@
         life = BackendLife()
         life.on_named(server.instance, _now())
         orders = FakeOrders(server)
+        courier = FakeCourier(self, name)
         holds = HoldCoordinator(
             store,
             maps,
@@ -434,11 +446,13 @@
             orders,
             LoopClock(),
             self._log,
-            FakeCourier(self, name),
+            courier,
             lambda: None,
         )
         maps.listen(lambda service, _: holds.on_map(service))
-        place = FakePlace(name, server, store, maps, life, orders, holds)
+        place = FakePlace(
+            name, server, store, maps, life, orders, holds, courier
+        )
         place.task = asyncio.get_running_loop().create_task(holds.async_run())
         return place
 
--- a/tests/holds/test_passing.py
+++ b/tests/holds/test_passing.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from itertools import pairwise
 
 from plantaingrade.holds.passing import Passage, has_passed, plan_passages
 from plantaingrade.keyspace.entity import KEY_COUNT, KeyMap, KeyRange
@@ -126,3 +127,32 @@
         await world.async_stop()
 
     run(story())
+
+
+def test_each_change_is_told_from_the_map_that_it_was_made_from() -> None:
+    """Members move keys at once, so that each change is made several times.
+
+    Told from the map at its first try, a change could not be applied by those
+    who knew a newer one, and all of them fetched the whole map.
+    """
+
+    async def story() -> None:
+        world = await async_start()
+        for place in world.places:
+            place.courier.told.clear()
+            own = place.maps.find('cases').owned_by(place.name)[0].keys
+            keys = KeyRange(own.first, own.first + PIECE)
+            target = 'm1' if place.name == 'm2' else 'm2'
+            world.move(place, keys, target)
+        await async_watch(world, WATCHED_S)
+        told = sorted(
+            (after.version, before.version)
+            for place in world.places
+            for before, after in place.courier.told
+        )
+        assert len(told) == len(NAMES)
+        for (version, _), (_, base) in pairwise(told):
+            assert base == version
+        await world.async_stop()
+
+    run(story())
