--- /dev/null
+++ b/bench/cpu.py
@@ -0,0 +1,217 @@
+"""Processor time of one process: at rest, and for a request on each way.
+
+Each process has a thread with a loop of its own, whose processor time is read
+apart from that of the callers and stand-ins. Requests come evenly and slowly
+enough that each is logged, as on the platform. ``--profile`` prints where the
+time of one process goes instead.
+"""
+
+import asyncio
+import cProfile
+import pstats
+import threading
+import time
+from collections import Counter
+from functools import partial
+
+import click
+
+from bench.measure import MICROS
+from plantaingrade.eventlog import EventLog
+from plantaingrade.http.client import Call, fetch
+from plantaingrade.http.pool import Pool
+from plantaingrade.platform.wire import make_wire
+from plantaingrade.sidecar.process import Process
+from tests.sidecar.rig import HOST, KEYED, Place, Rig
+
+NET = 46
+SETTLE_S = 4.0
+REST_S = 10.0
+PAUSE_S = 1 / 120
+LINES_SHOWN = 60
+MODULES_SHOWN = 32
+# What the platform's callers send beside the headers that it names.
+CALLER_HEADERS = (
+    ('user-agent', 'sdk-client/1.9.3'),
+    ('accept', '*/*'),
+    ('accept-encoding', 'identity'),
+    ('cookie', 'lang=en; session=1982'),
+)
+
+
+class Host:
+    """A thread that runs one process in a loop of its own."""
+
+    def __init__(self, rig: Rig, place: Place, log: EventLog) -> None:
+        """Prepare the thread."""
+        self._rig = rig
+        self._place = place
+        self._log = log
+        self._stop: asyncio.Event | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._thread = threading.Thread(target=self._run)
+        self.began_s = 0.0
+        self.profile = cProfile.Profile(time.thread_time)
+        self._thread.start()
+
+    @property
+    def cpu_s(self) -> float:
+        """Return the processor time that the thread has used."""
+        number = time.pthread_getcpuclockid(self._thread.ident)
+        return time.clock_gettime(number)
+
+    def call(self, act) -> None:
+        """Have the thread do something."""
+        self._loop.call_soon_threadsafe(act)
+
+    def end(self) -> None:
+        """Stop the process and wait for its thread."""
+        self.call(self._stop.set)
+        self._thread.join()
+
+    def _run(self) -> None:
+        asyncio.run(self._async_run())
+
+    async def _async_run(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._stop = asyncio.Event()
+        wire = make_wire(self._place.settings, self._rig.clock)
+        place = self._place
+        async with Process(
+            place.settings, wire, self._rig.clock, self._log
+        ) as process:
+            place.process = process
+            await self._stop.wait()
+
+
+class CpuRig(Rig):
+    """A rig whose processes run in threads."""
+
+    def __init__(self, net: int) -> None:
+        """Prepare hosts."""
+        super().__init__(net)
+        self.hosts: list[Host] = []
+
+    async def async_start(self, place: Place) -> None:
+        """Start a process in a thread."""
+        self.hosts.append(Host(self, place, self._log))
+
+    async def async_kill(self, place: Place) -> None:
+        """Stop the thread."""
+        host = self.hosts[self.places.index(place)]
+        await asyncio.to_thread(host.end)
+
+    def is_all_ready(self) -> bool:
+        """Tell whether every process is up and every key held."""
+        started = all(place.process is not None for place in self.places)
+        return started and self.is_every_key_held()
+
+
+async def async_load(
+    rig: CpuRig, pool: Pool, place: Place, key: int, count: int, method: str
+) -> Counter[int]:
+    """Send requests evenly; return how often each status came."""
+    statuses: Counter[int] = Counter()
+    body = b'x' * 200 if method == 'POST' else b''
+    path = '/cases/1' if method == 'POST' else '/read/1'
+
+    async def async_one(number: int) -> None:
+        headers = (
+            ('attempt-id', f'{number:016x}'),
+            ('deadline-ms', '1500'),
+            ('shard-key', str(key)),
+            *CALLER_HEADERS,
+        )
+        call = Call(method, place.callers, path, headers, body, HOST)
+        statuses[(await fetch(pool, call)).status] += 1
+
+    async with asyncio.TaskGroup() as group:
+        for number in range(count):
+            group.create_task(async_one(number))
+            await asyncio.sleep(PAUSE_S)
+    return statuses
+
+
+async def async_measure(rig: CpuRig, name: str, act, per: int) -> None:
+    """Print what each process uses while something goes on."""
+    before = [host.cpu_s for host in rig.hosts]
+    said = await act()
+    used = [
+        (host.cpu_s - was) / per * MICROS
+        for host, was in zip(rig.hosts, before, strict=True)
+    ]
+    row = ' '.join(f'{each:10.0f}' for each in used)
+    print(f'{name:32}{row}   {said or ""}')
+
+
+async def async_profile(rig: CpuRig, act, number: int, order: str) -> None:
+    """Print where one process spends its time while something goes on."""
+    host = rig.hosts[number]
+    host.call(host.profile.enable)
+    await act()
+    host.call(host.profile.disable)
+    await asyncio.sleep(1)
+    stats = pstats.Stats(host.profile)
+    _print_modules(stats)
+    stats.strip_dirs().sort_stats(order).print_stats(LINES_SHOWN)
+
+
+def _print_modules(stats: pstats.Stats) -> None:
+    """Print the time spent in each module's own code."""
+    spent: Counter[str] = Counter()
+    for (path, _, _), figures in stats.stats.items():
+        spent['/'.join(path.rsplit('/', 2)[-2:])] += figures[2]
+    whole = sum(spent.values())
+    for module, seconds in spent.most_common(MODULES_SHOWN):
+        print(f'{module:44}{seconds / whole:8.1%}')
+
+
+async def async_main(
+    count: int, profile: str, order: str, *, rests: bool
+) -> None:
+    """Measure, or profile one way."""
+    async with CpuRig(NET) as rig:
+        for _ in range(2):
+            await rig.async_add(KEYED)
+        await rig.async_until(rig.is_all_ready)
+        await asyncio.sleep(SETTLE_S)
+        first, second = rig.places
+        holds = first.process.holds
+        if holds.find_own(0) is None:
+            first, second = second, first
+        pool = Pool(rig.clock, connect_timeout_s=SETTLE_S)
+        load = partial(async_load, rig, pool)
+        ways = {
+            'own GET': partial(load, first, 0, count, 'GET'),
+            'own POST': partial(load, first, 0, count, 'POST'),
+            'forwarded GET': partial(load, second, 0, count, 'GET'),
+            'forwarded POST': partial(load, second, 0, count, 'POST'),
+        }
+        order_of_hosts = [rig.places.index(first), rig.places.index(second)]
+        rig.hosts = [rig.hosts[number] for number in order_of_hosts]
+        rig.places = [first, second]
+        if profile:
+            who, _, way = profile.partition(' ')
+            await async_profile(rig, ways[way], int(who == 'caller'), order)
+        else:
+            print(f'{"us of processor":32}{"owner":>10}{"other":>11}')
+            for name, act in ways.items():
+                await async_measure(rig, f'{name}, a request', act, count)
+            if rests:
+                rest = partial(asyncio.sleep, REST_S)
+                await async_measure(rig, 'rest, a second', rest, int(REST_S))
+        pool.close()
+
+
+@click.command()
+@click.option('--count', type=int, default=1200)
+@click.option('--profile', default='', help="'owner own GET' or the like.")
+@click.option('--order', default='tottime')
+@click.option('--rests/--no-rests', default=True)
+def main(count: int, profile: str, order: str, rests: bool) -> None:
+    """Measure processor time."""
+    asyncio.run(async_main(count, profile, order, rests=rests))
+
+
+if __name__ == '__main__':
+    main()
