Read the headers of a message once

Cause: h11's Headers is a Python sequence; each pass over it (dict, filters, lengths) calls Python code a header. A request beside its server made 11 passes, and the head of the server's answer was decoded twice. Change: header_pairs() takes plain pairs once a message; the answer that the check of the request's id has decoded is kept.

--- a/plantaingrade/platform/headers.py
+++ b/plantaingrade/platform/headers.py
@@ -4,6 +4,7 @@
 
 from plantaingrade.const import MS_PER_S
 from plantaingrade.http.const import HOP_BY_HOP
+from plantaingrade.http.heads import header_pairs
 from plantaingrade.keyspace.entity import KEY_COUNT
 from plantaingrade.platform.const import (
     HEADER_CALLER,
@@ -61,7 +62,8 @@
     Raises:
         MalformedRequestError: a header that is needed cannot be used.
     """
-    text_by_name = dict(raw.headers)
+    pairs = header_pairs(raw)
+    text_by_name = dict(pairs)
     key = text_by_name.get(HEADER_KEY)
     return CallerRequest(
         request_id=text_by_name.get(HEADER_REQUEST_ID, b''),
@@ -69,7 +71,7 @@
         target=raw.target,
         host=text_by_name.get(b'host', b''),
         key=None if key is None else _parse_key(key),
-        headers=_forwardable(raw.headers, SET_HERE),
+        headers=_forwardable(pairs, SET_HERE),
         body=body,
         arrived=arrived,
         deadline=arrived + _deadline_s(text_by_name.get(HEADER_DEADLINE)),
@@ -100,7 +102,8 @@
 
 def decode_reply(response: h11.Response) -> ServerReply:
     """Return the head of a backend server's answer in typed form."""
-    text_by_name = dict(response.headers)
+    pairs = header_pairs(response)
+    text_by_name = dict(pairs)
     instance = text_by_name.get(HEADER_INSTANCE, b'')
     not_run = (
         HEADER_NOT_RUN in text_by_name
@@ -109,7 +112,7 @@
     connection = text_by_name.get(b'connection', b'').lower()
     return ServerReply(
         status=response.status_code,
-        headers=_forwardable(response.headers, FOR_ROUTER),
+        headers=_forwardable(pairs, FOR_ROUTER),
         request_id=text_by_name.get(HEADER_REQUEST_ID, b''),
         instance=instance.decode('ascii', 'replace'),
         is_not_run=not_run,
@@ -124,9 +127,7 @@
     return ((HEADER_REQUEST_ID, request_id),) if request_id else ()
 
 
-def _forwardable(
-    headers: h11._headers.Headers, dropped: frozenset[bytes]
-) -> Headers:
+def _forwardable(headers: Headers, dropped: frozenset[bytes]) -> Headers:
     named: set[bytes] = set()
     for name, text in headers:
         if name == b'connection':
--- a/plantaingrade/requests/hop.py
+++ b/plantaingrade/requests/hop.py
@@ -12,6 +12,7 @@
 
 from plantaingrade.const import MS_PER_S
 from plantaingrade.errors import PlantaingradeError
+from plantaingrade.http.heads import header_pairs
 from plantaingrade.requests.entity import (
     Answer,
     Answered,
@@ -113,7 +114,8 @@
     Raises:
         MalformedHopError: the facts of the request are not understood.
     """
-    text_by_name = dict(raw.headers)
+    pairs = header_pairs(raw)
+    text_by_name = dict(pairs)
     facts = text_by_name.get(NAME_FACTS, b'').decode('ascii', 'replace')
     parts = facts.split(',')
     if len(parts) != FACT_COUNT:
@@ -131,7 +133,7 @@
         target=raw.target,
         host=text_by_name.get(b'host', b''),
         key=key,
-        headers=_others(raw.headers),
+        headers=_others(pairs),
         body=body,
         arrived=now,
         deadline=now + left_s,
--- a/plantaingrade/requests/peer_path.py
+++ b/plantaingrade/requests/peer_path.py
@@ -9,6 +9,7 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.http.channel import ChannelClosedError
 from plantaingrade.http.exchange import read_answer, send_request
+from plantaingrade.http.heads import header_pairs
 from plantaingrade.http.pool import ConnectFailedError, Pool
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member
@@ -112,7 +113,7 @@
         self._pool.give_back(member.address, channel)
         if self._directory.trust(member.name):
             self._log.write('member-regained', member=member.name)
-        headers = tuple(whole.head.headers)
+        headers = header_pairs(whole.head)
         load = decode_load(headers)
         if load is not None:
             self._loads.note(member.name, load, self._clock.now())
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -15,7 +15,6 @@
 from plantaingrade.holds.coordinator import HoldCoordinator
 from plantaingrade.http.channel import Channel, ChannelClosedError
 from plantaingrade.http.exchange import (
-    WholeAnswer,
     read_answer,
     send_request,
 )
@@ -291,10 +290,13 @@
         self, routed: RoutedRequest, channel: Channel, request: h11.Request
     ) -> Outcome:
         wanted = routed.caller.request_id
+        reply = None
 
         def is_own(head: h11.Response) -> bool:  # noqa: WPS430
-            found = self._wire.decode(head).request_id
-            return not found or found == wanted
+            # The head of the last answer looked at is the one returned.
+            nonlocal reply  # noqa: WPS420
+            reply = self._wire.decode(head)
+            return not reply.request_id or reply.request_id == wanted
 
         try:
             whole = await read_answer(
@@ -307,17 +309,16 @@
             # Closing tells the server that nobody waits for the answer.
             channel.abort()
             raise
-        if whole is None:
+        if whole is None or reply is None:
             channel.abort()
             return Unknown(UnknownReason.MISMATCH)
-        reply = self._wire.decode(whole.head)
         if reply.closes:
             channel.close()
         else:
             self._pool.give_back(self._wire.address, channel)
-        return self._judge(reply, whole)
+        return self._judge(reply, whole.body)
 
-    def _judge(self, reply: ServerReply, whole: WholeAnswer) -> Outcome:
+    def _judge(self, reply: ServerReply, body: bytes) -> Outcome:
         if reply.is_not_run:
             if reply.instance and reply.instance != self._life.instance:
                 self._hooks.on_other_life(reply.instance)
@@ -329,4 +330,4 @@
                 load=reply.load,
             )
             return NotRun(NotRunReason.SERVER_REFUSED, DEFAULT_RETRY_AFTER_S)
-        return Answered(Answer(reply.status, reply.headers, whole.body))
+        return Answered(Answer(reply.status, reply.headers, body))
--- a/plantaingrade/sidecar/fronts.py
+++ b/plantaingrade/sidecar/fronts.py
@@ -11,6 +11,7 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.client import read_body
+from plantaingrade.http.heads import header_pairs
 from plantaingrade.requests.bodies import BodyRoom
 from plantaingrade.requests.const import (
     DEFAULT_RETRY_AFTER_S,
@@ -147,12 +148,11 @@
         """
         if self.limits is None:
             return 0
-        head = sum(
-            len(name) + len(text) + SEPARATORS for name, text in raw.headers
-        )
+        pairs = header_pairs(raw)
+        head = sum(len(name) + len(text) + SEPARATORS for name, text in pairs)
         if head + len(raw.target) > self.limits.max_header_bytes:
             return STATUS_HEAD_TOO_LARGE
-        length = dict(raw.headers).get(b'content-length', b'0')
+        length = dict(pairs).get(b'content-length', b'0')
         if length.isdigit() and int(length) > self.limits.max_body_bytes:
             return STATUS_TOO_LARGE
         return 0
