--- a/bench/cpu.py
+++ b/bench/cpu.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import cProfile
+import os
 import pstats
 import threading
 import time
@@ -94,7 +95,10 @@
 
     async def async_start(self, place: Place) -> None:
         """Start a process in a thread."""
-        self.hosts.append(Host(self, place, self._log))
+        # Logs are not made for several threads.
+        sink = os.open(os.devnull, os.O_WRONLY)
+        log = EventLog(place.settings.name, self.clock, sink)
+        self.hosts.append(Host(self, place, log))
 
     async def async_kill(self, place: Place) -> None:
         """Stop the thread."""
