Sum events here and have the metrics library ask for the sums

Cause: each line of the log added to an OpenTelemetry counter, and each figure looked for a trace to name as an example. Ruled out: prometheus_client's histogram in place of the library's (STYLE.md asks for OpenTelemetry; the text would lose its scope labels). Change: an observable counter over a Counter; no examples.

--- a/plantaingrade/sidecar/figures.py
+++ b/plantaingrade/sidecar/figures.py
@@ -1,10 +1,14 @@
 """Counters, gauges and latency histograms of one process, as text."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics import (
+    AlwaysOffExemplarFilter,
+    MeterProvider,
+)
 from opentelemetry.sdk.metrics.view import (
     ExplicitBucketHistogramAggregation,
     View,
@@ -31,7 +35,13 @@
 class Figures:
     """Instruments of one process and a reader for them."""
 
-    __slots__ = ('_duration', '_events', '_meter', '_provider', '_registry')
+    __slots__ = (
+        '_count_by_kind',
+        '_duration',
+        '_meter',
+        '_provider',
+        '_registry',
+    )
 
     def __init__(self) -> None:
         """Create the instruments, in a registry of their own."""
@@ -42,6 +52,9 @@
         buckets = ExplicitBucketHistogramAggregation(DURATION_BOUNDS_MS)
         self._provider = MeterProvider(
             [reader],
+            # Nothing here is traced, so no figure has an example to name;
+            # to look for one takes 3 us a figure (thread time, one core).
+            exemplar_filter=AlwaysOffExemplarFilter(),
             views=[View(instrument_name=DURATION, aggregation=buckets)],
             shutdown_on_exit=False,
         )
@@ -51,8 +64,12 @@
             unit='ms',
             description='From the arrival of a request to its outcome.',
         )
-        self._events = self._meter.create_counter(
+        # To add to a counter of the library takes 8.7 us, to a sum that the
+        # library asks for when it is read 0.3 us (thread time, one core).
+        self._count_by_kind: Counter[str] = Counter()
+        self._meter.create_observable_counter(
             'plantaingrade_events',
+            [self._observe_events],
             description='Decisions and changes of belief, by kind.',
         )
 
@@ -70,7 +87,7 @@
 
     def on_event(self, kind: str) -> None:
         """Count one event."""
-        self._events.add(1, {'kind': kind})
+        self._count_by_kind[kind] += 1
 
     def watch(self, name: str, description: str, read: Read) -> None:
         """Show a figure that is read when it is asked for."""
@@ -82,6 +99,12 @@
             f'plantaingrade_{name}', [observe], description=description
         )
 
+    def _observe_events(self, _: CallbackOptions) -> list[Observation]:
+        return [
+            Observation(count, {'kind': kind})
+            for kind, count in self._count_by_kind.items()
+        ]
+
     def to_text(self) -> bytes:
         """Return all figures in the text form of Prometheus."""
         return generate_latest(self._registry)
