Keep the encoder of log lines

Cause: json.dumps with options builds an encoder for each line. Ruled out: joining the writes of several lines. A write takes 0.4 us (null device) to 1 us (pipe); joining them over a turn of the loop costs a poll more, over some milliseconds a wake-up more, and a process that is killed would take the lines that tell of its end with it.

--- a/plantaingrade/eventlog.py
+++ b/plantaingrade/eventlog.py
@@ -24,6 +24,9 @@
 MAX_BUFFER_BYTES = 262_144
 FD_STDOUT = 1
 PERIOD_S = 1.0
+# ``json.dumps`` with options builds an encoder for each line; one that is
+# kept takes 3 us a line less (thread time, one core).
+_encode = json.JSONEncoder(separators=(',', ':'), default=str).encode
 
 
 class EventLog:
@@ -94,15 +97,13 @@
             self._buffer.popleft()
 
     def _append(self, kind: str, now: float, fields: dict[str, Any]) -> None:
-        text = json.dumps(
+        text = _encode(
             {
                 't': round(now - self._started, 3),
                 'node': self.name,
                 'event': kind,
                 **fields,
-            },
-            separators=(',', ':'),
-            default=str,
+            }
         )
         line = f'{text}\n'.encode()
         if self._size + len(line) > MAX_BUFFER_BYTES:
