--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,7 +16,7 @@
 from soak.callers import KEYS, STATUS_OK, Callers
 from soak.schedule import ALL_TROUBLES, Trouble, make_schedule
 from soak.trouble import Troubles
-from soak.verdict import Verdict, judge, read_runs
+from soak.verdict import Verdict, judge, read_runs, read_taken
 from soak.world import ZONES, World
 
 # After the last fault, everything must be served again within this time: the
@@ -55,8 +55,9 @@
         ended = world.ended()
         told = [json.dumps(asdict(each)) for each in callers.told]
         (folder / 'told.jsonl').write_text('\n'.join(told))
+    record = folder / 'runs.jsonl'
     verdict = judge(
-        callers.told, read_runs(folder / 'runs.jsonl'), player.pauses
+        callers.told, read_runs(record), player.pauses, read_taken(record)
     )
     verdict.unserved_at_end = unserved
     verdict.ended_by_itself = len(ended)
--- a/soak/trouble.py
+++ b/soak/trouble.py
@@ -113,9 +113,8 @@
         self._world.signal(name, signal.SIGSTOP)
         await asyncio.sleep(step.for_s)
         self._world.signal(name, signal.SIGCONT)
-        if is_router:
-            pause = Pause(spot.number, began, self._world.clock.now())
-            self.pauses.append(pause)
+        ended = self._world.clock.now()
+        self.pauses.append(Pause(spot.number, began, ended, not is_router))
         self._busy.discard(name)
 
     async def _async_harm_link(self, spot: Spot, step: Step) -> None:
--- a/soak/verdict.py
+++ b/soak/verdict.py
@@ -2,11 +2,14 @@
 
 import json
 from collections import defaultdict
+from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 from pathlib import Path
+from typing import Any
 
 from soak.callers import STATUS_OK, Told
-from soak.world import KEYED
+from soak.world import KEYED, spot_of
+from standins.fences import Taken, find_old_fences
 from standins.life import Life
 
 # Runs of one key at two servers may touch, by the reading of two clocks.
@@ -14,6 +17,9 @@
 # A final answer comes at most this long after the deadline.
 LATE_S = 0.5
 DEADLINE_S = 1.5
+# What a paused server finds waiting it takes up within this time of its thaw.
+THAW_S = 0.5
+EVENT_TAKEN = 'taken'
 UNKNOWN = frozenset((502, 504))
 
 
@@ -37,11 +43,12 @@
 
 @dataclass(slots=True, frozen=True)
 class Pause:
-    """Time in which an instance's process could do nothing."""
+    """Time in which an instance's process, or its server, did nothing."""
 
     spot: int
     began: float
     ended: float
+    is_server: bool = False
 
 
 @dataclass(slots=True)
@@ -57,6 +64,7 @@
     ran_twice: int = 0
     not_run_but_ran: int = 0
     two_owners: int = 0
+    old_fences: int = 0
     wrong_service: int = 0
     answered_late: int = 0
     unserved_at_end: int = 0
@@ -72,8 +80,9 @@
 def read_runs(path: Path) -> list[Run]:
     """Return the runs that servers noted."""
     run_by_name: dict[tuple[str, Life, float], Run] = {}
-    for line in path.read_text().splitlines():
-        fields = json.loads(line)
+    for fields in _read_lines(path):
+        if fields['event'] == EVENT_TAKEN:
+            continue
         life = Life(fields['instance'], fields['born'])
         name = (fields['request_id'], life, fields['began'])
         if fields['event'] == 'begin':
@@ -92,7 +101,25 @@
     return list(run_by_name.values())
 
 
-def judge(told: list[Told], runs: list[Run], pauses: list[Pause]) -> Verdict:
+def read_taken(path: Path) -> list[Taken]:
+    """Return the keys that servers noted that they took."""
+    return [
+        Taken(**{name: fields[name] for name in fields if name != 'event'})
+        for fields in _read_lines(path)
+        if fields['event'] == EVENT_TAKEN
+    ]
+
+
+def _read_lines(path: Path) -> list[dict[str, Any]]:
+    return [json.loads(line) for line in path.read_text().splitlines()]
+
+
+def judge(
+    told: list[Told],
+    runs: list[Run],
+    pauses: list[Pause],
+    taken: Sequence[Taken] = (),
+) -> Verdict:
     """Count what was told and what was broken."""
     runs_by_id: dict[str, list[Run]] = defaultdict(list)
     for run in runs:
@@ -102,6 +129,9 @@
         _count(verdict, each, runs_by_id[each.request_id])
     verdict.answered_late = sum(_is_late(each, pauses) for each in told)
     verdict.two_owners = count_two_owners(runs)
+    verdict.old_fences = sum(
+        not _was_thawed(each, pauses) for each in find_old_fences(taken)
+    )
     return verdict
 
 
@@ -126,13 +156,27 @@
     if not told.status or told.done_at - told.sent_at <= DEADLINE_S + LATE_S:
         return False
     return not any(
-        pause.spot == told.spot
+        not pause.is_server
+        and pause.spot == told.spot
         and pause.began < told.done_at
         and told.sent_at < pause.ended
         for pause in pauses
     )
 
 
+def _was_thawed(taken: Taken, pauses: list[Pause]) -> bool:
+    """Tell whether a server took keys as it went on after a pause.
+
+    It then takes what was sent while it could do nothing.
+    """
+    return any(
+        pause.is_server
+        and pause.spot == spot_of(taken.instance)
+        and pause.began <= taken.taken_at <= pause.ended + THAW_S
+        for pause in pauses
+    )
+
+
 def count_two_owners(runs: list[Run]) -> int:
     """Count runs on a key that overlap with one of another life."""
     runs_by_key: dict[int, list[Run]] = defaultdict(list)
--- a/soak/world.py
+++ b/soak/world.py
@@ -235,6 +235,12 @@
     return f'server-{spot.number}'
 
 
+def spot_of(instance: str) -> int:
+    """Return the number of the instance whose server has an id."""
+    _, number, _ = instance.split('-')
+    return int(number)
+
+
 def _spot(number: int, block: int) -> Spot:
     zone = number % ZONES
     host = number // ZONES + 1
--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -40,6 +40,7 @@
 from plantaingrade.platform.units import parse_time
 from plantaingrade.requests.entity import Answer
 from plantaingrade.sidecar.fronts import refuse_malformed, send_answer
+from standins.fences import Taken, find_old_fences
 from standins.life import Heartbeat, Life
 from standins.reports import Reporter
 
@@ -102,6 +103,7 @@
     """
 
     runs: list[Run] = field(default_factory=list)
+    taken: list[Taken] = field(default_factory=list)
     two_owners: list[str] = field(default_factory=list)
     servers: list['KeyedServer'] = field(default_factory=list)
     fd: int | None = None
@@ -121,9 +123,18 @@
         self.runs.append(run)
         self._append('end', run)
 
-    def _append(self, event: str, run: Run) -> None:
+    def on_taken(self, taken: Taken) -> None:
+        """Note keys that a life took."""
+        self.taken.append(taken)
+        self._append('taken', taken)
+
+    def old_fences(self) -> list[Taken]:
+        """Return what was taken under a fence that another life had."""
+        return find_old_fences(self.taken)
+
+    def _append(self, event: str, noted: Run | Taken) -> None:
         if self.fd is not None:
-            line = json.dumps({'event': event, **asdict(run)})
+            line = json.dumps({'event': event, **asdict(noted)})
             os.write(self.fd, f'{line}\n'.encode())
 
     def times_run(self, request_id: str) -> int:
@@ -278,12 +289,30 @@
         if higher:
             return STATUS_CONFLICT
         self._fence_by_key[keys] = fence
+        self._note_taken(keys, fence, self._clock.now())
         self._take_out(keys)
         until = arrived + parse_time(fields['hold_time'])
         self.holds.append(Hold(keys, fence, until))
         self._note_two_owners(keys)
         return STATUS_OK
 
+    def _note_taken(self, keys: KeyRange, fence: int, now: float) -> None:
+        is_renewal = any(
+            hold.keys == keys and hold.fence == fence and hold.until > now
+            for hold in self.holds
+        )
+        if not is_renewal:
+            taken = Taken(
+                self.plan.service,
+                self.instance,
+                self.life.born,
+                keys.first,
+                keys.last,
+                fence,
+                now,
+            )
+            self.record.on_taken(taken)
+
     def _note_two_owners(self, keys: KeyRange) -> None:
         now = self._clock.now()
         for other in self.record.servers:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 from soak.callers import Told
 from soak.schedule import ALL_TROUBLES, Trouble, make_schedule
 from soak.verdict import Pause, Run, judge
+from standins.fences import Taken
 
 SPOTS = 5
 BLOCK = 250
@@ -91,6 +92,31 @@
     assert judge([tell], runs, []).broken() == [name]
 
 
+def took(spot: int, fence: int, at: float, born: int = 1) -> Taken:
+    return Taken('cases', f'i-{spot}-1', born, 0, 9, fence, at)
+
+
+@pytest.mark.parametrize(
+    ('later', 'broken'),
+    [
+        (took(1, 8, at=20), []),
+        (took(1, 7, at=20), ['old_fences']),
+        (took(2, 7, at=20), ['old_fences']),
+        (took(1, 7, at=20, born=2), ['old_fences']),
+        (took(1, 8, at=20, born=2), []),
+    ],
+)
+def test_keys_pass_with_a_higher_fence(later: Taken, broken: list) -> None:
+    before = [took(2, 7, at=10, born=0), took(1, 3, at=5)]
+    assert judge([], [], [], [later, *before]).broken() == broken
+
+
+def test_what_a_paused_server_finds_waiting_is_no_new_grant() -> None:
+    taken = [took(1, 7, at=10), took(2, 6, at=13.1)]
+    assert judge([], [], [Pause(2, 9, 13)], taken).broken() == ['old_fences']
+    assert not judge([], [], [Pause(2, 9, 13, is_server=True)], taken).broken()
+
+
 def test_late_answers_count_unless_the_process_was_paused() -> None:
     """A paused process cannot answer; every other must, by the deadline."""
     late = told('a', status=504)
--- a/tests/standins/test_lives.py
+++ b/tests/standins/test_lives.py
@@ -99,6 +99,7 @@
             lower = {**GRANT, 'fence': 2}
             reply = await send(SERVER, 'POST', '/v1/grant', lower)
             assert reply.status == 200
+            assert [each.life for each in record.old_fences()] == [second.life]
             await second.async_heartbeat()
             await second.async_crash()
 
