--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import StrEnum
@@ -21,13 +22,14 @@
     encode_member_row,
     unreadable_row,
 )
+from plantaingrade.holds.turns import TurnPauses
 from plantaingrade.keyspace.codec import (
     UnreadableMapError,
     decode_map,
     encode_map,
 )
 from plantaingrade.keyspace.directory import KeyMaps
-from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.keyspace.entity import NO_MAP, KeyMap
 from plantaingrade.peers.entity import Member
 from plantaingrade.store.entity import (
     Committed,
@@ -78,12 +80,13 @@
     """A row and a change that were sent together.
 
     A fence is a renewal that only makes sure that earlier writes can no
-    longer be applied.
+    longer be applied. ``base`` is the map that the change was made from.
     """
 
     row: MemberRow
     change: Change
     is_fence: bool
+    base: KeyMap
 
     @property
     def ending(self) -> 'CommitResult | None':
@@ -117,9 +120,11 @@
         '_log',
         '_maps',
         '_store',
+        '_turns',
         '_unreadable',
         '_write_numbers',
         '_writing',
+        'changed_from',
         'is_joined',
         'lease_until',
         'member',
@@ -142,10 +147,13 @@
         self._maps = maps
         self._clock = clock
         self._log = log
+        self._turns = TurnPauses(random.Random(member.boot))
         self._unreadable = UnreadableRows(log)
         self._write_numbers = count(1)
         self._writing = asyncio.Lock()
         self.member = member
+        # The map that the last change done here was made from.
+        self.changed_from = NO_MAP
         self.takes_keys = True
         self.own: MemberRow | None = None
         self.is_joined = False
@@ -222,7 +230,9 @@
             if change is None and not sent_by_id:
                 return _unsent(is_late=is_late)
             is_fence = change is None
-            write = SentWrite(self._next_row(), change or RENEWAL, is_fence)
+            write = SentWrite(
+                self._next_row(), change or RENEWAL, is_fence, self.key_map
+            )
             ended = await self._async_send(write, sent_by_id)
             if ended is not None:
                 return ended
@@ -233,14 +243,22 @@
         """Send one transaction; return nothing if another must be sent."""
         outcome = await self._store.async_commit(self._transaction(write))
         ended = self._take_outcome(write, outcome, sent_by_id)
-        if ended is not None or isinstance(outcome, Conflict):
+        if ended is not None:
             return ended
+        if isinstance(outcome, Conflict):
+            await self._async_give_way(write)
+            return None
         self._log.write(
             'store-write-open', why=str(outcome), unknown=len(sent_by_id)
         )
         await asyncio.sleep(RETRY_S)
         return None
 
+    async def _async_give_way(self, write: SentWrite) -> None:
+        """Let others change the map before this member tries once more."""
+        if write.change.key_map is not None:
+            await asyncio.sleep(self._turns.on_late())
+
     def _take_outcome(
         self,
         write: SentWrite,
@@ -292,11 +310,19 @@
         row, change = write.row, write.change
         self.own = replace(row, version=version)
         self.row_by_name[self.member.name] = self.own
+        if write.is_fence and not self.is_joined:
+            # Failure: a run gives its joining up, and the renewal that makes
+            # sure of that would let it grant keys under the fences of the
+            # run before. It shows as a life that takes a key under a fence
+            # that another life had. Only the change itself joins.
+            return
         self.lease_until = self._store.clock.earliest_local(row.until_s)
         self.is_joined = True
         for lapsed in change.removed:
             self.row_by_name.pop(lapsed.member.name, None)
         if change.key_map is not None:
+            self._turns.on_done()
+            self.changed_from = write.base
             key_map = change.key_map.at_version(version)
             self._maps.offer(self.member.service, key_map)
 
--- a/tests/holds/test_coordinator.py
+++ b/tests/holds/test_coordinator.py
@@ -286,9 +286,39 @@
     run(story())
 
 
-def _disturb(world: World, chooser: random.Random) -> None:
+@pytest.mark.parametrize('seed', [*range(40), 2176])
+def test_no_mix_of_faults_gives_two_lives_one_fence(seed) -> None:
+    """The same faults; besides, servers crash and start again unheard of,
+    with or without a sign at their connections, and the store refuses calls.
+    In one case (2176) a grant is carried out 4 s after its time was over.
+
+    No life takes a key under a fence that is not above all that other lives
+    had; when all is calm again, every key is held.
+    """
+
+    async def story() -> None:
+        chooser = random.Random(seed)
+        world = World(seed)
+        for name in NAMES:
+            world.add(name)
+        await settled(world)
+        world.lost_word_share = 0.3
+        for _ in range(40):
+            _disturb(world, chooser, kinds=11)
+            await watch(world, chooser.uniform(0.1, 2.0))
+            assert not world.fences_not_above()
+        _calm(world)
+        await watch(world, LEASE_S + 20)
+        assert not world.fences_not_above()
+        assert world.held_keys() == KEY_COUNT
+        await world.async_stop()
+
+    run(story())
+
+
+def _disturb(world: World, chooser: random.Random, kinds: int = 8) -> None:
     place = chooser.choice(world.places)
-    match chooser.randrange(8):
+    match chooser.randrange(kinds):
         case 0:
             world.kill(place)
         case 1:
@@ -307,6 +337,12 @@
             place.server.is_silent = not place.server.is_silent
         case 7:
             _move(world, place, chooser)
+        case 8:
+            world.replace_server(place)
+        case 9:
+            place.store.is_refusing = not place.store.is_refusing
+        case 10:
+            place.orders.is_sign_lost = not place.orders.is_sign_lost
 
 
 def _move(world: World, place, chooser: random.Random) -> None:
@@ -324,6 +360,7 @@
     world.lost_word_share = 0.0
     for place in list(world.places):
         place.store.is_away = False
+        place.store.is_refusing = False
         place.store.faults.clear()
         place.server.late_share = 0.0
         place.server.is_silent = False
@@ -433,3 +470,151 @@
         return changes
 
     assert run(story()) == 0
+
+
+async def fences_across_a_crash(world: World) -> tuple[int, int]:
+    """Let a server crash and start again unheard of.
+
+    Returns:
+        The highest fence of the life before, and the lowest of the new one.
+    """
+    place = world.places[0]
+    before = place.server
+    world.replace_server(place)
+    await watch(world, 3.0)
+    known = max(fence for _, fence in before.fences)
+    taken = min((fence for _, fence in place.server.fences), default=known + 1)
+    return known, taken
+
+
+@pytest.mark.parametrize('is_refusing', [False, True])
+def test_a_life_that_starts_without_the_store_gets_no_old_fence(
+    is_refusing,
+) -> None:
+    """A server crashes and is back within a second; the store is away.
+
+    Callers of its keys are served by the new life, and monitoring finds two
+    lives that had the same keys under one fence. New fences cannot be had
+    without the store, and once it had refused for a second the renewals went
+    on under the old ones. Evidence: the record names one address, one fence,
+    and 44 ms between the start of the new life and its grant.
+    """
+
+    async def story() -> tuple[int, int]:
+        world = World()
+        for name in ('m1', 'm2'):
+            world.add(name)
+        await settled(world)
+        for place in world.places:
+            place.store.is_refusing = is_refusing
+            place.store.is_away = not is_refusing
+        found = await fences_across_a_crash(world)
+        await world.async_stop()
+        return found
+
+    known, taken = run(story())
+    assert taken > known
+
+
+def test_a_life_whose_start_no_connection_shows_gets_no_old_fence() -> None:
+    """A server crashes and is back at once; no connection tells of it.
+
+    The connections to it have fallen silent, or a release had taken the last
+    one. The renewals of the next second open new connections, which end at
+    the new life, and carry the fences of the life before.
+    """
+
+    async def story() -> tuple[int, int]:
+        world = World()
+        for name in ('m1', 'm2'):
+            world.add(name).orders.is_sign_lost = True
+        await settled(world)
+        found = await fences_across_a_crash(world)
+        await world.async_stop()
+        return found
+
+    known, taken = run(story())
+    assert taken > known
+
+
+def test_a_new_life_is_granted_keys_once_the_store_is_back() -> None:
+    """A server starts again while the store is away, which then returns.
+
+    Its keys must not wait for longer than a look at the store.
+    """
+
+    async def story() -> int:
+        world = World()
+        for name in ('m1', 'm2'):
+            world.add(name)
+        await settled(world)
+        for place in world.places:
+            place.store.is_away = True
+        world.replace_server(world.places[0])
+        await watch(world, 4.0)
+        for place in world.places:
+            place.store.is_away = False
+        await watch(world, 3.0)
+        held = world.held_keys()
+        await world.async_stop()
+        return held
+
+    assert run(story()) == KEY_COUNT
+
+
+@pytest.mark.parametrize('fault', [Fault.LATE, Fault.SILENT])
+def test_a_run_that_joins_late_takes_new_fences_first(fault) -> None:
+    """A process and its server start again; the store answers late.
+
+    The new run gives its first change up after a second and makes sure, by
+    a renewal, that it can no longer be applied. That renewal is not the
+    change: with it alone the run would grant keys under the fences of the
+    run before, and the new life of the server would take them as another
+    life had them. Evidence: seed 37 of the mix above, a grant under fence 1
+    by a run that had not told that it joined.
+    """
+
+    async def story() -> list[str]:
+        world = World()
+        for name in ('m1', 'm2'):
+            world.add(name)
+        await settled(world)
+        place = world.places[0]
+        world.kill(place)
+        world.replace_server(place)
+        place.store.faults.extend((fault, fault))
+        world.restart(place)
+        await watch(world, 6.0)
+        assert world.held_keys() == KEY_COUNT
+        found = world.fences_not_above()
+        await world.async_stop()
+        return found
+
+    assert not run(story())
+
+
+def test_who_asked_for_a_move_may_leave_while_it_is_under_way() -> None:
+    """An operator asks for a move and hangs up; the store answers late.
+
+    The process gave the move up with the request, and granted the range to
+    its server again, while the change was still to be applied. Then two
+    servers hold the keys until the next renewal tells of the change.
+    """
+
+    async def story() -> None:
+        world = World()
+        places = [world.add(name) for name in ('m1', 'm2')]
+        await settled(world)
+        # Just after a renewal, so that the next one is 2.5 s away.
+        await asyncio.sleep(0.5)
+        places[0].store.faults.append(Fault.LATE)
+        places[0].store.late_s = 0.6
+        world.move(places[0], KeyRange(100, 200), 'm2')
+        await asyncio.sleep(0.3)
+        places[0].moves[0].cancel()
+        await watch(world, 6.0)
+        assert world.held_keys() == KEY_COUNT
+        assert places[0].maps.find('cases').find(150).owner == 'm2'
+        await world.async_stop()
+
+    run(story())
--- a/tests/sidecar/test_lives.py
+++ b/tests/sidecar/test_lives.py
@@ -31,10 +31,9 @@
 
 async def async_restart(rig: Rig, place: Place, pause_s: float) -> None:
     """Crash a server and start it under its id, until its process knows."""
-    instance = place.server.instance
     await place.server.async_crash()
     await asyncio.sleep(pause_s)
-    await rig.async_start_server(place, instance)
+    await rig.async_start_server(place, place.server.life.next_life())
     await rig.async_until(lambda: is_known(place))
 
 
@@ -48,7 +47,7 @@
         'state': 'ready',
         'coldRemaining': '0ms',
         'sequence': 10_000,
-        'born': place.server.born_ms,
+        'born': place.server.life.born,
     }
     return json.dumps({**fields, **changes}).encode()
 
@@ -58,7 +57,7 @@
 
 
 def is_known(place: Place) -> bool:
-    return present(place).born_ms == place.server.born_ms
+    return present(place).born_ms == place.server.life.born
 
 
 def fences(place: Place) -> set[int]:
@@ -74,7 +73,7 @@
     """
 
     async def story() -> None:
-        async with Rig(61) as rig:
+        async with Rig(141) as rig:
             place = await rig.async_add(KEYED)
             await rig.async_add(KEYED)
             await rig.async_until_served()
@@ -100,16 +99,15 @@
     """
 
     async def story() -> None:
-        async with Rig(62) as rig:
+        async with Rig(142) as rig:
             place = await rig.async_add(PLAIN)
             await rig.async_add(KEYED)
             await rig.async_until(lambda: place.process.is_ready)
             await asyncio.sleep(1)
             assert await place.server.async_drain()
-            instance = place.server.instance
             await place.server.async_crash()
             await asyncio.sleep(STEP_S)
-            await rig.async_start_server(place, instance)
+            await rig.async_start_server(place, place.server.life.next_life())
             await rig.async_until(lambda: place.process._life.takes_work)
             reply = await rig.async_ask(place, '/letters/1', 'after', 5)
             assert reply.status == 200
@@ -125,7 +123,7 @@
     """
 
     async def story() -> None:
-        async with Rig(63) as rig:
+        async with Rig(143) as rig:
             place = await rig.async_add(KEYED)
             await rig.async_until_served()
             life = present(place)
@@ -168,7 +166,7 @@
     """
 
     async def story() -> None:
-        async with Rig(64) as rig:
+        async with Rig(144) as rig:
             place = await rig.async_add(KEYED)
             await rig.async_until_served()
             old = place.server
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,8 +6,9 @@
 
 from soak.__main__ import async_run
 from soak.callers import Told
-from soak.schedule import Trouble, make_schedule
+from soak.schedule import ALL_TROUBLES, Trouble, make_schedule
 from soak.verdict import Pause, Run, judge
+from standins.fences import Taken
 
 SPOTS = 5
 BLOCK = 250
@@ -19,6 +20,17 @@
     # ran them, and their repeats found nobody listening.
     2004: 230,
 }
+# The schedules of those seeds draw from the kinds that there were then.
+TROUBLES_THEN = tuple(
+    trouble
+    for trouble in ALL_TROUBLES
+    if trouble
+    not in {
+        Trouble.RESTART_SERVER,
+        Trouble.STRANGE_REPORT,
+        Trouble.STRANGE_ROW,
+    }
+)
 USUAL_SECONDS = 15
 USUAL_SPOTS = 6
 
@@ -32,8 +44,9 @@
     instance: str = 'i-1',
     service: str = 'cases',
     at: float = 10,
+    born: int = 1,
 ) -> Run:
-    return Run(request_id, 7, instance, service, at, at + 0.5)
+    return Run(request_id, 7, instance, service, at, at + 0.5, born)
 
 
 def test_a_seed_repeats_its_schedule() -> None:
@@ -53,6 +66,10 @@
     assert played == set(Trouble)
 
 
+def test_one_life_may_run_requests_on_a_key_at_once() -> None:
+    assert not judge([told('a')], [ran('a'), ran('b', at=10.2)], []).broken()
+
+
 def test_a_kept_promise_is_no_finding() -> None:
     verdict = judge([told('a'), told('b', status=503)], [ran('a')], [])
     assert not verdict.broken()
@@ -67,6 +84,7 @@
         ('ran_twice', told('a'), [ran('a'), ran('a', at=20)]),
         ('not_run_but_ran', told('a', status=503), [ran('a')]),
         ('two_owners', told('a'), [ran('a'), ran('b', 'i-2', at=10.2)]),
+        ('two_owners', told('a'), [ran('a'), ran('b', born=2, at=10.2)]),
         ('wrong_service', told('a'), [ran('a', service='letters')]),
     ],
 )
@@ -74,6 +92,31 @@
     assert judge([tell], runs, []).broken() == [name]
 
 
+def took(spot: int, fence: int, at: float, born: int = 1) -> Taken:
+    return Taken('cases', f'i-{spot}-1', born, 0, 9, fence, at)
+
+
+@pytest.mark.parametrize(
+    ('later', 'broken'),
+    [
+        (took(1, 8, at=20), []),
+        (took(1, 7, at=20), ['old_fences']),
+        (took(2, 7, at=20), ['old_fences']),
+        (took(1, 7, at=20, born=2), ['old_fences']),
+        (took(1, 8, at=20, born=2), []),
+    ],
+)
+def test_keys_pass_with_a_higher_fence(later: Taken, broken: list) -> None:
+    before = [took(2, 7, at=10, born=0), took(1, 3, at=5)]
+    assert judge([], [], [], [later, *before]).broken() == broken
+
+
+def test_what_a_paused_server_finds_waiting_is_no_new_grant() -> None:
+    taken = [took(1, 7, at=10), took(2, 6, at=13.1)]
+    assert judge([], [], [Pause(2, 9, 13)], taken).broken() == ['old_fences']
+    assert not judge([], [], [Pause(2, 9, 13, is_server=True)], taken).broken()
+
+
 def test_late_answers_count_unless_the_process_was_paused() -> None:
     """A paused process cannot answer; every other must, by the deadline."""
     late = told('a', status=504)
@@ -99,6 +142,13 @@
 def test_a_seed_that_failed_once_keeps_every_promise(seed, tmp_path) -> None:
     block = BLOCK_BY_FAILED_SEED[seed]
     verdict = asyncio.run(
-        async_run(seed, USUAL_SECONDS, USUAL_SPOTS, block, tmp_path)
+        async_run(
+            seed,
+            USUAL_SECONDS,
+            USUAL_SPOTS,
+            block,
+            tmp_path,
+            TROUBLES_THEN,
+        )
     )
     assert not verdict.broken(), verdict
