Forget connections, loads and wishes to stay that are of a life before

A new life of the server gets no connection that reached the one before, and does not make a process take keys that was told to stop. A new run of a member is not judged by the load that the run before told.

--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -283,6 +283,9 @@
             self._log.write('member-unusable', member=member.name)
             return
         if self._directory.add(member):
+            # What a run before this one told of its load, such as that it
+            # leaves, is not of this one.
+            self._loads.forget(member.name)
             self._welcomed.discard(member.name)
             self._log.write(
                 'member-met',
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -110,6 +110,16 @@
         self._clock = clock
         self._log = log
 
+    def on_new_life(self) -> None:
+        """Keep no connection to the life before.
+
+        Failure: a machine loses power and is back, and its server starts
+        again; nobody has closed the connections of before. It shows as work
+        that goes out on one of them and is lost, of which nobody can tell
+        whether it ran.
+        """
+        self._pool.forget(self._wire.address)
+
     async def async_serve(
         self, routed: RoutedRequest, map_version: int = 0
     ) -> Outcome:
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -23,7 +23,6 @@
 from plantaingrade.http.pool import Pool, split_address
 from plantaingrade.http.server import HttpServer, RequestServer
 from plantaingrade.keyspace.directory import KeyMaps
-from plantaingrade.keyspace.entity import KeyMap
 from plantaingrade.operators.desk import OperatorDesk
 from plantaingrade.operators.wishes import Wish, WishedState
 from plantaingrade.peers.calls import PeerCalls
@@ -57,7 +56,7 @@
     refuse_malformed,
 )
 from plantaingrade.sidecar.leaving import Leaving
-from plantaingrade.sidecar.server_watch import OwnServer, ServerWatch
+from plantaingrade.sidecar.server_watch import LifeHooks, OwnServer, ServerWatch
 from plantaingrade.sidecar.settings import InstanceSettings, OwnOptions
 from plantaingrade.sidecar.wire import PlatformWire
 from plantaingrade.store.relay import RelayDesk, RelayedStore
@@ -203,7 +202,7 @@
             self._peers,
             self._on_joined,
         )
-        self._maps.listen(self._on_map)
+        self._maps.listen(lambda service, _: self.holds.on_map(service))
         self._config.listen(self._on_config)
 
     def _build_paths(self) -> None:
@@ -277,9 +276,9 @@
             OwnServer(self._own.service, self._settings.backend),
             self._life,
             self._orders,
-            self.holds,
-            self._balance,
-            self._gate,
+            LifeHooks(
+                self._on_new_life, self._balance.leave, self._gate.resize
+            ),
             self._config,
             self._clock,
             self._log,
@@ -448,12 +447,20 @@
         elif self._life.takes_work and not self._is_leaving:
             self._balance.stay()
 
+    def _on_new_life(self) -> None:
+        """Forget the life before; take keys again unless told to stop.
+
+        Failure: a server starts again while its process stops. It shows as
+        keys that others give to a process that is about to end.
+        """
+        self._server_path.on_new_life()
+        self.holds.on_new_life()
+        if not self._is_leaving:
+            self._balance.stay()
+
     def _on_config(self, config: RoutingConfig) -> None:
         self._caller_server.idle_s = config.limits.idle_timeout_s
         self._caller_front.limits = config.limits
 
-    def _on_map(self, service: str, _: KeyMap) -> None:
-        self.holds.on_map(service)
-
     def _on_joined(self) -> None:
         self._start(self._peers.async_refresh())
--- a/plantaingrade/sidecar/server_watch.py
+++ b/plantaingrade/sidecar/server_watch.py
@@ -1,16 +1,14 @@
 """Follow the backend server beside this process through its lives."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from plantaingrade.admission.gate import Gate
 from plantaingrade.backends.life import BackendLife, LifeChange
 from plantaingrade.backends.report import Farewell, Heartbeat
-from plantaingrade.balance.coordinator import BalanceCoordinator
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.coordinator import HoldCoordinator
 from plantaingrade.holds.orders import ServerOrders
 from plantaingrade.sidecar.const import FIRST_SLOTS
 
@@ -35,15 +33,26 @@
         )
 
 
+@dataclass(slots=True, frozen=True)
+class LifeHooks:
+    """What is told of the server's lives.
+
+    ``on_new_life`` is told of each new one, ``on_leaving`` that the present
+    one leaves, and ``on_slots`` how many slots it has, with each report.
+    """
+
+    on_new_life: Callable[[], None]
+    on_leaving: Callable[[], None]
+    on_slots: Callable[[int], None]
+
+
 class ServerWatch:
     """Act on heartbeats, and ask the server who it is when in doubt."""
 
     __slots__ = (
-        '_balance',
         '_clock',
         '_config',
-        '_gate',
-        '_holds',
+        '_hooks',
         '_life',
         '_log',
         '_orders',
@@ -56,9 +65,7 @@
         server: OwnServer,
         life: BackendLife,
         orders: ServerOrders,
-        holds: HoldCoordinator,
-        balance: BalanceCoordinator,
-        gate: Gate,
+        hooks: LifeHooks,
         config: ConfigFollower,
         clock: Clock,
         log: EventLog,
@@ -67,9 +74,7 @@
         self._server = server
         self._life = life
         self._orders = orders
-        self._holds = holds
-        self._balance = balance
-        self._gate = gate
+        self._hooks = hooks
         self._config = config
         self._clock = clock
         self._log = log
@@ -88,7 +93,8 @@
                     'server-farewell', instance=life.instance, born=life.born_ms
                 )
                 self._follow(self._life.on_farewell(report, now))
-        self._resize()
+        if self._life.slots:
+            self._hooks.on_slots(self._life.slots)
         return True
 
     def verify(self, instance: str) -> None:
@@ -121,20 +127,14 @@
     def _follow(self, change: LifeChange) -> None:
         if change.is_new_life:
             self._log_life('server-life')
-            self._gate.resize(self._life.slots or FIRST_SLOTS)
-            self._holds.on_new_life()
-            self._balance.stay()
+            self._hooks.on_slots(self._life.slots or FIRST_SLOTS)
+            self._hooks.on_new_life()
         if change.is_leaving:
             self._log_life('server-leaves')
-            self._balance.leave()
+            self._hooks.on_leaving()
         if change.must_verify:
             self.verify(change.must_verify)
 
-    def _resize(self) -> None:
-        slots = self._life.slots
-        if slots and slots != self._gate.queue.slots:
-            self._gate.resize(slots)
-
     def _log_life(self, event: str) -> None:
         life = self._life.present
         self._log.write(event, instance=life.instance, born=life.born_ms)
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import os
+from dataclasses import replace
 from itertools import pairwise
 
 from plantaingrade.balance.book import LoadBook
+from plantaingrade.balance.entity import Load
+from plantaingrade.balance.others import LEAVING_SHARE
 from plantaingrade.datagrams import MAX_DATAGRAM_BYTES
 from plantaingrade.eventlog import EventLog
 from plantaingrade.keyspace.assign import reassign, split_evenly
@@ -16,7 +19,7 @@
     PeerHooks,
 )
 from plantaingrade.peers.directory import Directory
-from plantaingrade.peers.entity import MapChanged, Member
+from plantaingrade.peers.entity import Hello, MapChanged, Member
 from tests.virtual import LoopClock, run
 
 OWN = Member('s@1', 's', 'a', '127.0.0.1:1', 'b1')
@@ -155,3 +158,20 @@
         assert peers.endpoint.malformed == 5
 
     run(story())
+
+
+def test_a_new_run_is_not_judged_by_the_load_of_the_one_before() -> None:
+    """A process stops; its load says that it leaves. A new run has its name.
+
+    It was passed over until the old word was too old.
+    """
+
+    async def story() -> None:
+        peers = member_with(KeyMaps(), FakeCalls())
+        loads = peers._loads
+        now = LoopClock().now()
+        loads.note('s@2', Load(LEAVING_SHARE, 0.01, 4), now)
+        peers._on_datagram(Hello(replace(OTHER, boot='b3')))
+        assert loads.find('s@2', now) is None
+
+    run(story())
--- a/tests/sidecar/test_lives.py
+++ b/tests/sidecar/test_lives.py
@@ -178,3 +178,51 @@
             await rig.async_until_served()
 
     asyncio.run(story())
+
+
+def test_a_process_that_stops_takes_no_keys_for_a_new_life() -> None:
+    """A process is told to stop, and its server starts again meanwhile.
+
+    The new life made the process take keys again: others gave it some, which
+    nobody served once it had ended.
+    """
+
+    async def story() -> None:
+        async with Rig(145) as rig:
+            place = await rig.async_add(KEYED)
+            await rig.async_add(KEYED)
+            await rig.async_until_served()
+            leaving = asyncio.create_task(place.process.async_leave())
+            await asyncio.sleep(STEP_S)
+            await async_restart(rig, place, STEP_S)
+            assert not place.process.holds.registry.takes_keys
+            await leaving
+            assert not place.process.holds.owns_keys
+
+    asyncio.run(story())
+
+
+def test_no_connection_outlasts_the_life_that_it_reached() -> None:
+    """A machine loses power and is back; its server starts under its id.
+
+    The connections that were kept look whole, as nobody closed them. Work
+    that must not run twice went out on one and was lost: its caller could not
+    be told that it had not run.
+    """
+
+    async def story() -> None:
+        async with Rig(146) as rig:
+            place = await rig.async_add(PLAIN)
+            await rig.async_add(KEYED)
+            await rig.async_until(lambda: place.process.is_ready)
+            await rig.async_until(lambda: is_known(place))
+            await rig.async_ask(place, '/letters/1', 'before', 5)
+            idle = place.process._pool._idle_by_address
+            assert idle[place.plan.address]
+            life = place.server.life.next_life()
+            body = heartbeat(place, born=life.born, sequence=1)
+            await async_report(rig, place, life.instance, body)
+            assert present(place).born_ms == life.born
+            assert not idle[place.plan.address]
+
+    asyncio.run(story())
