--- a/tests/sidecar/test_lives.py
+++ b/tests/sidecar/test_lives.py
@@ -5,10 +5,12 @@
 
 from plantaingrade.http.client import Call, Reply, fetch
 from plantaingrade.http.pool import Pool
+from standins.shared_store import Outage
 from tests.sidecar.rig import KEYED, PLAIN, Place, Rig
 
 RESTART_S = 0.3
 STEP_S = 0.02
+AWAY_S = 3.5
 
 
 async def async_report(
@@ -226,3 +228,56 @@
             assert not idle[place.plan.address]
 
     asyncio.run(story())
+
+
+def test_a_restart_while_the_store_is_away_waits_for_new_fences() -> None:
+    """The store answers nobody, and a server starts again under its id.
+
+    Its keys can have no new fences until the store is back. Meanwhile they
+    are refused rather than granted under the fences of the life before.
+    """
+
+    async def story() -> None:
+        async with Rig(148) as rig:
+            place = await rig.async_add(KEYED)
+            await rig.async_add(KEYED)
+            await rig.async_until_served()
+            await rig.async_until(lambda: is_known(place))
+            rig.store.faults.outage = Outage.SILENT
+            await async_restart(rig, place, STEP_S)
+            await asyncio.sleep(AWAY_S)
+            assert not place.server.holds
+            rig.store.faults.outage = Outage.NONE
+            await rig.async_until_served()
+            assert not rig.record.two_owners
+            assert not rig.record.old_fences()
+
+    asyncio.run(story())
+
+
+def test_an_id_that_moves_to_another_address_takes_nothing_along() -> None:
+    """A server is back under its id at the address of another instance.
+
+    There it holds the keys of that instance; its own are given new owners or
+    wait for a server where it was.
+    """
+
+    async def story() -> None:
+        async with Rig(149) as rig:
+            first = await rig.async_add(KEYED)
+            second = await rig.async_add(KEYED)
+            await rig.async_until_served()
+            moved = first.server.life.next_life()
+            await first.server.async_crash()
+            await second.server.async_crash()
+            await rig.async_start_server(second, moved)
+            await rig.async_until(lambda: is_known(second))
+            body = heartbeat(second)
+            reply = await async_report(rig, first, moved.instance, body)
+            assert reply.status == 400
+            await rig.async_start_server(first)
+            await rig.async_until_served()
+            assert not rig.record.two_owners
+            assert not rig.record.old_fences()
+
+    asyncio.run(story())
