--- a/tests/backends/test_life.py
+++ b/tests/backends/test_life.py
@@ -1,5 +1,8 @@
 """The lives of a server, from heartbeats that may be late or forged."""
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from plantaingrade.backends.life import (
     DOUBT_S,
     MAX_ENDED_LIVES,
@@ -337,3 +340,44 @@
     for number in range(6, 12):
         life.on_heartbeat(beat('i-1', number, born=BORN), 10.0 + number)
     assert not life.takes_work
+
+
+# Births of three lives of one id, and delays of their heartbeats, in seconds:
+# most arrive at once, some are held up past the end of their life.
+BIRTHS_S = (0, 3, 6)
+LIFE_S = 3
+BEAT_S = 0.3
+delays = st.lists(
+    st.sampled_from((0.0, 0.0, 0.0, 0.1, 1.5, 5.0)), min_size=30, max_size=30
+)
+
+
+@given(delays, st.booleans())
+def test_the_last_life_is_the_present_one_however_words_cross(
+    held_up, told
+) -> None:
+    """Three lives follow each other under one id. Their heartbeats are held up
+    by chance; the first two say at their end that they drain.
+
+    Whatever is late, the last life is the present one and takes work.
+    """
+    arrivals = []
+    for turn, delay in enumerate(held_up):
+        begun = BIRTHS_S[turn // 10]
+        number = turn % 10
+        is_last = begun == BIRTHS_S[-1]
+        state = 'ready' if number < 8 or is_last else 'draining'
+        born = BORN + begun * 1000
+        heard = beat('i-1', number + 1, state, born)
+        arrivals.append((begun + number * BEAT_S + delay, turn, heard))
+    # The last life goes on, and is heard in the end.
+    ends = BIRTHS_S[-1] + LIFE_S + max(held_up)
+    last = BORN + BIRTHS_S[-1] * 1000
+    arrivals.append((ends + 1, 98, beat('i-1', 40, born=last)))
+    life = BackendLife(finish_s=1.4)
+    if told:
+        life.on_named('i-1', 0.0)
+    for now, _, heartbeat in sorted(arrivals, key=lambda each: each[:2]):
+        life.on_heartbeat(heartbeat, now)
+    assert life.present == ServerLife('i-1', last)
+    assert life.takes_work
--- a/tests/sidecar/test_lives.py
+++ b/tests/sidecar/test_lives.py
@@ -5,12 +5,15 @@
 
 from plantaingrade.http.client import Call, Reply, fetch
 from plantaingrade.http.pool import Pool
+from standins.life import Life
 from standins.shared_store import Outage
 from tests.sidecar.rig import KEYED, PLAIN, Place, Rig
 
 RESTART_S = 0.3
 STEP_S = 0.02
 AWAY_S = 3.5
+STEPPED_BACK_MS = 4000
+BACK_S = 2.0
 
 
 async def async_report(
@@ -281,3 +284,31 @@
             assert not rig.record.old_fences()
 
     asyncio.run(story())
+
+
+def test_a_server_whose_clock_stepped_back_is_used_within_two_seconds() -> None:
+    """A server drains, its clock steps back by seconds, and it starts again
+    under its id. Its start seems to lie before that of the life that drained.
+
+    Taken for that life, or for one before it, it would get no work for good.
+    """
+
+    async def story() -> None:
+        async with Rig(150) as rig:
+            place = await rig.async_add(PLAIN)
+            await rig.async_add(KEYED)
+            await rig.async_until(lambda: place.process.is_ready)
+            await rig.async_until(lambda: is_known(place))
+            assert await place.server.async_drain()
+            before = place.server.life
+            await place.server.async_crash()
+            born = before.born - STEPPED_BACK_MS
+            began = rig.clock.now()
+            await rig.async_start_server(place, Life(before.instance, born))
+            await rig.async_until(lambda: is_known(place))
+            assert rig.clock.now() - began < BACK_S
+            assert place.process._life.takes_work
+            reply = await rig.async_ask(place, '/letters/1', 'after', 5)
+            assert reply.status == 200
+
+    asyncio.run(story())
