Leave keys that hardly lighten a server where they are

Cause: beside a key that no server can serve alone each look moved one or two of the other keys, 0.08 seconds of a slot at a load of 11, each by a change of the map. Change: a move brings a twentieth of the slots at least. The new test fails on the code before.

--- a/plantaingrade/balance/const.py
+++ b/plantaingrade/balance/const.py
@@ -35,6 +35,9 @@
 IDLE_TELL_COUNT = 8
 # Load below which a range counts as nothing: one request in two windows.
 MIN_MOVED_LOAD = 0.01
+# A move takes a turn of the one map of the service, and its keys are served by
+# nobody for a moment. Less than this part of the slots is left where it is.
+MIN_MOVED_SHARE = 0.05
 # Keys that were moved are not moved again for this long, unless the server
 # leaves: each move stops their service for about the length of a request.
 SETTLE_S = 1.0
--- a/plantaingrade/balance/policy.py
+++ b/plantaingrade/balance/policy.py
@@ -15,6 +15,7 @@
     MIN_DIFFERENCE,
     MIN_LOAD_TO_MOVE,
     MIN_MOVED_LOAD,
+    MIN_MOVED_SHARE,
     SHARE_OF_DIFFERENCE,
     WINDOW_S,
 )
@@ -80,6 +81,8 @@
     if found is None:
         return None
     keys, work = found
+    if work < MIN_MOVED_SHARE * own.slots:
+        return None
     return Move(keys, target, work)
 
 
--- a/tests/balance/test_policy.py
+++ b/tests/balance/test_policy.py
@@ -222,8 +222,16 @@
 def test_a_hot_key_stays_where_no_server_is_much_faster() -> None:
     loads = [KeyLoad(10, 0.2), KeyLoad(11, 40.0), KeyLoad(12, 0.2)]
     others = {'b': load(0.1, 0.2), 'busy': load(0.9, 0.1)}
-    move = choose_move(load(7.0, 0.28), others, [ALL], loads)
-    assert 11 not in move.keys
+    assert choose_move(load(7.0, 0.28), others, [ALL], loads) is None
+
+
+def test_a_move_that_hardly_lightens_the_server_is_not_made() -> None:
+    """One key brings far more than the server can do, the others little.
+
+    Each look moved one of the others, a hundredth of the load at a time.
+    """
+    loads = [KeyLoad(10, 0.1), KeyLoad(11, 40.0), KeyLoad(12, 0.1)]
+    assert choose_move(load(7.0), {'b': load(0.1)}, [ALL], loads) is None
 
 
 def test_a_hot_key_that_has_just_come_stays() -> None:
