--- a/tests/sidecar/rig.py
+++ b/tests/sidecar/rig.py
@@ -128,10 +128,11 @@
         return place
 
     async def async_start_server(
-        self, place: Place, life: Life | None = None
+        self, place: Place, instance: str = ''
     ) -> None:
-        """Start a new life of a place's server, as given or as a new one."""
+        """Start a new life of a place's server, under its old id if given."""
         self._seed += 1
+        life = Life.under_id(instance) if instance else None
         place.server = KeyedServer(
             place.plan, self.record, self.clock, self._seed, life
         )
