--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -59,6 +59,7 @@
     Transaction,
 )
 from plantaingrade.store.interface import Store
+from plantaingrade.store.unreadable import UnreadableRows
 
 CODEC = Codec(Datagram, Datagram)
 HANDED_CODEC = Codec(Handed)
@@ -74,6 +75,7 @@
 # process reads it some wake-ups later. What is missing then is asked for.
 PULL_WAIT_S = 0.05
 HEADER_VERSION = b'v'
+MAX_VERSION_DIGITS = 18
 
 
 @dataclass(slots=True, frozen=True)
@@ -104,6 +106,7 @@
         '_pulls',
         '_row_version',
         '_store',
+        '_unreadable',
         '_welcomed',
         'has_joined',
         'own',
@@ -133,6 +136,7 @@
         self._clock = clock
         self._log = log
         self._endpoint = TypedEndpoint(self._on_datagram, CODEC)
+        self._unreadable = UnreadableRows(log)
         self._welcomed: set[str] = set()
         self._row_version = 0
         self._early = EarlyChanges()
@@ -254,7 +258,7 @@
         try:
             self._keep(service, row)
         except UNREADABLE as error:
-            self._log.write('row-unreadable', row=row.name.key, why=str(error))
+            self._unreadable.note(row, str(error))
 
     def _keep(self, service: str, row: Row) -> None:
         if row.name.key == KEY_MAP:
@@ -267,11 +271,17 @@
         name = row.name.key.removeprefix(KEY_MEMBER)
         if name == self.own.name:
             return
-        self._meet(decode_member_row(name, row.body, row.version).member)
+        member = decode_member_row(name, row.body, row.version).member
+        if member.service != service:
+            raise UnreadableLeaseError('The row names another service.')
+        self._meet(member)
 
     def _meet(self, member: Member) -> None:
         if member.name == self.own.name:
             return
+        if not member.is_addressed():
+            self._log.write('member-unusable', member=member.name)
+            return
         if self._directory.add(member):
             self._welcomed.discard(member.name)
             self._log.write(
@@ -342,7 +352,7 @@
 
     def _on_datagram(self, message: Datagram) -> None:
         match message:
-            case Hello(member):
+            case Hello(member) if member.is_addressed():
                 self._meet(member)
                 self._endpoint.send(Welcome(self.own), member.address)
             case Welcome(member):
@@ -373,12 +383,17 @@
         if not message.ranges:
             known = self._maps.find(message.service)
             return known.version >= message.version
+        try:
+            changes = message.assignments()
+        except ValueError as error:
+            self._log.write('map-change-unreadable', why=str(error))
+            return False
         return self._maps.apply(
             message.service,
             message.before,
             message.version,
             message.fence,
-            message.assignments(),
+            changes,
         )
 
     def _apply_early(self, service: str) -> int:
@@ -401,7 +416,7 @@
         if reply is None:
             return
         version = reply.headers.get(HEADER_VERSION, b'0')
-        if not version.isdigit():
+        if not version.isdigit() or len(version) > MAX_VERSION_DIGITS:
             return
         try:
             key_map = decode_map(reply.body, int(version))
--- a/tests/sidecar/test_lives.py
+++ b/tests/sidecar/test_lives.py
@@ -73,7 +73,7 @@
     """
 
     async def story() -> None:
-        async with Rig(61) as rig:
+        async with Rig(141) as rig:
             place = await rig.async_add(KEYED)
             await rig.async_add(KEYED)
             await rig.async_until_served()
@@ -99,7 +99,7 @@
     """
 
     async def story() -> None:
-        async with Rig(62) as rig:
+        async with Rig(142) as rig:
             place = await rig.async_add(PLAIN)
             await rig.async_add(KEYED)
             await rig.async_until(lambda: place.process.is_ready)
@@ -123,7 +123,7 @@
     """
 
     async def story() -> None:
-        async with Rig(63) as rig:
+        async with Rig(143) as rig:
             place = await rig.async_add(KEYED)
             await rig.async_until_served()
             life = present(place)
@@ -166,7 +166,7 @@
     """
 
     async def story() -> None:
-        async with Rig(64) as rig:
+        async with Rig(144) as rig:
             place = await rig.async_add(KEYED)
             await rig.async_until_served()
             old = place.server
