--- a/soak/verdict.py
+++ b/soak/verdict.py
@@ -33,12 +33,12 @@
     service: str
     began: float
     ended: float
-    born: int = 0
+    born_ms: int = 0
 
     @property
     def life(self) -> Life:
         """Return the life that ran it; an id may have had several."""
-        return Life(self.instance, self.born)
+        return Life(self.instance, self.born_ms)
 
 
 @dataclass(slots=True, frozen=True)
@@ -83,7 +83,7 @@
     for fields in _read_lines(path):
         if fields['event'] == EVENT_TAKEN:
             continue
-        life = Life(fields['instance'], fields['born'])
+        life = Life(fields['instance'], fields['born_ms'])
         name = (fields['request_id'], life, fields['began'])
         if fields['event'] == 'begin':
             run_by_name[name] = Run(
@@ -94,7 +94,7 @@
                 fields['began'],
                 # A server that was killed has ended its work with its life.
                 fields['began'],
-                life.born,
+                life.born_ms,
             )
         else:
             run_by_name[name].ended = fields['ended']
--- a/standins/fences.py
+++ b/standins/fences.py
@@ -13,7 +13,7 @@
 
     service: str
     instance: str
-    born: int
+    born_ms: int
     first: int
     last: int
     fence: int
@@ -22,7 +22,7 @@
     @property
     def life(self) -> Life:
         """Return the life that took the keys."""
-        return Life(self.instance, self.born)
+        return Life(self.instance, self.born_ms)
 
     @property
     def keys(self) -> KeyRange:
--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -87,7 +87,7 @@
     request_id: str
     key: int | None
     instance: str
-    born: int
+    born_ms: int
     service: str
     caller_service: str
     began: float
@@ -209,6 +209,11 @@
         """Return the id of this life, which others may have had."""
         return self.life.instance
 
+    @property
+    def born_ms(self) -> int:
+        """Return the Unix millisecond of this life's start."""
+        return self.life.born_ms
+
     async def async_start(self) -> None:
         """Listen, and begin to send heartbeats."""
         await self._server.async_listen(*split_address(self.plan.address))
@@ -305,7 +310,7 @@
             taken = Taken(
                 self.plan.service,
                 self.instance,
-                self.life.born,
+                self.born_ms,
                 keys.first,
                 keys.last,
                 fence,
@@ -380,7 +385,7 @@
             headers.get(HEADER_REQUEST_ID, b'').decode(),
             key,
             self.instance,
-            self.life.born,
+            self.born_ms,
             self.plan.service,
             headers.get(HEADER_CALLER, b'').decode(),
             now,
--- a/standins/life.py
+++ b/standins/life.py
@@ -15,11 +15,11 @@
 class Life:
     """One life of a server: its id, and the Unix millisecond of its start.
 
-    Lives under one id are told apart by ``born`` alone.
+    Lives under one id are told apart by ``born_ms`` alone.
     """
 
     instance: str
-    born: int
+    born_ms: int
 
     @classmethod
     def from_seed(cls, seed: int) -> 'Life':
@@ -38,7 +38,7 @@
         In a test two lives may begin in one millisecond.
         """
         begun = Life.under_id(self.instance)
-        return Life(self.instance, max(begun.born, self.born + 1))
+        return Life(self.instance, max(begun.born_ms, self.born_ms + 1))
 
 
 @dataclass(slots=True, frozen=True)
@@ -64,5 +64,5 @@
             'state': self.state,
             'coldRemaining': format_time(0),
             'sequence': self.sequence,
-            'born': self.life.born,
+            'born': self.life.born_ms,
         }
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -44,9 +44,9 @@
     instance: str = 'i-1',
     service: str = 'cases',
     at: float = 10,
-    born: int = 1,
+    born_ms: int = 1,
 ) -> Run:
-    return Run(request_id, 7, instance, service, at, at + 0.5, born)
+    return Run(request_id, 7, instance, service, at, at + 0.5, born_ms)
 
 
 def test_a_seed_repeats_its_schedule() -> None:
@@ -84,7 +84,7 @@
         ('ran_twice', told('a'), [ran('a'), ran('a', at=20)]),
         ('not_run_but_ran', told('a', status=503), [ran('a')]),
         ('two_owners', told('a'), [ran('a'), ran('b', 'i-2', at=10.2)]),
-        ('two_owners', told('a'), [ran('a'), ran('b', born=2, at=10.2)]),
+        ('two_owners', told('a'), [ran('a'), ran('b', born_ms=2, at=10.2)]),
         ('wrong_service', told('a'), [ran('a', service='letters')]),
     ],
 )
@@ -92,8 +92,8 @@
     assert judge([tell], runs, []).broken() == [name]
 
 
-def took(spot: int, fence: int, at: float, born: int = 1) -> Taken:
-    return Taken('cases', f'i-{spot}-1', born, 0, 9, fence, at)
+def took(spot: int, fence: int, at: float, born_ms: int = 1) -> Taken:
+    return Taken('cases', f'i-{spot}-1', born_ms, 0, 9, fence, at)
 
 
 @pytest.mark.parametrize(
@@ -102,12 +102,12 @@
         (took(1, 8, at=20), []),
         (took(1, 7, at=20), ['old_fences']),
         (took(2, 7, at=20), ['old_fences']),
-        (took(1, 7, at=20, born=2), ['old_fences']),
-        (took(1, 8, at=20, born=2), []),
+        (took(1, 7, at=20, born_ms=2), ['old_fences']),
+        (took(1, 8, at=20, born_ms=2), []),
     ],
 )
 def test_keys_pass_with_a_higher_fence(later: Taken, broken: list) -> None:
-    before = [took(2, 7, at=10, born=0), took(1, 3, at=5)]
+    before = [took(2, 7, at=10, born_ms=0), took(1, 3, at=5)]
     assert judge([], [], [], [later, *before]).broken() == broken
 
 
--- a/tests/standins/test_lives.py
+++ b/tests/standins/test_lives.py
@@ -72,7 +72,7 @@
     first = Life.from_seed(3)
     second = first.next_life()
     assert second.instance == first.instance
-    assert second.born > first.born
+    assert second.born_ms > first.born_ms
 
 
 def test_a_life_under_the_same_id_holds_and_knows_nothing() -> None:
@@ -108,7 +108,7 @@
         by_born: dict[int, list[int]] = {}
         for beat in listener.heartbeats():
             by_born.setdefault(beat['born'], []).append(beat['sequence'])
-        assert list(by_born) == [first.life.born, second.life.born]
+        assert list(by_born) == [first.life.born_ms, second.life.born_ms]
         assert all(counts[0] == 1 for counts in by_born.values())
         assert not record.two_owners
 
