--- a/plantaingrade/balance/policy.py
+++ b/plantaingrade/balance/policy.py
@@ -8,7 +8,6 @@
 
 import math
 from collections.abc import Mapping, Sequence
-from operator import attrgetter
 
 from plantaingrade.balance.const import (
     MAX_MOVES,
@@ -25,10 +24,6 @@
 # The range of ``n`` samples of a normal distribution is close to this times the
 # square root of ``ln n``, in standard deviations: 2.7 for 7, 4.7 for 67.
 EXTREMES = 2.2
-# A server that does so many times the work is worth the move of a key that no
-# server can serve alone. Measured times stray by a fifth, and servers of one
-# service differ by a factor of two and more.
-FASTER = 1.7
 # A run that brings this part of what is wanted is good enough to prefer one
 # with fewer keys.
 ENOUGH = 0.6
@@ -69,9 +64,6 @@
     """
     if own.share < MIN_LOAD_TO_MOVE or not load_by_member:
         return None
-    hot = move_of_hot_key(own, load_by_member, ranges, key_loads)
-    if hot is not None:
-        return hot
     target = min(load_by_member, key=lambda name: load_by_member[name].share)
     other = load_by_member[target]
     if own.share - other.share < least_difference(own, len(load_by_member)):
@@ -86,34 +78,6 @@
     return Move(keys, target, work)
 
 
-def move_of_hot_key(
-    own: Load,
-    load_by_member: Mapping[str, Load],
-    ranges: Sequence[KeyRange],
-    key_loads: Sequence[KeyLoad],
-) -> Move | None:
-    """Return the move of a key that asks for more than this server has.
-
-    No cut helps such a key; a server that does the same work in much less
-    time serves so many more of its requests.
-    """
-    hottest = max(key_loads, key=attrgetter('work'), default=None)
-    if hottest is None or hottest.work < own.slots:
-        return None
-    if not any(hottest.key in keys for keys in ranges):
-        return None
-    name_by_pace = {
-        load.slots / load.work_s: name
-        for name, load in load_by_member.items()
-        if load.share < MIN_LOAD_TO_MOVE and load.work_s > 0
-    }
-    fastest = max(name_by_pace, default=0.0)
-    if fastest * own.work_s < FASTER * own.slots:
-        return None
-    keys = KeyRange(hottest.key, hottest.key)
-    return Move(keys, name_by_pace[fastest], hottest.work)
-
-
 def least_difference(own: Load, others: int) -> float:
     """Return the difference from which loads differ for certain.
 
--- a/tests/balance/test_policy.py
+++ b/tests/balance/test_policy.py
@@ -206,25 +206,6 @@
     assert moves < looks / 20
 
 
-def test_a_key_that_no_server_can_serve_alone_goes_to_a_fast_one() -> None:
-    """A third of all requests ask for one key, and its server is slow.
-
-    The key stayed where it was, since it cannot be cut, and a server that
-    does twice the work in the same time had little to do.
-    """
-    loads = [KeyLoad(10, 0.2), KeyLoad(11, 40.0), KeyLoad(12, 0.2)]
-    others = {'slow': load(0.1, 0.28), 'fast': load(0.4, 0.12)}
-    move = choose_move(load(7.0, 0.28), others, [ALL], loads)
-    assert move.target == 'fast'
-    assert move.keys == KeyRange(11, 11)
-
-
-def test_a_hot_key_stays_where_no_server_is_much_faster() -> None:
-    loads = [KeyLoad(10, 0.2), KeyLoad(11, 40.0), KeyLoad(12, 0.2)]
-    others = {'b': load(0.1, 0.2), 'busy': load(0.9, 0.1)}
-    assert choose_move(load(7.0, 0.28), others, [ALL], loads) is None
-
-
 def test_a_move_that_hardly_lightens_the_server_is_not_made() -> None:
     """One key brings far more than the server can do, the others little.
 
