Apply a change of a map without making its other ranges anew

Cause: a map of 360 ranges was made anew and sorted for each change by each of 88 members: 2.4 ms each, by 250 moves 53 s of processor time; what differs between two maps was found by hashing both. Change: only the ranges that a change covers, and their neighbours, are replaced; the others are the same objects, which the difference compares first. The first new test fails on the code before, the two others state what must stay.

--- a/plantaingrade/keyspace/assign.py
+++ b/plantaingrade/keyspace/assign.py
@@ -4,6 +4,7 @@
 so that a backend server refuses whatever an earlier owner still sends.
 """
 
+from bisect import bisect_right
 from collections.abc import Iterable
 from itertools import pairwise
 
@@ -56,17 +57,32 @@
 def overlay(
     key_map: KeyMap, changes: Iterable[Assignment], fence: int
 ) -> KeyMap:
-    """Return the map with assignments in place of what they cover."""
-    pieces: list[Assignment] = list(key_map.assignments)
+    """Return the map with assignments in place of what they cover.
+
+    Load that answers: each change is applied by every member, so what does
+    not change is taken over as it is.
+    """
+    pieces = list(key_map.assignments)
     for change in changes:
-        pieces = [
-            Assignment(rest, piece.owner, piece.fence)
-            for piece in pieces
-            for rest in piece.keys.without(change.keys)
-        ]
-        pieces.append(change)
-    pieces.sort(key=_first_key)
-    return KeyMap(tuple(_joined(pieces)), fence, key_map.version)
+        pieces = _laid(pieces, change)
+    return KeyMap(tuple(pieces), fence, key_map.version)
+
+
+def _laid(pieces: list[Assignment], change: Assignment) -> list[Assignment]:
+    """Put an assignment over what it covers, and join it with neighbours."""
+    first, last = change.keys.first, change.keys.last
+    start = max(0, bisect_right(pieces, first, key=_first_key) - 1)
+    end = bisect_right(pieces, last, key=_first_key)
+    rests = [
+        Assignment(rest, piece.owner, piece.fence)
+        for piece in pieces[start:end]
+        for rest in piece.keys.without(change.keys)
+    ]
+    laid = sorted([*rests, change], key=_first_key)
+    before = max(0, start - 1)
+    after = end + 1
+    near = pieces[before:start] + laid + pieces[end:after]
+    return pieces[:before] + _joined(near) + pieces[after:]
 
 
 def is_complete(key_map: KeyMap) -> bool:
--- a/plantaingrade/keyspace/directory.py
+++ b/plantaingrade/keyspace/directory.py
@@ -61,5 +61,8 @@
 
 def differences(before: KeyMap, after: KeyMap) -> tuple[Assignment, ...]:
     """Return the assignments of a map that an earlier one lacks."""
-    known = set(before.assignments)
-    return tuple(each for each in after.assignments if each not in known)
+    return tuple(
+        each
+        for each in after.assignments
+        if before.find(each.keys.first) != each
+    )
--- a/tests/keyspace/test_assign.py
+++ b/tests/keyspace/test_assign.py
@@ -1,5 +1,7 @@
 """Changes of key maps."""
 
+from itertools import pairwise
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -58,6 +60,49 @@
         key_map = after
 
 
+@given(changes)
+def test_what_a_change_does_not_touch_is_taken_over_as_it_is(steps) -> None:
+    """Each of 88 members applies each change, to a map of 360 ranges.
+
+    Making all of them anew took 2.4 ms a change and member.
+    """
+    key_map = reassign(
+        split_evenly(OWNERS),
+        {KeyRange(key, key + 9): 'd' for key in range(0, KEY_COUNT, 997)},
+    )
+    for moved, owner in steps:
+        after = reassign(key_map, {moved: owner})
+        near = KeyRange(max(0, moved.first - 1), moved.last + 1)
+        for each in key_map.assignments:
+            if each.keys.overlap(near) is None:
+                assert after.find(each.keys.first) is each
+        key_map = after
+
+
+@given(changes)
+def test_several_ranges_change_as_one_after_the_other_would(steps) -> None:
+    owner_by_keys = dict(steps)
+    key_map = split_evenly(OWNERS)
+    after = reassign(key_map, owner_by_keys)
+    owner_by_key = {}
+    for moved, owner in owner_by_keys.items():
+        for key in (moved.first, moved.last):
+            owner_by_key[key] = owner
+        owner_by_key |= {key: owner for key in owner_by_key if key in moved}
+    for key, owner in owner_by_key.items():
+        assert after.find(key).owner == owner
+    assert is_complete(after)
+
+
+@given(changes)
+def test_neighbours_with_the_same_grant_are_one_range(steps) -> None:
+    key_map = split_evenly(OWNERS)
+    for moved, owner in steps:
+        key_map = reassign(key_map, {moved: owner})
+        for one, other in pairwise(key_map.assignments):
+            assert (one.owner, one.fence) != (other.owner, other.fence)
+
+
 @given(changes)
 def test_a_map_survives_its_encoding(steps) -> None:
     key_map = split_evenly(OWNERS)
