--- a/tests/holds/connections.py
+++ b/tests/holds/connections.py
@@ -130,6 +130,9 @@
         arrived = asyncio.get_running_loop().time()
         await asyncio.sleep(self.order_s)
         status = self.status
+        if raw.target.endswith(b'/release'):
+            status = STATUS_OK
+            self._server.drop(_keys(json.loads(body)))
         if raw.target.endswith(b'/grant'):
             self.grants += 1
             if status == STATUS_OK:
@@ -139,11 +142,9 @@
         send_answer(channel, Answer(status, (), b''))
 
     def _grant(self, fields: dict[str, Any], arrived: float) -> int:
-        keys = KeyRange(fields['startKey'], fields['to'])
         hold_s = _seconds(fields['hold_time'])
-        outcome = self._server.grant(
-            Grant(keys, fields['fence'], hold_s), arrived
-        )
+        grant = Grant(_keys(fields), fields['fence'], hold_s)
+        outcome = self._server.grant(grant, arrived)
         return STATUS_OK if isinstance(outcome, Accepted) else STATUS_CONFLICT
 
 
@@ -186,6 +187,10 @@
     return held / looks
 
 
+def _keys(fields: dict[str, Any]) -> KeyRange:
+    return KeyRange(fields['startKey'], fields['to'])
+
+
 def _seconds(text: str) -> float:
     if text.endswith('ms'):
         return float(text.removesuffix('ms')) / 1000
