--- /dev/null
+++ b/tests/sidecar/test_reused_address.py
@@ -0,0 +1,95 @@
+"""Messages that reach an address after it has passed to another service."""
+
+import asyncio
+import os
+from types import SimpleNamespace
+
+import h11
+
+from plantaingrade.admission.estimate import WorkEstimate
+from plantaingrade.admission.slots import SlotQueue
+from plantaingrade.backends.life import BackendLife
+from plantaingrade.balance.book import LoadBook
+from plantaingrade.balance.coordinator import BalanceCoordinator
+from plantaingrade.clock import BootClock
+from plantaingrade.eventlog import EventLog
+from plantaingrade.keyspace.directory import KeyMaps
+from plantaingrade.keyspace.entity import KeyRange
+from plantaingrade.peers.coordinator import (
+    HANDED_CODEC,
+    PeerCoordinator,
+    PeerHooks,
+)
+from plantaingrade.peers.directory import Directory
+from plantaingrade.peers.entity import (
+    Handed,
+    MapChanged,
+    Member,
+    Offer,
+    Token,
+)
+from plantaingrade.sidecar.control import Control
+
+OWN = Member('letters@10.0.0.1', 'letters', 'a', '10.0.0.1:1', 'b1')
+SLOTS = 6
+
+
+def test_an_offer_to_another_service_is_refused() -> None:
+    """An instance is lost, and its address goes to one of another service.
+
+    A member offers keys to the lost one, whose row is still there. The new
+    process accepts in its place, and the keys go to a member that is gone:
+    nobody serves them until somebody takes them over.
+    """
+    clock = BootClock()
+    life = BackendLife()
+    life.on_named('i-1', clock.now())
+    balance = BalanceCoordinator(
+        OWN,
+        SimpleNamespace(),
+        life,
+        SlotQueue(SLOTS, WorkEstimate()),
+        SimpleNamespace(),
+        SimpleNamespace(),
+        SimpleNamespace(),
+        clock,
+        EventLog('t', clock, os.open(os.devnull, os.O_WRONLY)),
+    )
+    reply = balance.on_offer(Offer('cases@10.0.0.2', 'cases', 0.9, 0.1, 0.01))
+    assert not reply.is_accepted
+
+
+def test_a_token_for_keys_of_another_service_is_not_used() -> None:
+    """The word that keys have passed reaches a process of another service.
+
+    Its own keys of the same numbers would be granted with a token that their
+    last holder never gave, and in pieces.
+    """
+    tokens: list[Token] = []
+    change = MapChanged('cases', 'cases@10.0.0.2', 1, 2, 2, (), ())
+    body = HANDED_CODEC.encode(Handed(change, (Token(KeyRange(0, 9), 't'),)))
+    clock = BootClock()
+    peers = PeerCoordinator(
+        OWN,
+        Directory(),
+        KeyMaps(),
+        SimpleNamespace(),
+        SimpleNamespace(),
+        clock,
+        EventLog('t', clock, os.open(os.devnull, os.O_WRONLY)),
+        LoadBook(),
+        PeerHooks(list, tokens.append),
+    )
+    control = Control(
+        peers,
+        SimpleNamespace(expect_handover=tokens.append),
+        SimpleNamespace(),
+        SimpleNamespace(),
+        SimpleNamespace(),
+        SimpleNamespace(),
+    )
+    request = h11.Request(
+        method='POST', target='/-/handed', headers=[('host', 'h')]
+    )
+    asyncio.run(control.async_handle(request, body))
+    assert not tokens
