Keep one timer a connection for the wait for its next request

Cause: each wait set a timer and cancelled it when the request came. Ruled out: no bound on the wait for a head (the operator sets it); a look over all connections now and then (a wake-up at rest, and late). Change: IdleLimit: one timer, set anew only when it fires or must fire sooner.

--- a/plantaingrade/http/server.py
+++ b/plantaingrade/http/server.py
@@ -9,6 +9,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.http.channel import Channel, ChannelClosedError
 from plantaingrade.http.const import CALLER_IDLE_S
+from plantaingrade.http.idle import IdleLimit
 
 RequestServer = Callable[[h11.Request, Channel], Awaitable[None]]
 Refuser = Callable[[Channel, h11.RemoteProtocolError], None]
@@ -99,8 +100,9 @@
             logging.error('A connection failed', exc_info=task.exception())
 
     async def _serve(self, channel: Channel) -> None:
+        idle = IdleLimit(asyncio.current_task())
         try:
-            while await self._serve_one(channel):
+            while await self._serve_one(channel, idle):
                 channel.h11.start_next_cycle()
         except (ChannelClosedError, h11.LocalProtocolError):
             channel.abort()
@@ -109,16 +111,24 @@
         except h11.RemoteProtocolError as error:
             self._refuse(channel, error)
         finally:
-            channel.close()
-            self._channels.discard(channel)
+            idle.stop()
+            self._drop(channel)
+
+    def _drop(self, channel: Channel) -> None:
+        channel.close()
+        self._channels.discard(channel)
 
-    async def _serve_one(self, channel: Channel) -> bool:
+    async def _serve_one(self, channel: Channel, idle: IdleLimit) -> bool:
         """Serve one request; tell whether the connection can take more."""
+        idle.begin(self.idle_s)
         try:
-            async with asyncio.timeout(self.idle_s):
-                event = await channel.next_event()
-        except TimeoutError:
-            return False
+            event = await channel.next_event()
+        except asyncio.CancelledError:
+            if idle.take_cancellation():
+                return False
+            raise
+        finally:
+            idle.end()
         if not isinstance(event, h11.Request):
             return False
         channel.watch(asyncio.current_task())
