--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,7 @@
 """The soak itself: its schedule, its judge, and one short run."""
 
 import asyncio
+from dataclasses import dataclass
 
 import pytest
 
@@ -12,15 +13,7 @@
 
 SPOTS = 5
 BLOCK = 250
-# Seeds that broke a promise once, and loopback addresses for each.
-BLOCK_BY_FAILED_SEED = {
-    # The judge took answers of a paused process for late ones.
-    6: 220,
-    # Reads were told that they had not run: their server was killed while it
-    # ran them, and their repeats found nobody listening.
-    2004: 230,
-}
-# The schedules of those seeds draw from the kinds that there were then.
+# The schedules of early seeds draw from the kinds that there were then.
 TROUBLES_THEN = tuple(
     trouble
     for trouble in ALL_TROUBLES
@@ -31,6 +24,24 @@
         Trouble.STRANGE_ROW,
     }
 )
+
+
+@dataclass(slots=True, frozen=True)
+class FailedSeed:
+    """A seed that broke a promise once, and loopback addresses for it."""
+
+    seed: int
+    block: int
+    troubles: tuple[Trouble, ...] = ALL_TROUBLES
+
+
+FAILED_SEEDS = (
+    # The judge took answers of a paused process for late ones.
+    FailedSeed(6, 220, TROUBLES_THEN),
+    # Reads were told that they had not run: their server was killed while it
+    # ran them, and their repeats found nobody listening.
+    FailedSeed(2004, 230, TROUBLES_THEN),
+)
 USUAL_SECONDS = 15
 USUAL_SPOTS = 6
 
@@ -138,17 +149,16 @@
     assert verdict.served
 
 
-@pytest.mark.parametrize('seed', BLOCK_BY_FAILED_SEED)
-def test_a_seed_that_failed_once_keeps_every_promise(seed, tmp_path) -> None:
-    block = BLOCK_BY_FAILED_SEED[seed]
+@pytest.mark.parametrize('failed', FAILED_SEEDS, ids=lambda each: each.seed)
+def test_a_seed_that_failed_once_keeps_every_promise(failed, tmp_path) -> None:
     verdict = asyncio.run(
         async_run(
-            seed,
+            failed.seed,
             USUAL_SECONDS,
             USUAL_SPOTS,
-            block,
+            failed.block,
             tmp_path,
-            TROUBLES_THEN,
+            failed.troubles,
         )
     )
     assert not verdict.broken(), verdict
