--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -6,27 +6,30 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from itertools import count
 
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.const import LEASE_S, RETRY_S
+from plantaingrade.holds.const import LEASE_S, RETRY_S, UNREADABLE_S
 from plantaingrade.holds.lease import (
     MemberRow,
     UnreadableLeaseError,
     decode_member_row,
     encode_member_row,
+    unreadable_row,
 )
+from plantaingrade.holds.turns import TurnPauses
 from plantaingrade.keyspace.codec import (
     UnreadableMapError,
     decode_map,
     encode_map,
 )
 from plantaingrade.keyspace.directory import KeyMaps
-from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.keyspace.entity import NO_MAP, KeyMap
 from plantaingrade.peers.entity import Member
 from plantaingrade.store.entity import (
     Committed,
@@ -43,6 +46,7 @@
     TransactionOutcome,
 )
 from plantaingrade.store.interface import Store
+from plantaingrade.store.unreadable import UnreadableRows
 
 TABLE = 'plantaingrade'
 KEY_MAP = 'map'
@@ -76,12 +80,13 @@
     """A row and a change that were sent together.
 
     A fence is a renewal that only makes sure that earlier writes can no
-    longer be applied.
+    longer be applied. ``base`` is the map that the change was made from.
     """
 
     row: MemberRow
     change: Change
     is_fence: bool
+    base: KeyMap
 
     @property
     def ending(self) -> 'CommitResult | None':
@@ -89,6 +94,24 @@
         return None if self.is_fence else CommitResult.DONE
 
 
+@dataclass(slots=True)
+class Attempt:
+    """How long a change is tried, and what of it is open.
+
+    It is undisturbed as long as the store has answered each write.
+    """
+
+    until: float
+    crowded_until: float
+    sent_by_id: dict[str, SentWrite] = field(default_factory=dict)
+    is_undisturbed: bool = True
+
+    @property
+    def ends(self) -> float:
+        """Return until when a change is tried."""
+        return self.crowded_until if self.is_undisturbed else self.until
+
+
 RENEWAL = Change()
 Planner = Callable[['Registry'], Change | None]
 
@@ -115,8 +138,10 @@
         '_log',
         '_maps',
         '_store',
+        '_unreadable',
         '_write_numbers',
         '_writing',
+        'changed_from',
         'is_joined',
         'lease_until',
         'member',
@@ -124,6 +149,7 @@
         'read_now_s',
         'row_by_name',
         'takes_keys',
+        'turns',
     )
 
     def __init__(
@@ -139,9 +165,13 @@
         self._maps = maps
         self._clock = clock
         self._log = log
+        self.turns = TurnPauses(random.Random(member.boot))
+        self._unreadable = UnreadableRows(log)
         self._write_numbers = count(1)
         self._writing = asyncio.Lock()
         self.member = member
+        # The map that the last change done here was made from.
+        self.changed_from = NO_MAP
         self.takes_keys = True
         self.own: MemberRow | None = None
         self.is_joined = False
@@ -170,19 +200,27 @@
         if not isinstance(outcome, RangeRead):
             self._log.write('store-read-failed', why=outcome.failure)
             return False
+        self.read_now_s = outcome.now_s
+        known = self.row_by_name
         self.row_by_name = {}
         for row in outcome.rows:
-            self._take_row(row)
-        self.read_now_s = outcome.now_s
+            self._take_row(row, known, outcome.now_s)
         return True
 
     async def async_commit(
-        self, plan: Planner, limit_s: float, *, joins: bool = False
+        self,
+        plan: Planner,
+        limit_s: float,
+        *,
+        joins: bool = False,
+        crowded_limit_s: float | None = None,
     ) -> CommitResult:
         """Renew the own row, together with what the plan makes of the state.
 
         Only a change that ``joins`` takes up a row of an earlier run; any
-        other ends when this run has lost its own.
+        other ends when this run has lost its own. ``crowded_limit_s`` holds
+        instead of ``limit_s`` while others' changes are all that is in the
+        way.
 
         Failure: a transaction whose answer was lost is applied seconds later,
         when this member has taken its keys up again. It shows as two servers
@@ -194,7 +232,10 @@
         async with self._writing:
             if not joins and not self.is_joined:
                 return CommitResult.LOST
-            return await self._commit(plan, self._clock.now() + limit_s)
+            now = self._clock.now()
+            crowded_s = limit_s if crowded_limit_s is None else crowded_limit_s
+            attempt = Attempt(now + limit_s, now + crowded_s)
+            return await self._commit(plan, attempt)
 
     async def async_leave(self) -> None:
         """Remove the own row, once no key is owned any more."""
@@ -209,33 +250,52 @@
                 Transaction(expected, deletes=(name,))
             )
 
-    async def _commit(self, plan: Planner, until: float) -> CommitResult:
-        sent_by_id: dict[str, SentWrite] = {}
+    async def _commit(self, plan: Planner, attempt: Attempt) -> CommitResult:
+        sent_by_id = attempt.sent_by_id
         while True:
-            is_late = self._clock.now() > until
+            is_late = self._clock.now() > attempt.ends
             change = None if is_late else plan(self)
             if change is None and not sent_by_id:
                 return _unsent(is_late=is_late)
             is_fence = change is None
-            write = SentWrite(self._next_row(), change or RENEWAL, is_fence)
-            ended = await self._async_send(write, sent_by_id)
+            write = SentWrite(
+                self._next_row(), change or RENEWAL, is_fence, self.key_map
+            )
+            ended = await self._async_send(write, attempt)
             if ended is not None:
                 return ended
 
     async def _async_send(
-        self, write: SentWrite, sent_by_id: dict[str, SentWrite]
+        self, write: SentWrite, attempt: Attempt
     ) -> CommitResult | None:
         """Send one transaction; return nothing if another must be sent."""
+        sent_at = self._clock.now()
         outcome = await self._store.async_commit(self._transaction(write))
-        ended = self._take_outcome(write, outcome, sent_by_id)
-        if ended is not None or isinstance(outcome, Conflict):
+        ended = self._take_outcome(write, outcome, attempt.sent_by_id)
+        if ended is not None:
             return ended
+        if isinstance(outcome, Conflict):
+            await self._async_give_way(write, attempt, sent_at)
+            return None
+        attempt.is_undisturbed = False
         self._log.write(
-            'store-write-open', why=str(outcome), unknown=len(sent_by_id)
+            'store-write-open',
+            why=str(outcome),
+            unknown=len(attempt.sent_by_id),
         )
         await asyncio.sleep(RETRY_S)
         return None
 
+    async def _async_give_way(
+        self, write: SentWrite, attempt: Attempt, sent_at: float
+    ) -> None:
+        """Let others change the map before this member tries once more."""
+        if write.change.key_map is None:
+            return
+        now = self._clock.now()
+        pause_s = self.turns.on_late(now - sent_at)
+        await asyncio.sleep(max(0.0, min(pause_s, attempt.ends - now)))
+
     def _take_outcome(
         self,
         write: SentWrite,
@@ -287,11 +347,19 @@
         row, change = write.row, write.change
         self.own = replace(row, version=version)
         self.row_by_name[self.member.name] = self.own
+        if write.is_fence and not self.is_joined:
+            # Failure: a run gives its joining up, and the renewal that makes
+            # sure of that would let it grant keys under the fences of the
+            # run before. It shows as a life that takes a key under a fence
+            # that another life had. Only the change itself joins.
+            return
         self.lease_until = self._store.clock.earliest_local(row.until_s)
         self.is_joined = True
         for lapsed in change.removed:
             self.row_by_name.pop(lapsed.member.name, None)
         if change.key_map is not None:
+            self.turns.on_done()
+            self.changed_from = write.base
             key_map = change.key_map.at_version(version)
             self._maps.offer(self.member.service, key_map)
 
@@ -303,16 +371,44 @@
         """Take the rows as they stand; tell whether that ends the attempt."""
         own_name = member_row(self.member.service, self.member.name)
         found = None
+        is_blocked = False
         for row in conflict.rows:
             if row.name == own_name and row.version and not row.is_deleted:
                 found = row
-            else:
-                self._take_row(row)
+                continue
+            is_read = self._take_row(row, self.row_by_name, conflict.now_s)
+            # A member's row that cannot be read is passed over from now on.
+            is_blocked |= row.name.key == KEY_MAP and not is_read
+        ended = self._on_own_row(found, sent_by_id)
+        if ended is None and is_blocked and not sent_by_id:
+            return self._give_up()
+        return ended
+
+    def _give_up(self) -> CommitResult:
+        """End an attempt that what cannot be read would fail at once again.
+
+        Failure: another writer overwrites the map. It shows as transactions
+        that follow each other without a pause and fail, all for one row.
+        """
+        self._log.write('commit-blocked', map_version=self.key_map.version)
+        return CommitResult.FAILED
+
+    def _on_own_row(
+        self, found: Row | None, sent_by_id: dict[str, SentWrite]
+    ) -> CommitResult | None:
+        """Act on the own row as it stands; tell if that ends the attempt."""
         if found is None:
             return self._on_own_row_gone()
         own = self._decode_own(found)
         if own is None:
+            self._unreadable.note(found, 'Own row.')
+        if own is None and self.is_joined:
             return self._lose('own row unreadable')
+        if own is None:
+            # Nothing sent before it was written can be applied any more.
+            sent_by_id.clear()
+            self.own = unreadable_row(self.member, found.version, 0)
+            return None
         earlier = sent_by_id.get(own.write_id)
         if earlier is not None:
             self._on_committed(earlier, found.version)
@@ -343,14 +439,23 @@
         except UnreadableLeaseError:
             return None
 
-    def _take_row(self, row: Row) -> None:
-        """Keep what a row says; a row that cannot be read is left out."""
+    def _take_row(
+        self, row: Row, known: dict[str, MemberRow], now_s: float
+    ) -> bool:
+        """Keep what a row says; tell whether it could be read.
+
+        A row that cannot be read takes nothing from what others say. A member
+        with such a row is not absent, and its lease may still run.
+        """
         try:
-            self._keep(row)
+            self._keep(row, now_s)
         except (UnreadableMapError, UnreadableLeaseError) as error:
-            self._log.write('row-unreadable', row=row.name.key, why=str(error))
+            self._unreadable.note(row, str(error))
+            self._keep_unreadable(row, known, now_s)
+            return False
+        return True
 
-    def _keep(self, row: Row) -> None:
+    def _keep(self, row: Row, now_s: float) -> None:
         if row.name.key == KEY_MAP:
             if row.version:
                 key_map = decode_map(row.body, row.version)
@@ -363,6 +468,33 @@
             self.row_by_name.pop(name, None)
             return
         found = decode_member_row(name, row.body, row.version)
-        self.row_by_name[name] = found
+        if found.member.service != self.member.service:
+            raise UnreadableLeaseError('The row names another service.')
+        self.row_by_name[name] = found.as_of(now_s + UNREADABLE_S)
         if name == self.member.name and not self.is_joined:
             self.own = found
+
+    def _keep_unreadable(
+        self, row: Row, known: dict[str, MemberRow], now_s: float
+    ) -> None:
+        """Keep that a member has a row, if that matters to somebody.
+
+        Failure: the row of a member is overwritten by another writer. It
+        shows as keys that nobody takes over, or, if the member passed for
+        absent, as takeovers of all others that fail with it. A member that
+        lives writes its row again within a renewal. So what stays as it was
+        for longer than any lease is over.
+        """
+        if not row.name.key.startswith(KEY_MEMBER):
+            return
+        name = row.name.key.removeprefix(KEY_MEMBER)
+        if name == self.member.name and not self.is_joined:
+            self.own = unreadable_row(self.member, row.version, 0)
+        if name not in self.key_map.owners():
+            return
+        before = known.get(name)
+        if before is None or before.version != row.version:
+            member = Member(name, self.member.service, '', '', '')
+            until_s = now_s + UNREADABLE_S
+            before = unreadable_row(member, row.version, until_s)
+        self.row_by_name[name] = before
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -1,24 +1,56 @@
 """Pass ranges of keys on to other members."""
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.granter import Granter
-from plantaingrade.holds.plans import plan_transfer
+from plantaingrade.holds.passing import Passage, has_passed, plan_passages
 from plantaingrade.holds.registry import CommitResult, Registry
-from plantaingrade.keyspace.entity import Assignment, KeyRange
+from plantaingrade.keyspace.entity import Assignment, KeyMap, KeyRange
 from plantaingrade.peers.courier import Courier
 from plantaingrade.peers.entity import Token
 
 # Time for the change in the store; the range is served by nobody meanwhile.
 MOVE_LIMIT_S = 2.0
+# The same while the changes of others are all that is in the way, and the keys
+# could as well stay: requests wait for keys on the move no longer than this.
+CROWDED_LIMIT_S = 0.4
+
+
+@dataclass(slots=True, eq=False)
+class Ready:
+    """A passage whose keys have been released, and what came of it.
+
+    ``before`` and ``after`` are the maps around its change.
+    """
+
+    passage: Passage
+    outcome: CommitResult | None = None
+    before: KeyMap | None = None
+    after: KeyMap | None = None
 
 
 class Transfers:
-    """Release, commit, tell: in this order, whatever fails on the way."""
+    """Release, commit, tell: in this order, whatever fails on the way.
 
-    __slots__ = ('_clock', '_courier', '_granter', '_log', '_registry')
+    What has been released while another change was under way is passed on by
+    one change: several moves then wait for the row of the map once.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_committing',
+        '_courier',
+        '_granter',
+        '_log',
+        '_moves',
+        '_on_ended',
+        '_ready',
+        '_registry',
+    )
 
     def __init__(
         self,
@@ -27,17 +59,41 @@
         clock: Clock,
         log: EventLog,
         courier: Courier,
+        on_ended: Callable[[], None],
     ) -> None:
-        """Pass on what one member owns."""
+        """Pass on what one member owns; ``on_ended`` is called after each."""
         self._registry = registry
         self._granter = granter
         self._clock = clock
         self._log = log
         self._courier = courier
+        self._on_ended = on_ended
+        self._moves: set[asyncio.Task[bool]] = set()
+        self._committing = asyncio.Lock()
+        self._ready: list[Ready] = []
 
     async def async_give(self, keys: list[KeyRange], target: str) -> bool:
         """Pass ranges to another member; tell whether they have passed.
 
+        Failure: who asked for it leaves while the change is under way, and
+        the ranges are granted here again before the change is applied. It
+        shows as two servers that hold the same keys. So a move that has
+        begun goes on without whoever asked for it.
+        """
+        loop = asyncio.get_running_loop()
+        move = loop.create_task(self._async_give(keys, target))
+        self._moves.add(move)
+        move.add_done_callback(self._moves.discard)
+        return await asyncio.shield(move)
+
+    def stop(self) -> None:
+        """Cancel every move, as the process ends."""
+        for move in self._moves:
+            move.cancel()
+
+    async def _async_give(self, keys: list[KeyRange], target: str) -> bool:
+        """Pass ranges to another member; tell whether they have passed.
+
         Ranges that are being passed on already are left to that transfer.
         """
         moving = self._granter.moving
@@ -48,6 +104,7 @@
             return await self._async_pass(keys, target)
         finally:
             moving.difference_update(keys)
+            self._on_ended()
 
     async def _async_pass(self, keys: list[KeyRange], target: str) -> bool:
         for each in keys:
@@ -58,32 +115,90 @@
         tokens = await asyncio.gather(
             *(self._async_free(piece) for piece in pieces)
         )
-        before = self._registry.key_map
-        committed = await self._registry.async_commit(
-            lambda registry: plan_transfer(registry, pieces, target),
-            MOVE_LIMIT_S,
-        )
+        ready = await self._async_commit(Passage(tuple(pieces), target))
         self._log.write(
             'keys-given',
             ranges=[(piece.keys.first, piece.keys.last) for piece in pieces],
             to=target,
-            outcome=committed,
+            outcome=ready.outcome,
         )
-        if committed is not CommitResult.DONE:
+        if ready.outcome is not CommitResult.DONE:
             return False
         for piece in pieces:
             self._granter.ledger.forget(piece.keys)
-        after = self._registry.key_map
         given = tuple(
             Token(piece.keys, token)
             for piece, token in zip(pieces, tokens, strict=True)
             if token
         )
-        # The receiver first, with its tokens: a grant without would be cold.
-        await self._courier.async_hand(target, before, after, given)
-        self._courier.spread(self._registry.member.service, before, after)
+        await self._courier.async_hand(target, ready.before, ready.after, given)
         return True
 
+    async def _async_commit(self, passage: Passage) -> Ready:
+        """Change the map for a passage, and for all that are ready then.
+
+        Failure: who changes the map for several is cancelled on the way. The
+        next of them sends a change of its own, which makes an open one fail
+        or finds that it was done.
+        """
+        ready = Ready(passage)
+        self._ready.append(ready)
+        try:
+            async with self._committing:
+                if ready.outcome is None:
+                    await self._async_commit_all(list(self._ready))
+        finally:
+            if ready in self._ready:
+                self._ready.remove(ready)
+        return ready
+
+    async def _async_commit_all(self, joint: list[Ready]) -> None:
+        passages = [each.passage for each in joint]
+        committed = await self._registry.async_commit(
+            lambda registry: plan_passages(registry, passages),
+            MOVE_LIMIT_S,
+            crowded_limit_s=self._crowded_limit_s(),
+        )
+        before, after = self._registry.changed_from, self._registry.key_map
+        for each in joint:
+            each.before = before
+            each.after = after
+            each.outcome = self._outcome(each.passage, committed)
+            if each in self._ready:
+                self._ready.remove(each)
+        if committed is CommitResult.DONE:
+            self._spread(before, after, passages)
+
+    def _crowded_limit_s(self) -> float:
+        is_leaving = not self._registry.takes_keys
+        return MOVE_LIMIT_S if is_leaving else CROWDED_LIMIT_S
+
+    def _outcome(
+        self, passage: Passage, committed: CommitResult
+    ) -> CommitResult:
+        """Return what a change made for several means for one of them."""
+        registry = self._registry
+        if committed is not CommitResult.DONE or has_passed(
+            registry.key_map, passage, registry.member.name
+        ):
+            return committed
+        return CommitResult.NOT_WANTED
+
+    def _spread(
+        self, before: KeyMap, after: KeyMap, passages: list[Passage]
+    ) -> None:
+        """Tell all members at once, but those that get keys.
+
+        Whoever does not know of a change makes its own from an older map, in
+        vain. Receivers are told with their tokens: a grant without is cold.
+        """
+        self._courier.spread(
+            self._registry.member.service,
+            before,
+            after,
+            frozenset(passage.target for passage in passages),
+        )
+
     async def _async_free(self, piece: Assignment) -> str | None:
         """Make sure that the server works on a range no more."""
         token = await self._granter.async_release(piece)
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -1,7 +1,7 @@
 """Find the other processes, and keep the key maps of all services fresh."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, replace
 
 from plantaingrade.balance.book import LoadBook
@@ -38,6 +38,7 @@
 )
 from plantaingrade.peers.calls import PeerCalls
 from plantaingrade.peers.directory import Directory
+from plantaingrade.peers.early import EarlyChanges
 from plantaingrade.peers.entity import (
     Datagram,
     Goodbye,
@@ -58,6 +59,7 @@
     Transaction,
 )
 from plantaingrade.store.interface import Store
+from plantaingrade.store.unreadable import UnreadableRows
 
 CODEC = Codec(Datagram, Datagram)
 HANDED_CODEC = Codec(Handed)
@@ -69,7 +71,11 @@
 # A lost datagram about a map is made up for by a redirect; what even that
 # does not repair is repaired by this.
 REFRESH_S = 20.0
+# A change that is told of by another sender arrives within milliseconds; a busy
+# process reads it some wake-ups later. What is missing then is asked for.
+PULL_WAIT_S = 0.05
 HEADER_VERSION = b'v'
+MAX_VERSION_DIGITS = 18
 
 
 @dataclass(slots=True, frozen=True)
@@ -91,6 +97,7 @@
         '_calls',
         '_clock',
         '_directory',
+        '_early',
         '_endpoint',
         '_hooks',
         '_loads',
@@ -99,6 +106,7 @@
         '_pulls',
         '_row_version',
         '_store',
+        '_unreadable',
         '_welcomed',
         'has_joined',
         'own',
@@ -128,8 +136,10 @@
         self._clock = clock
         self._log = log
         self._endpoint = TypedEndpoint(self._on_datagram, CODEC)
+        self._unreadable = UnreadableRows(log)
         self._welcomed: set[str] = set()
         self._row_version = 0
+        self._early = EarlyChanges()
         self._pulls: dict[str, asyncio.Task[None]] = {}
 
     @property
@@ -172,19 +182,32 @@
         """Tell every member that this one leaves."""
         self._send_all(Goodbye(self.own.name, self.own.boot))
 
-    def spread(self, service: str, before: KeyMap, after: KeyMap) -> None:
-        """Tell every member how a map changed; some may miss it."""
+    def spread(
+        self,
+        service: str,
+        before: KeyMap,
+        after: KeyMap,
+        skipped: Collection[str] = (),
+    ) -> None:
+        """Tell every member how a map changed; some may miss it.
+
+        ``skipped`` names those that are told otherwise.
+        """
         message = MapChanged.from_maps(service, self.own.name, before, after)
         if not self._endpoint.fits(message):
             message = replace(message, owners=(), ranges=())
-        self._send_all(message)
+        self._send_all(message, skipped)
 
-    def pull_map(self, service: str, source: Member) -> None:
-        """Ask a member for a whole map, once at a time."""
+    def pull_map(self, service: str, source: Member, wanted: int = 0) -> None:
+        """Ask a member for a whole map, once at a time.
+
+        Nothing is asked if the ``wanted`` version, or any newer one if none is
+        named, arrives by datagram meanwhile.
+        """
         if service in self._pulls:
             return
         loop = asyncio.get_running_loop()
-        task = loop.create_task(self._async_pull(service, source))
+        task = loop.create_task(self._async_pull(service, source, wanted))
         self._pulls[service] = task
         task.add_done_callback(lambda _: self._pulls.pop(service, None))
 
@@ -235,7 +258,7 @@
         try:
             self._keep(service, row)
         except UNREADABLE as error:
-            self._log.write('row-unreadable', row=row.name.key, why=str(error))
+            self._unreadable.note(row, str(error))
 
     def _keep(self, service: str, row: Row) -> None:
         if row.name.key == KEY_MAP:
@@ -248,11 +271,17 @@
         name = row.name.key.removeprefix(KEY_MEMBER)
         if name == self.own.name:
             return
-        self._meet(decode_member_row(name, row.body, row.version).member)
+        member = decode_member_row(name, row.body, row.version).member
+        if member.service != service:
+            raise UnreadableLeaseError('The row names another service.')
+        self._meet(member)
 
     def _meet(self, member: Member) -> None:
         if member.name == self.own.name:
             return
+        if not member.is_addressed():
+            self._log.write('member-unusable', member=member.name)
+            return
         if self._directory.add(member):
             self._welcomed.discard(member.name)
             self._log.write(
@@ -277,8 +306,8 @@
     ) -> None:
         """Tell the member that got keys; it grants them at once.
 
-        If this is lost the member learns of its keys from the datagram that
-        all get, or from the first request, and its server starts cold.
+        If this is lost the member learns of its keys from a datagram, or from
+        the first request, and its server starts cold.
         """
         member = self._directory.find(target)
         if member is None:
@@ -287,7 +316,9 @@
             self.own.service, self.own.name, before, after
         )
         body = HANDED_CODEC.encode(Handed(change, tokens))
-        await self._calls.async_post(member, PATH_HANDED, body)
+        reply = await self._calls.async_post(member, PATH_HANDED, body)
+        if reply is None:
+            self._endpoint.send(change, member.address)
 
     def tell_load(self, load: Load, names: Iterable[str]) -> None:
         """Tell some members of this member's load."""
@@ -312,14 +343,16 @@
         self._on_map_changed(handed.change)
         return handed
 
-    def _send_all(self, message: Datagram) -> None:
+    def _send_all(
+        self, message: Datagram, skipped: Collection[str] = ()
+    ) -> None:
         for member in self._directory.members():
-            if member.name != self.own.name:
+            if member.name != self.own.name and member.name not in skipped:
                 self._endpoint.send(message, member.address)
 
     def _on_datagram(self, message: Datagram) -> None:
         match message:
-            case Hello(member):
+            case Hello(member) if member.is_addressed():
                 self._meet(member)
                 self._endpoint.send(Welcome(self.own), member.address)
             case Welcome(member):
@@ -336,27 +369,54 @@
 
     def _on_map_changed(self, message: MapChanged) -> None:
         service = message.service
+        if self._apply(message):
+            self._apply_early(service)
+            return
         if message.ranges:
-            is_known = self._maps.apply(
-                service,
-                message.before,
-                message.version,
-                message.fence,
-                message.assignments(),
-            )
-        else:
-            is_known = self._maps.find(service).version >= message.version
+            self._early.keep(message)
         source = self._directory.find(message.source)
-        if source is not None and not is_known:
-            self.pull_map(service, source)
+        if source is not None:
+            self.pull_map(service, source, message.version)
+
+    def _apply(self, message: MapChanged) -> bool:
+        """Take a change; tell whether the map is now as new."""
+        if not message.ranges:
+            known = self._maps.find(message.service)
+            return known.version >= message.version
+        try:
+            changes = message.assignments()
+        except ValueError as error:
+            self._log.write('map-change-unreadable', why=str(error))
+            return False
+        return self._maps.apply(
+            message.service,
+            message.before,
+            message.version,
+            message.fence,
+            changes,
+        )
 
-    async def _async_pull(self, service: str, source: Member) -> None:
+    def _apply_early(self, service: str) -> int:
+        """Apply what was kept for the map as it is now; return its version."""
+        version = self._maps.find(service).version
+        change = self._early.take(service, version)
+        while change is not None and self._apply(change):
+            version = self._maps.find(service).version
+            change = self._early.take(service, version)
+        return version
+
+    async def _async_pull(
+        self, service: str, source: Member, wanted: int
+    ) -> None:
+        known = self._maps.find(service).version
+        if known and await self._async_arrives(service, wanted or known + 1):
+            return
         call = Call('GET', source.address, f'{PATH_MAP}{service}')
         reply = await self._calls.async_fetch(call)
         if reply is None:
             return
         version = reply.headers.get(HEADER_VERSION, b'0')
-        if not version.isdigit():
+        if not version.isdigit() or len(version) > MAX_VERSION_DIGITS:
             return
         try:
             key_map = decode_map(reply.body, int(version))
@@ -364,3 +424,14 @@
             self._log.write('map-unreadable', why=str(error))
             return
         self._maps.offer(service, key_map)
+
+    async def _async_arrives(self, service: str, wanted: int) -> bool:
+        """Wait for datagrams; tell whether all that is spoken of has come."""
+        while True:
+            await asyncio.sleep(PULL_WAIT_S)
+            version = self._apply_early(service)
+            if version < wanted:
+                return False
+            wanted = self._early.newest(service)
+            if wanted <= version:
+                return True
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -57,7 +57,7 @@
     refuse_malformed,
 )
 from plantaingrade.sidecar.leaving import Leaving
-from plantaingrade.sidecar.server_watch import ServerWatch
+from plantaingrade.sidecar.server_watch import OwnServer, ServerWatch
 from plantaingrade.sidecar.settings import InstanceSettings, OwnOptions
 from plantaingrade.sidecar.wire import PlatformWire
 from plantaingrade.store.relay import RelayDesk, RelayedStore
@@ -111,6 +111,7 @@
         for server in self._servers:
             await server.async_close()
         self._peers.endpoint.close()
+        self._orders.close()
         for pool in (self._store_pool, self._order_pool, self._pool):
             pool.close()
 
@@ -273,7 +274,7 @@
 
     def _build_fronts(self) -> None:
         self._watch = ServerWatch(
-            self._own.service,
+            OwnServer(self._own.service, self._settings.backend),
             self._life,
             self._orders,
             self.holds,
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -4,6 +4,8 @@
 import os
 import random
 from collections import deque
+from collections.abc import AsyncIterator, Collection
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -19,6 +21,7 @@
     Unanswered,
     Unsent,
 )
+from plantaingrade.holds.orders import NoSessionError
 from plantaingrade.holds.registry import KEY_MAP
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap, KeyRange
@@ -66,6 +69,16 @@
         """Start empty."""
         self.row_by_name: dict[RowName, Row] = {}
         self.version = 0
+        # How long the part works on one transaction, before the next.
+        self.turn_s = 0.0
+        self._free_at = 0.0
+
+    async def async_take_turn(self) -> None:
+        """Wait until the part has worked on all that came before."""
+        if not self.turn_s:
+            return
+        self._free_at = max(self._free_at, _now()) + self.turn_s
+        await asyncio.sleep(self._free_at - _now())
 
     def commit(self, transaction: Transaction) -> bool:
         """Apply a transaction or nothing of it."""
@@ -97,12 +110,15 @@
     def __init__(self, rows: FakeRows) -> None:
         """Use shared rows; nothing fails.
 
-        ``faults`` are those of the next transactions that change the map.
+        ``faults`` are those of the next transactions that change the map. A
+        store ``is_away`` answers nothing; one that ``is_refusing`` says at
+        once that it has done nothing.
         """
         self.rows = rows
         self.clock = StoreClock()
         self.faults: deque[Fault] = deque()
         self.is_away = False
+        self.is_refusing = False
         self.late_s = 3.0
         self.commits = 0
         self.reads = 0
@@ -114,6 +130,7 @@
         self.commits += 1
         sent_at = _now()
         await asyncio.sleep(CALL_S)
+        await self.rows.async_take_turn()
         fault = self._fault_of(transaction)
         match fault:
             case Fault.BUSY:
@@ -160,6 +177,8 @@
     def _fault_of(self, transaction: Transaction) -> Fault:
         if self.is_away:
             return Fault.SILENT
+        if self.is_refusing:
+            return Fault.BUSY
         changes_map = any(put.name.key == KEY_MAP for put in transaction.puts)
         if self.faults and changes_map:
             return self.faults.popleft()
@@ -188,15 +207,22 @@
     warm: list[KeyRange] = field(default_factory=list)
     chooser: random.Random = field(default_factory=random.Random)
     clock_rate: float = 1.02
+    others: 'list[FakeServer]' = field(default_factory=list)
+    not_above: list[str] = field(default_factory=list)
 
     def grant(self, grant: Grant, arrived: float) -> OrderOutcome:
         """Carry a grant out; its time counts from its arrival."""
         for keys, fence in self.fences:
             if keys.overlap(grant.keys) and fence > grant.fence:
                 return Outranked()
-        self.fences.append((grant.keys, grant.fence))
-        self.drop(grant.keys)
         until = arrived + grant.hold_s * self.clock_rate
+        is_new = (grant.keys, grant.fence) not in self.fences
+        # One that is carried out after its time holds nothing.
+        if is_new and until > _now():
+            self._check_fence(grant)
+        if is_new:
+            self.fences.append((grant.keys, grant.fence))
+        self.drop(grant.keys)
         self.holds.append(FakeHold(grant.keys, grant.fence, until))
         if grant.handover:
             self.warm.append(grant.keys)
@@ -210,6 +236,17 @@
             for rest in hold.keys.without(keys)
         ]
 
+    def _check_fence(self, grant: Grant) -> None:
+        """Note a fence that is not above all of other lives on these keys."""
+        self.not_above.extend(
+            f'{grant} at {self.instance}: {other.instance} had {fence}'
+            for other in self.others
+            for keys, fence in other.fences
+            if other is not self
+            and keys.overlap(grant.keys)
+            and fence >= grant.fence
+        )
+
     def held(self, now: float) -> list[FakeHold]:
         """Return the holds that last."""
         return [hold for hold in self.holds if hold.until > now]
@@ -219,27 +256,48 @@
     """Orders to whatever life of the server there is."""
 
     def __init__(self, server: FakeServer) -> None:
-        """Order one server."""
-        self.server = server
-        self._connected_to = server
+        """Order one server.
 
-    async def async_grant(self, grant: Grant, limit_s: float) -> OrderOutcome:
-        """Grant a range."""
-        server = self.server
+        With ``is_sign_lost`` the end of a life does not show at the
+        connections to it: they have fallen silent, or another order took
+        the last one.
+        """
+        self.server = server
+        self.is_sign_lost = False
+        self._connected_to: FakeServer | None = None
+        self._sessions = 0
+
+    @property
+    def session(self) -> int:
+        """Return the number of the session in force."""
+        server = self._connected_to
+        if server is None:
+            return 0
+        return self._sessions if server.is_up or self.is_sign_lost else 0
+
+    async def async_open(self) -> bool:
+        """Connect to the present life."""
+        if self.session:
+            return True
         await asyncio.sleep(CALL_S)
-        arrived = _now()
-        if not server.is_up:
-            return Unsent(is_refused=True)
-        if server.is_silent:
-            await asyncio.sleep(limit_s)
-            return Unanswered()
-        if server.chooser.random() < server.late_share:
-            delay_s = server.chooser.uniform(2.0, 12.0)
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, _carry_out, server, grant, arrived)
-            await asyncio.sleep(limit_s)
-            return Unanswered()
-        return server.grant(grant, arrived)
+        if not self.server.is_up:
+            return False
+        self._connected_to = self.server
+        self._sessions += 1
+        return True
+
+    @asynccontextmanager
+    async def turn(self, session: int) -> AsyncIterator['FakeTurn']:
+        """Use the session."""
+        server = self._connected_to
+        if self.session != session or server is None:
+            raise NoSessionError('The session is over.')
+        yield FakeTurn(self, server)
+
+    def drop(self, server: FakeServer) -> None:
+        """End the session with a life after an order without answer."""
+        if self._connected_to is server:
+            self._connected_to = None
 
     async def async_release(
         self, release: Release, limit_s: float
@@ -248,7 +306,7 @@
         server = self.server
         await asyncio.sleep(CALL_S)
         if not server.is_up:
-            return Unsent(is_refused=True)
+            return Unsent()
         if server.is_silent:
             await asyncio.sleep(limit_s)
             return Unanswered()
@@ -256,16 +314,41 @@
         await asyncio.sleep(CALL_S)
         return Accepted(f'token-{release.keys.first}')
 
-    def has_lost_connection(self) -> bool:
-        """Tell whether another life has come since the last look."""
-        is_lost = self._connected_to is not self.server
-        self._connected_to = self.server
-        return is_lost
-
     async def async_ask_instance(self, path: str) -> str | None:
         """Return the server's id."""
         return self.server.instance if self.server.is_up else None
 
+    def close(self) -> None:
+        """End the session."""
+        self._connected_to = None
+
+
+class FakeTurn:
+    """Grants to one life."""
+
+    def __init__(self, orders: FakeOrders, server: FakeServer) -> None:
+        """Use a connection to a life that may be over by now."""
+        self._orders = orders
+        self._server = server
+
+    async def async_grant(self, grant: Grant, limit_s: float) -> OrderOutcome:
+        """Grant a range."""
+        server = self._server
+        await asyncio.sleep(CALL_S)
+        arrived = _now()
+        if server.is_silent or not server.is_up:
+            await asyncio.sleep(limit_s)
+            self._orders.drop(server)
+            return Unanswered()
+        if server.chooser.random() < server.late_share:
+            delay_s = server.chooser.uniform(2.0, 12.0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, _carry_out, server, grant, arrived)
+            await asyncio.sleep(limit_s)
+            self._orders.drop(server)
+            return Unanswered()
+        return server.grant(grant, arrived)
+
 
 def _carry_out(server: FakeServer, grant: Grant, arrived: float) -> None:
     if server.is_up:
@@ -279,11 +362,20 @@
         """Send on behalf of one member."""
         self._world = world
         self._own = own
+        self.told: list[tuple[KeyMap, KeyMap]] = []
 
-    def spread(self, service: str, before: KeyMap, after: KeyMap) -> None:
+    def spread(
+        self,
+        service: str,
+        before: KeyMap,
+        after: KeyMap,
+        skipped: Collection[str] = (),
+    ) -> None:
         """Tell every member."""
+        self.told.append((before, after))
         for place in self._world.places:
-            if place.name != self._own and self._world.is_heard():
+            is_told = place.name != self._own and place.name not in skipped
+            if is_told and self._world.is_heard():
                 place.maps.offer(service, after)
 
     async def async_hand(
@@ -313,6 +405,7 @@
     life: BackendLife
     orders: FakeOrders
     holds: HoldCoordinator
+    courier: FakeCourier
     task: asyncio.Task[None] | None = None
     moves: list[asyncio.Task[bool]] = field(default_factory=list)
 
@@ -364,12 +457,16 @@
 
     def renew_server(self, place: FakePlace) -> None:
         """Crash a server; another life of it starts."""
+        self.replace_server(place)
+        place.life.on_named(place.server.instance, _now())
+        place.holds.on_new_life()
+
+    def replace_server(self, place: FakePlace) -> None:
+        """Crash a server; another life of it starts, and nobody is told."""
         place.server.is_up = False
         place.server.holds.clear()
         place.server = self.add_server()
         place.orders.server = place.server
-        place.life.on_named(place.server.instance, _now())
-        place.holds.on_new_life()
 
     def overlaps(self) -> list[str]:
         """Return the keys that two servers hold now."""
@@ -380,6 +477,10 @@
                 found.extend(_overlaps(one, other, now))
         return found
 
+    def fences_not_above(self) -> list[str]:
+        """Return the grants whose fences other lives had, or higher ones."""
+        return [note for server in self.servers for note in server.not_above]
+
     def held_keys(self) -> int:
         """Return how many keys are held now."""
         now = _now()
@@ -400,7 +501,7 @@
     def add_server(self) -> FakeServer:
         instance = f'i-{self._random.getrandbits(LIFE_BITS):08x}'
         chooser = random.Random(self._random.random())
-        server = FakeServer(instance, chooser=chooser)
+        server = FakeServer(instance, chooser=chooser, others=self.servers)
         self.servers.append(server)
         return server
 
@@ -415,6 +516,7 @@
         life = BackendLife()
         life.on_named(server.instance, _now())
         orders = FakeOrders(server)
+        courier = FakeCourier(self, name)
         holds = HoldCoordinator(
             store,
             maps,
@@ -423,11 +525,13 @@
             orders,
             LoopClock(),
             self._log,
-            FakeCourier(self, name),
+            courier,
             lambda: None,
         )
         maps.listen(lambda service, _: holds.on_map(service))
-        place = FakePlace(name, server, store, maps, life, orders, holds)
+        place = FakePlace(
+            name, server, store, maps, life, orders, holds, courier
+        )
         place.task = asyncio.get_running_loop().create_task(holds.async_run())
         return place
 
