Check the service of what is said to an address

Change: an offer is accepted, and tokens are used, by their own service only; keys are moved only to a member of it. Tests of lives use the present types.

--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -87,13 +87,18 @@
         return Load(share, self._queue.estimate.mean_s(), slots)
 
     def on_offer(self, offer: Offer) -> OfferReply:
-        """Accept work if that leaves this server below the sender."""
+        """Accept work if that leaves this server below the sender.
+
+        An offer goes to an address, which may have passed to an instance of
+        another service.
+        """
         own = self.load()
         ratio = own.work_s / offer.work_s if offer.work_s > 0 else 1.0
         work = offer.work * ratio
         after = own.share + work / own.slots
         is_accepted = (
-            not self.is_leaving
+            offer.service == self._own.service
+            and not self.is_leaving
             and self._life.takes_work
             and after < offer.share
         )
--- a/plantaingrade/operators/desk.py
+++ b/plantaingrade/operators/desk.py
@@ -162,11 +162,18 @@
         return _json(STATUS_BY_OUTCOME[type(outcome)], fields)
 
     async def async_move(self, body: bytes) -> Answer:
-        """Give keys of the own server away, as another process asks."""
+        """Give keys of the own server away, as another process asks.
+
+        It asks at an address, which may have passed to an instance of another
+        service; the member that is to get the keys tells of which they are.
+        """
         try:
             keys, target = _read_move(body)
         except SchemaError as error:
             return _error(STATUS_BAD_REQUEST, str(error))
+        member = self._directory.find(target)
+        if member is None or member.service != self._own.service:
+            return _error(STATUS_BAD_REQUEST, 'no member of this service')
         given = await self._holds.async_give([keys], target)
         return _json(STATUS_OK, {'given': given})
 
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -337,13 +337,19 @@
                 self._endpoint.send(message, member.address)
 
     def take_handed(self, body: bytes) -> Handed | None:
-        """Take the word that keys have passed to this member."""
+        """Take the word that keys have passed to this member.
+
+        It goes to an address, which may have passed to an instance of another
+        service; tokens for that one's keys are of no use here.
+        """
         try:
             handed = HANDED_CODEC.decode(body)
         except MalformedMessageError as error:
             self._log.write('handed-unreadable', why=str(error))
             return None
         self._on_map_changed(handed.change)
+        if handed.change.service != self.own.service:
+            return Handed(handed.change, ())
         return handed
 
     def _send_all(
--- a/tests/backends/test_same_id.py
+++ b/tests/backends/test_same_id.py
@@ -5,7 +5,7 @@
 import h11
 
 from plantaingrade.backends.life import BackendLife, LifeChange
-from plantaingrade.backends.report import Farewell
+from plantaingrade.backends.report import Farewell, ServerLife
 from plantaingrade.platform.const import PATH_REPORTS
 from plantaingrade.platform.reports import decode_report
 
@@ -57,7 +57,7 @@
     life = BackendLife()
     beat(life, FIRST_BORN_MS, 40, 'ready', 4)
     beat(life, FIRST_BORN_MS, 41, 'draining', 4)
-    life.on_farewell(Farewell('i-1'), 42.0)
+    life.on_farewell(Farewell(ServerLife('i-1', FIRST_BORN_MS)), 42.0)
     for sequence in range(1, 60):
         beat(life, SECOND_BORN_MS, sequence, 'ready', 4)
     assert life.takes_work
