--- a/tests/sidecar/test_lives.py
+++ b/tests/sidecar/test_lives.py
@@ -47,7 +47,7 @@
         'state': 'ready',
         'coldRemaining': '0ms',
         'sequence': 10_000,
-        'born': place.server.life.born,
+        'born': place.server.life.born_ms,
     }
     return json.dumps({**fields, **changes}).encode()
 
@@ -57,7 +57,7 @@
 
 
 def is_known(place: Place) -> bool:
-    return present(place).born_ms == place.server.life.born
+    return present(place).born_ms == place.server.life.born_ms
 
 
 def fences(place: Place) -> set[int]:
