--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -41,6 +41,11 @@
     # Reads were told that they had not run: their server was killed while it
     # ran them, and their repeats found nobody listening.
     FailedSeed(2004, 230, TROUBLES_THEN),
+    # A row nested too deeply ended the tasks that hold keys, everywhere.
+    FailedSeed(3003, 200),
+    # A server was back under its id while the store was away, and took keys
+    # under the fences of the life before.
+    FailedSeed(3301, 210),
 )
 USUAL_SECONDS = 15
 USUAL_SPOTS = 6
