--- a/tests/sidecar/test_lives.py
+++ b/tests/sidecar/test_lives.py
@@ -220,9 +220,9 @@
             idle = place.process._pool._idle_by_address
             assert idle[place.plan.address]
             life = place.server.life.next_life()
-            body = heartbeat(place, born=life.born, sequence=1)
+            body = heartbeat(place, born=life.born_ms, sequence=1)
             await async_report(rig, place, life.instance, body)
-            assert present(place).born_ms == life.born
+            assert present(place).born_ms == life.born_ms
             assert not idle[place.plan.address]
 
     asyncio.run(story())
