--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 	$(BIN)/python -m bench.leases
 	$(BIN)/python -m bench.failover
 	$(BIN)/python -m bench.platform
+	$(BIN)/python -m bench.rebirth
 
 figures: $(VENV)/.installed
 	$(BIN)/python -m bench.worth
