--- a/tests/http/test_idle.py
+++ b/tests/http/test_idle.py
@@ -12,8 +12,8 @@
 from plantaingrade.requests.entity import Answer
 from plantaingrade.sidecar.fronts import refuse_malformed, send_answer
 
-HOST = '127.23.0.1'
-PORT = 18_147
+HOST = '127.24.0.1'
+PORT = 19_147
 LIMIT_S = 0.5
 PATIENCE_S = 10.0
 GET = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
