--- a/tests/sidecar/test_lives.py
+++ b/tests/sidecar/test_lives.py
@@ -302,7 +302,7 @@
             assert await place.server.async_drain()
             before = place.server.life
             await place.server.async_crash()
-            born = before.born - STEPPED_BACK_MS
+            born = before.born_ms - STEPPED_BACK_MS
             began = rig.clock.now()
             await rig.async_start_server(place, Life(before.instance, born))
             await rig.async_until(lambda: is_known(place))
