Read a server's id and token only if they are text

Found in the review of what strangers may say: bytes that are no text ended the task of a grant. The fuzz of tests/platform/test_orders.py fails on the code before.

--- a/plantaingrade/platform/orders.py
+++ b/plantaingrade/platform/orders.py
@@ -141,8 +141,7 @@
                 )
         except (TimeoutError, ConnectFailedError, ChannelClosedError):
             return None
-        instance = reply.headers.get(HEADER_INSTANCE)
-        return None if instance is None else instance.decode()
+        return _read_text(reply, HEADER_INSTANCE) or None
 
 
 def _make_call(address: str, path: str, fields: dict[str, object]) -> Call:
@@ -164,7 +163,15 @@
 
 def _decode_order(reply: Reply) -> OrderOutcome:
     if reply.status == STATUS_OK:
-        return Accepted(reply.headers.get(HEADER_HANDOVER, b'').decode())
+        return Accepted(_read_text(reply, HEADER_HANDOVER))
     if reply.status == STATUS_CONFLICT:
         return Outranked()
     return Rejected(reply.status)
+
+
+def _read_text(reply: Reply, name: bytes) -> str:
+    """Return a header's text, empty if there is none that can be read."""
+    try:
+        return reply.headers.get(name, b'').decode('ascii')
+    except UnicodeDecodeError:
+        return ''
