--- a/plantaingrade/config/coordinator.py
+++ b/plantaingrade/config/coordinator.py
@@ -18,7 +18,12 @@
 
 # Length of one wait for changes; the platform allows 30 s.
 WAIT_S = 10.0
+# Pause after a call that the store refused, doubled up to the second figure: 31
+# processes that were turned away asked 140 times a second, and each call has
+# its price. A change must be in force 2 s after it was made, and any process
+# that knows it tells the others with each request.
 RETRY_S = 0.2
+MAX_RETRY_S = 0.8
 # Pause after a change: several changes in quick succession then cost one call.
 # The platform gives 2 s until a change must be in force.
 SETTLE_S = 0.3
@@ -43,6 +48,7 @@
         '_key',
         '_listeners',
         '_log',
+        '_retry_s',
         '_store',
         '_table',
         'config',
@@ -67,6 +73,7 @@
         self._hinted = asyncio.Event()
         self._hinted_at = 0.0
         self._hinted_version = 0
+        self._retry_s = RETRY_S
         self._store = store
         self._table = table
         self._key = key
@@ -108,7 +115,7 @@
                 await self._async_ask_peers()
             while after is not None and not self._is_overdue():
                 after = await self._async_wait(after)
-            await asyncio.sleep(RETRY_S)
+            await self._async_pause()
 
     async def _async_wait(self, after: int) -> int | None:
         """Wait for changes, or for word of them from another process."""
@@ -160,6 +167,7 @@
         outcome = await self._store.async_follow(self._table, after, WAIT_S)
         match outcome:
             case Changes(rows=rows, version=version):
+                self._retry_s = RETRY_S
                 if rows:
                     self._take(rows)
                     await asyncio.sleep(SETTLE_S)
@@ -169,9 +177,15 @@
                 return None
             case NotDone(failure=failure):
                 self._log.write('config-feed-failed', why=failure, after=after)
-                await asyncio.sleep(RETRY_S)
+                await self._async_pause()
                 return after
 
+    async def _async_pause(self) -> None:
+        """Leave the store alone for a while, longer after each failure."""
+        pause_s = self._retry_s
+        self._retry_s = min(MAX_RETRY_S, 2 * pause_s)
+        await asyncio.sleep(pause_s)
+
     def _take(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             if row.name.key == self._key and not row.is_deleted:
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -180,12 +180,14 @@
         self, plan: Planner, *, joins: bool = False
     ) -> CommitResult:
         """Commit a change of the map and tell the others of it."""
-        before = self.registry.key_map
         committed = await self.registry.async_commit(
             plan, JOIN_LIMIT_S, joins=joins
         )
         after = self.registry.key_map
-        if committed is CommitResult.DONE and after.version != before.version:
+        own = self.registry.own
+        is_changed = own is not None and own.version == after.version
+        if committed is CommitResult.DONE and is_changed:
+            before = self.registry.changed_from
             self._courier.spread(self._member.service, before, after)
         return committed
 
--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -86,6 +86,7 @@
         self.is_deaf = False
         self.history_from = 0
         self.reads = 0
+        self.follows = 0
 
     async def async_read(self, table: str, part: str):
         self.reads += 1
@@ -95,6 +96,7 @@
         return RangeRead((Row(NAME, self.body, 1),), self.version, 0)
 
     async def async_follow(self, table: str, after: int, wait_s: float):
+        self.follows += 1
         for _ in range(int(wait_s / 0.1)):
             await asyncio.sleep(0.1)
             if self.is_deaf:
@@ -262,3 +264,25 @@
         assert follower.routes is None
 
     follow(story, asked=asked)
+
+
+def test_a_store_that_refuses_is_asked_ever_more_rarely() -> None:
+    """The store turns this process away for ten seconds, at once each time.
+
+    Each of 31 processes asked for the configuration four times a second, and
+    the store counts refused calls too.
+    """
+
+    async def story(store, follower) -> None:
+        await asyncio.sleep(0.1)
+        store.is_away = True
+        store.follows = 0
+        await asyncio.sleep(10)
+        # Each call takes 0.1 s; without a longer pause there are over 30.
+        assert store.follows <= 16
+        store.is_away = False
+        store.put(b'2')
+        await asyncio.sleep(1)
+        assert follower.version == 2
+
+    follow(story)
