--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -46,6 +46,10 @@
     # A server was back under its id while the store was away, and took keys
     # under the fences of the life before.
     FailedSeed(3301, 210),
+    # The same.
+    FailedSeed(3434, 200),
+    FailedSeed(3905, 210),
+    FailedSeed(4106, 200),
 )
 USUAL_SECONDS = 15
 USUAL_SPOTS = 6
