Keep connections between processes for longer

Ruled out: parsing, the largest part otherwise, which only another parser would lessen. Change: connections to other processes are trusted for 20 s and probed, so that one that has gone silent is found within 3 s. Those to the server are as before. The four pools of a process stand in one class.

--- a/plantaingrade/http/pool.py
+++ b/plantaingrade/http/pool.py
@@ -37,6 +37,7 @@
         '_idle_by_address',
         '_is_probed',
         '_local_host',
+        '_trusted_s',
         'opened',
     )
 
@@ -47,12 +48,15 @@
         *,
         is_probed: bool = False,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        trusted_s: float = IDLE_TRUSTED_S,
     ) -> None:
         """Prepare a pool whose connections start from one local address.
 
         Connections that are probed end by themselves when the other end has
-        been silent to probes.
+        been silent to probes. One that idled for longer than ``trusted_s`` is
+        not used again.
         """
+        self._trusted_s = trusted_s
         self._is_probed = is_probed
         self._connect_timeout_s = connect_timeout_s
         self._clock = clock
@@ -91,14 +95,14 @@
 
         Failure: a device between the ends has forgotten an idle connection.
         It shows as a request that is never answered, and nobody can tell
-        whether it ran. A connection that was silent for more than
-        ``IDLE_TRUSTED_S`` is not trusted; a new one costs about 1 ms.
+        whether it ran. A connection that was silent for longer than the pool
+        trusts one is left behind; a new one costs about 1 ms.
 
         Raises:
             ConnectFailedError: no connection could be made.
         """
         idle = self._idle_by_address[address]
-        oldest = IDLE_TRUSTED_S if max_idle_s is None else max_idle_s
+        oldest = self._trusted_s if max_idle_s is None else max_idle_s
         while idle:
             channel = idle.pop()
             age = self._clock.now() - channel.last_byte_at
--- /dev/null
+++ b/plantaingrade/sidecar/pools.py
@@ -0,0 +1,31 @@
+"""The outgoing connections of one process."""
+
+from plantaingrade.clock import Clock
+from plantaingrade.http.pool import Pool
+from plantaingrade.sidecar.const import NEAR_CONNECT_TIMEOUT_S, PEER_TRUSTED_S
+
+
+class Pools:
+    """One pool for each kind of other end, each with its own trust."""
+
+    __slots__ = ('orders', 'peers', 'server', 'store')
+
+    def __init__(self, clock: Clock, source: str | None) -> None:
+        """Open nothing yet; connect from one local address, if given."""
+        self.server = Pool(
+            clock, source, connect_timeout_s=NEAR_CONNECT_TIMEOUT_S
+        )
+        self.peers = Pool(
+            clock,
+            source,
+            is_probed=True,
+            connect_timeout_s=NEAR_CONNECT_TIMEOUT_S,
+            trusted_s=PEER_TRUSTED_S,
+        )
+        self.store = Pool(clock, is_probed=True)
+        self.orders = Pool(clock)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for pool in (self.server, self.peers, self.store, self.orders):
+            pool.close()
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -20,7 +20,7 @@
 from plantaingrade.config.entity import RoutingConfig
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator
-from plantaingrade.http.pool import Pool, split_address
+from plantaingrade.http.pool import split_address
 from plantaingrade.http.server import HttpServer, RequestServer
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.operators.desk import OperatorDesk
@@ -43,7 +43,6 @@
     FINISH_PART,
     FIRST_SLOTS,
     INTERNAL_IDLE_S,
-    NEAR_CONNECT_TIMEOUT_S,
     VERIFY_PAUSE_S,
 )
 from plantaingrade.sidecar.figures import Figures
@@ -56,6 +55,7 @@
     refuse_malformed,
 )
 from plantaingrade.sidecar.leaving import Leaving
+from plantaingrade.sidecar.pools import Pools
 from plantaingrade.sidecar.server_watch import LifeHooks, OwnServer, ServerWatch
 from plantaingrade.sidecar.settings import InstanceSettings, OwnOptions
 from plantaingrade.sidecar.wire import PlatformWire
@@ -111,8 +111,7 @@
             await server.async_close()
         self._peers.endpoint.close()
         self._orders.close()
-        for pool in (self._store_pool, self._order_pool, self._pool):
-            pool.close()
+        self._pools.close()
 
     @property
     def is_ready(self) -> bool:
@@ -149,13 +148,9 @@
             os.urandom(BOOT_BYTES).hex(),
         )
         source = settings.ip if self._options.binds_source else None
-        self._pool = Pool(
-            self._clock, source, connect_timeout_s=NEAR_CONNECT_TIMEOUT_S
-        )
-        self._store_pool = Pool(self._clock, is_probed=True)
-        self._order_pool = Pool(self._clock)
-        self._direct_store = self._wire.make_store(self._store_pool)
-        self._orders = self._wire.make_orders(self._order_pool)
+        self._pools = Pools(self._clock, source)
+        self._direct_store = self._wire.make_store(self._pools.store)
+        self._orders = self._wire.make_orders(self._pools.orders)
         self._maps = KeyMaps()
         self._directory = Directory()
         self._figures = Figures()
@@ -171,7 +166,11 @@
             lambda: self._calls.async_ask_config(),
         )
         self._calls = PeerCalls(
-            self._own, self._directory, self._pool, self._clock, self._log
+            self._own,
+            self._directory,
+            self._pools.peers,
+            self._clock,
+            self._log,
         )
         self._peers = PeerCoordinator(
             self._own,
@@ -231,7 +230,7 @@
             self._life,
             self.holds,
             self._gate,
-            self._pool,
+            self._pools.server,
             self._clock,
             self._log,
             ServerHooks(
@@ -243,7 +242,7 @@
         peer_path = PeerPath(
             self._directory,
             self._loads,
-            self._pool,
+            self._pools.peers,
             self._clock,
             self._known,
             self._log,
--- a/tests/sidecar/test_lives.py
+++ b/tests/sidecar/test_lives.py
@@ -222,7 +222,7 @@
             await rig.async_until(lambda: place.process.is_ready)
             await rig.async_until(lambda: is_known(place))
             await rig.async_ask(place, '/letters/1', 'before', 5)
-            idle = place.process._pool._idle_by_address
+            idle = place.process._pools.server._idle_by_address
             assert idle[place.plan.address]
             life = place.server.life.next_life()
             body = heartbeat(place, born=life.born_ms, sequence=1)
