Part the changes of rows from the registry; call a barrier a barrier

Behaviour is as before: the typed changes stand in holds/changes.py. tests/holds, store and operators: 234 passed.

--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -25,13 +25,8 @@
     plan_outrank,
     plan_takeover,
 )
-from plantaingrade.holds.registry import (
-    RENEWAL,
-    Change,
-    CommitResult,
-    Planner,
-    Registry,
-)
+from plantaingrade.holds.changes import RENEWAL, Change, CommitResult
+from plantaingrade.holds.registry import Planner, Registry
 from plantaingrade.holds.transfer import Transfers
 from plantaingrade.holds.unheld import UnheldRanges
 from plantaingrade.keyspace.directory import KeyMaps
--- a/plantaingrade/holds/passing.py
+++ b/plantaingrade/holds/passing.py
@@ -3,7 +3,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from plantaingrade.holds.registry import Change, Registry
+from plantaingrade.holds.changes import Change
+from plantaingrade.holds.registry import Registry
 from plantaingrade.keyspace.assign import reassign
 from plantaingrade.keyspace.entity import Assignment, KeyMap
 
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -8,12 +8,18 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
-from enum import StrEnum
+from dataclasses import replace
 from itertools import count
 
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.changes import (
+    RENEWAL,
+    Attempt,
+    Change,
+    CommitResult,
+    SentWrite,
+)
 from plantaingrade.holds.const import LEASE_S, RETRY_S, UNREADABLE_S
 from plantaingrade.holds.lease import (
     MemberRow,
@@ -51,68 +57,6 @@
 TABLE = 'plantaingrade'
 KEY_MAP = 'map'
 KEY_MEMBER = 'member/'
-
-
-class CommitResult(StrEnum):
-    """What came of a change."""
-
-    DONE = 'done'
-    NOT_WANTED = 'not-wanted'
-    LOST = 'lease-lost'
-    FAILED = 'store-failed'
-
-
-@dataclass(slots=True, frozen=True)
-class Change:
-    """A change beside the renewal of the own row.
-
-    ``key_map`` replaces the map, if given; ``removed`` are rows of members
-    whose leases have lapsed; ``absent`` names members that must have no row.
-    """
-
-    key_map: KeyMap | None = None
-    removed: tuple[MemberRow, ...] = ()
-    absent: tuple[str, ...] = ()
-
-
-@dataclass(slots=True, frozen=True)
-class SentWrite:
-    """A row and a change that were sent together.
-
-    A fence is a renewal that only makes sure that earlier writes can no
-    longer be applied. ``base`` is the map that the change was made from.
-    """
-
-    row: MemberRow
-    change: Change
-    is_fence: bool
-    base: KeyMap
-
-    @property
-    def ending(self) -> 'CommitResult | None':
-        """Return what it means for the attempt that this was applied."""
-        return None if self.is_fence else CommitResult.DONE
-
-
-@dataclass(slots=True)
-class Attempt:
-    """How long a change is tried, and what of it is open.
-
-    It is undisturbed as long as the store has answered each write.
-    """
-
-    until: float
-    crowded_until: float
-    sent_by_id: dict[str, SentWrite] = field(default_factory=dict)
-    is_undisturbed: bool = True
-
-    @property
-    def ends(self) -> float:
-        """Return until when a change is tried."""
-        return self.crowded_until if self.is_undisturbed else self.until
-
-
-RENEWAL = Change()
 Planner = Callable[['Registry'], Change | None]
 
 
@@ -257,9 +201,9 @@
             change = None if is_late else plan(self)
             if change is None and not sent_by_id:
                 return _unsent(is_late=is_late)
-            is_fence = change is None
+            is_barrier = change is None
             write = SentWrite(
-                self._next_row(), change or RENEWAL, is_fence, self.key_map
+                self._next_row(), change or RENEWAL, is_barrier, self.key_map
             )
             ended = await self._async_send(write, attempt)
             if ended is not None:
@@ -347,7 +291,7 @@
         row, change = write.row, write.change
         self.own = replace(row, version=version)
         self.row_by_name[self.member.name] = self.own
-        if write.is_fence and not self.is_joined:
+        if write.is_barrier and not self.is_joined:
             # Failure: a run gives its joining up, and the renewal that makes
             # sure of that would let it grant keys under the fences of the
             # run before. It shows as a life that takes a key under a fence
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -8,7 +8,8 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.granter import Granter
 from plantaingrade.holds.passing import Passage, has_passed, plan_passages
-from plantaingrade.holds.registry import CommitResult, Registry
+from plantaingrade.holds.changes import CommitResult
+from plantaingrade.holds.registry import Registry
 from plantaingrade.keyspace.entity import Assignment, KeyMap, KeyRange
 from plantaingrade.peers.courier import Courier
 from plantaingrade.peers.entity import Token
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -208,7 +208,7 @@
     Guard(
         'only the joining change joins a run',
         'plantaingrade/holds/registry.py',
-        'if write.is_fence and not self.is_joined:',
+        'if write.is_barrier and not self.is_joined:',
         'if False:',
         'tests/holds',
     ),
--- a/tests/holds/connections.py
+++ b/tests/holds/connections.py
@@ -12,7 +12,8 @@
 import h11
 
 from plantaingrade.holds.entity import Accepted, Grant
-from plantaingrade.holds.registry import Change, Registry
+from plantaingrade.holds.changes import Change
+from plantaingrade.holds.registry import Registry
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.client import read_body
 from plantaingrade.http.pool import ConnectFailedError, Pool
