Wake the grants by the event itself; drop a time nobody reads

Cause: a method only passed a call on to the event that it woke, and the start of the coordinator was noted and never read. Behaviour is as before. Formatter, linter and import rules clean; tests/holds: 192 passed.

--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -64,7 +64,7 @@
         self._wake = asyncio.Event()
         self.registry = Registry(store, maps, member, clock, log)
         self.granter = Granter(
-            self.registry, orders, clock, log, self._notify, self._wake_grants
+            self.registry, orders, clock, log, self._notify, self._wake.set
         )
         self._transfers = Transfers(
             self.registry, self.granter, clock, log, courier, self._stir
@@ -72,7 +72,6 @@
         self._changed = asyncio.Event()
         self._hinted = asyncio.Event()
         self._hinted_version = 0
-        self._started_at = clock.now()
         self._store_ok_since = 0.0
         self._fences_wanted = asyncio.Event()
         self._owned: list[Assignment] = []
@@ -170,9 +169,6 @@
         """Pass ranges to another member; tell whether they have passed."""
         return await self._transfers.async_give(keys, target)
 
-    def _wake_grants(self) -> None:
-        self._wake.set()
-
     def _stir(self) -> None:
         self._wake.set()
         self._notify()
