--- /dev/null
+++ b/tests/admission/test_short_calls.py
@@ -0,0 +1,37 @@
+"""Short urgent calls beside long reads at one server, played."""
+
+from tests.admission.replay import Class, Play, make_queue
+
+SLOTS = 9
+SECONDS = 60.0
+SEEDS = range(4)
+READ = Class('read', 2, 30.0, 0.36, 0.8, 1.0, 2.0, 1, 0.3)
+CALL = Class('call', 1, 60.0, 0.022, 0.5, 0.1, 0.25, 3, 0.9)
+
+
+def lost_share(seed: int) -> tuple[float, float]:
+    """Return the parts of calls and of reads that were not served."""
+    game = Play((READ, CALL), make_queue(SLOTS), SECONDS, seed=seed)
+    told = game.run()
+    return (
+        told['call'].lost / told['call'].asked,
+        told['read'].lost / told['read'].asked,
+    )
+
+
+def test_short_calls_are_not_turned_away_behind_long_reads() -> None:
+    """Callers are told 500 though the servers between have room in time.
+
+    Servers of another service call this one for each request that they run.
+    Long reads of a less urgent class keep all slots busy; a slot becomes free
+    each 40 ms. The calls are refused as if all work that runs had to end
+    before one could begin, and each takes the request that it serves with it.
+    """
+    lost = [lost_share(seed)[0] for seed in SEEDS]
+    assert max(lost) < 0.02
+
+
+def test_long_reads_are_served_beside_short_calls() -> None:
+    """What the urgent class leaves is still used."""
+    lost = [lost_share(seed)[1] for seed in SEEDS]
+    assert max(lost) < 0.3
