Let brief calls have the next slot, and keep their place while they can be answered

Cause: a slot's wait was predicted as the time in which all work that runs would end, shared evenly. For a call of 22 ms behind nine reads of 360 ms that is 180 ms, though a slot is free each 40 ms; and what could not be in time stood behind every less urgent request that could, which never ends under load. So calls between servers were turned away, each with the request that it served.

Ruled out: too few slots (the calls need 1.3 of nine); silent connections (no request waited for an answer that did not come).

Change: work of at most 0.3 of the longest kind's time is brief: it counts on the next free slot and keeps its place until its deadline. All else as before.

The check on the reads that went in with the failing test (at most 30 % lost) was wrong: served calls leave room for 71 % of the reads at the most. It now says what part of that room is used.

--- a/plantaingrade/admission/estimate.py
+++ b/plantaingrade/admission/estimate.py
@@ -31,6 +31,10 @@
         """Return how long a piece of work of a class will probably take."""
         return self._mean_s_by_kind.get(kind, self.mean_s())
 
+    def longest_s(self) -> float:
+        """Return how long a piece of the longest kind of work takes."""
+        return max(self._mean_s_by_kind.values(), default=0.0)
+
     def mean_s(self) -> float:
         """Return how long a piece of any work takes on average."""
         return FIRST_GUESS_S if self._mean_s is None else self._mean_s
--- a/plantaingrade/admission/slots.py
+++ b/plantaingrade/admission/slots.py
@@ -13,9 +13,10 @@
 """
 
 import heapq
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
-from itertools import count
+from itertools import count, repeat
 
 from plantaingrade.admission.estimate import WorkEstimate, WorkRate
 from plantaingrade.requests.entity import NotRun, NotRunReason
@@ -28,6 +29,9 @@
 # Part of the expected work that work which has run longer still needs: the
 # durations have a long tail.
 MIN_REST = 0.15
+# Part of the longest kind of work up to which work counts as brief: on a server
+# with nine slots it holds the others up by a thirtieth of that kind's time.
+BRIEF_PART = 0.3
 
 
 class Lane(IntEnum):
@@ -130,8 +134,9 @@
         if self.running < self.slots and not self.waiting:
             return self._start(ticket, now)
         wait_s = self._wait_in_time(ticket, now)
-        if now + wait_s + work_s <= ticket.due:
-            return self._line_up(ticket, Lane.IN_TIME, ticket.due - work_s)
+        ends_by = ticket.until if self._is_brief(ticket) else ticket.due
+        if now + wait_s + work_s <= ends_by:
+            return self._line_up(ticket, Lane.IN_TIME, ends_by - work_s)
         late_wait_s = self._wait_late(ticket, now)
         if now + late_wait_s + work_s <= ticket.until:
             return self._line_up(ticket, Lane.LATE, ticket.until - work_s)
@@ -203,40 +208,93 @@
                     return ticket
         return None
 
+    def _is_brief(self, ticket: Ticket) -> bool:
+        """Tell whether a ticket holds others up for next to nothing.
+
+        Failure: a short call between servers is refused since it will not be
+        in time behind long work, or gets a slot only when no long work that
+        can be in time wants one, which is never. It shows as requests that
+        are lost at the server that made the call. A brief ticket keeps its
+        place for as long as it may be answered.
+        """
+        work_s = self.estimate.expected_s(ticket.kind)
+        return work_s <= BRIEF_PART * self.estimate.longest_s()
+
     def _wait_in_time(self, ticket: Ticket, now: float) -> float:
-        """Predict the wait behind what goes first, and what still comes."""
-        ahead_s = self._rest_s(now)
+        """Predict the wait behind what goes first, and what still comes.
+
+        For brief work it is when the next slot is free. All others count on
+        an even share of the slots, which is half of a work's time more: who
+        counted on the next free slot was let in as often in vain, and refused
+        after 45 ms in place of 16 ms (played, objectives of 200 ms).
+        """
         mine = (ticket.priority, ticket.due)
-        for place in self._line_by_lane[Lane.IN_TIME]:
-            waiting = place[-1]
-            if waiting.is_waiting and (waiting.priority, waiting.due) <= mine:
-                ahead_s += self.estimate.expected_s(waiting.kind)
-        return ahead_s / self._slots_left(ticket.priority, now)
+        ahead_s = [
+            self.estimate.expected_s(place[-1].kind)
+            for place in self._line_by_lane[Lane.IN_TIME]
+            if place[-1].is_waiting and place[:2] <= mine
+        ]
+        rests_s = self._rests_s(now)
+        if self._is_brief(ticket):
+            wait_s = first_free_s(rests_s, ahead_s, self.slots)
+        else:
+            wait_s = self._even_share_s([*rests_s, *ahead_s])
+        return wait_s / self._share_left(ticket.priority, now)
 
     def _wait_late(self, ticket: Ticket, now: float) -> float:
         """Predict the wait for slots that requests in time leave."""
-        ahead_s = self._rest_s(now)
-        for line in self._line_by_lane.values():
-            for place in line:
-                waiting = place[-1]
-                if waiting is not ticket and waiting.is_waiting:
-                    ahead_s += self.estimate.expected_s(waiting.kind)
-        return ahead_s / self._slots_left(None, now)
-
-    def _rest_s(self, now: float) -> float:
-        """Return the work that is left of what runs, above a free slot."""
-        rest_s = 0.0
+        ahead_s = [
+            self.estimate.expected_s(place[-1].kind)
+            for line in self._line_by_lane.values()
+            for place in line
+            if place[-1] is not ticket and place[-1].is_waiting
+        ]
+        wait_s = self._even_share_s([*self._rests_s(now), *ahead_s])
+        return wait_s / self._share_left(None, now)
+
+    def _even_share_s(self, work_s: Sequence[float]) -> float:
+        """Return how long work takes if all slots share it evenly."""
+        return sum(work_s) / max(1, self.slots)
+
+    def _rests_s(self, now: float) -> list[float]:
+        """Return how long each piece of work that runs will still take."""
+        rests_s = []
         for ticket in self._started:
             work_s = self.estimate.expected_s(ticket.kind)
             ran_s = now - ticket.started
-            rest_s += max(work_s - ran_s, MIN_REST * work_s)
-        return rest_s
-
-    def _slots_left(self, priority: int | None, now: float) -> float:
-        """Return the slots that more urgent requests leave to a class."""
-        slots = max(1, self.slots)
-        taken = self._rate.above(priority, now) / slots
-        return slots * max(MIN_SHARE_LEFT, 1 - taken)
+            rests_s.append(max(work_s - ran_s, MIN_REST * work_s))
+        return rests_s
+
+    def _share_left(self, priority: int | None, now: float) -> float:
+        """Return the share of slots that more urgent requests leave."""
+        taken = self._rate.above(priority, now) / max(1, self.slots)
+        return max(MIN_SHARE_LEFT, 1 - taken)
+
+
+def first_free_s(
+    rests_s: Sequence[float], ahead_s: Sequence[float], slots: int
+) -> float:
+    """Return when a slot is free for who comes after all that is ahead.
+
+    ``rests_s`` is what is left of the work that runs, ``ahead_s`` the work
+    that waits and goes first, in its order. Each piece takes the slot that is
+    free first.
+
+    Failure: the wait is taken for the time in which all work that runs would
+    end. It shows as calls of 22 ms between servers that are turned away from
+    a server whose nine slots run reads of 360 ms, though one of them ends each
+    40 ms. 92 % of such calls were lost, 0.1 to 0.3 % since (played, 60 s,
+    four seeds).
+    """
+    surplus = len(rests_s) - slots
+    free_at = sorted(rests_s)[max(0, surplus) :]
+    free_at.extend(repeat(0.0, max(0, -surplus)))
+    if not free_at:
+        return float('inf')
+    heapq.heapify(free_at)
+    for work_s in ahead_s:
+        heapq.heapreplace(free_at, free_at[0] + work_s)
+    return free_at[0]
 
 
 def _refuse(ticket: Ticket, reason: NotRunReason, wait_s: float) -> Refuse:
--- a/tests/admission/test_short_calls.py
+++ b/tests/admission/test_short_calls.py
@@ -5,6 +5,9 @@
 SLOTS = 9
 SECONDS = 60.0
 SEEDS = range(4)
+# Parts of what comes.
+HARDLY_ANY = 0.02
+NEARLY_ALL = 0.93
 READ = Class('read', 2, 30.0, 0.36, 0.8, 1.0, 2.0, 1, 0.3)
 CALL = Class('call', 1, 60.0, 0.022, 0.5, 0.1, 0.25, 3, 0.9)
 
@@ -28,10 +31,15 @@
     before one could begin, and each takes the request that it serves with it.
     """
     lost = [lost_share(seed)[0] for seed in SEEDS]
-    assert max(lost) < 0.02
+    assert max(lost) < HARDLY_ANY
 
 
-def test_long_reads_are_served_beside_short_calls() -> None:
-    """What the urgent class leaves is still used."""
-    lost = [lost_share(seed)[1] for seed in SEEDS]
-    assert max(lost) < 0.3
+def test_long_reads_get_what_short_calls_leave() -> None:
+    """No slot is kept idle for calls that may come.
+
+    The calls need 1.3 of nine slots; the rest is room for 21 reads a second,
+    of 30 that come.
+    """
+    room = (SLOTS - CALL.per_s * CALL.work_s) / (READ.per_s * READ.work_s)
+    served = [1 - lost_share(seed)[1] for seed in SEEDS]
+    assert min(served) > NEARLY_ALL * room
