--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+from collections.abc import Callable
 
 import pytest
 
@@ -115,13 +116,39 @@
         self.version += 1
 
 
-def follow(story, asked: bytes | None = None) -> None:
+class SilentStore(FakeStore):
+    """A store that loses what reaches it, or waits there, for a while.
+
+    ``silent`` is from when until when, in seconds of the running loop.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.silent = (0.0, 0.0)
+
+    async def async_follow(self, table: str, after: int, wait_s: float):
+        loop = asyncio.get_running_loop()
+        begins, ends = self.silent
+        began = loop.time()
+        answer = await super().async_follow(table, after, wait_s)
+        if began < ends and loop.time() >= begins:
+            # Who asked gives up a second after the answer was due.
+            await asyncio.sleep(began + wait_s + 1 - loop.time())
+            return NotDone(StoreFailure.NOT_REACHED)
+        return answer
+
+
+def follow(
+    story,
+    asked: bytes | None = None,
+    make_store: Callable[[], FakeStore] = FakeStore,
+) -> None:
     async def ask() -> bytes | None:
         return asked
 
     async def play() -> None:
         log = EventLog('t', LoopClock(), os.open(os.devnull, os.O_WRONLY))
-        store = FakeStore()
+        store = make_store()
         follower = ConfigFollower(store, 'op', 'config', decode, log, ask)
         task = asyncio.create_task(follower.async_run())
         await story(store, follower)
@@ -286,3 +313,23 @@
         assert follower.version == 2
 
     follow(story)
+
+
+@pytest.mark.parametrize('begins_s', [6.0, 7.0, 8.0, 9.0])
+def test_a_wait_that_the_store_lost_is_not_waited_out(begins_s) -> None:
+    """An old configuration is used 2.2 s after a new one was acknowledged.
+
+    The store is silent for eight seconds. A wait that was sent meanwhile is
+    lost, though the store is back a second later, and a change is made soon
+    after that. Nothing arrives until the wait's ten seconds are over.
+    """
+
+    async def story(store, follower) -> None:
+        now = asyncio.get_running_loop().time()
+        store.silent = (now + begins_s, now + begins_s + 8)
+        await asyncio.sleep(begins_s + 8 + 1.1)
+        store.put(b'2')
+        await asyncio.sleep(APPLY_S)
+        assert follower.version == 2
+
+    follow(story, make_store=SilentStore)
