Give a lost instance up after the first end of its lease, by its witnesses

Cause: a lease lasts 13 s, so that keys stay held through an outage of the store of 10 s; the keys of an instance that is lost wait for all of it.

Ruled out: shorter leases (every outage beyond them costs all keys); leases that a member lengthens by itself while the store falters (a member cut off alone cannot tell, and others do reach the store).

Change: a lease has two ends, 6 and 13 s after a renewal, and names up to three witnesses, runs of other processes. After the first end a member needs the promise of a majority of them; who would take its keys over before the second end needs a majority to give it up. A witness does one or the other, for the writes that may stand in the store; its word ends with its process. Whatever write may stand bounds the lease, promised or not. Without a majority all is as before.

--- a/plantaingrade/holds/const.py
+++ b/plantaingrade/holds/const.py
@@ -6,6 +6,16 @@
 LEASE_S = 13.0
 # Renewal, so that 10 s of a lease are left when an outage begins.
 RENEW_S = 3.0
+# First end of a lease: until then a member holds it without the promise of its
+# witnesses. What is left when a renewal is due is a hold of a grant.
+BASE_LEASE_S = 6.0
+# Time before the end of a lease at which witnesses are asked: a renewal is late
+# then, and a grant for the usual hold would outlast the lease.
+ASK_BEFORE_S = 2.7
+# Pause between questions to witnesses that were not answered by enough of them.
+ASK_PAUSE_S = 0.25
+# Witnesses of a lease: two of three are enough, so that one may be lost.
+WITNESS_COUNT = 3
 # Pause after a failed renewal: an outage's end is found within this time.
 RETRY_S = 0.25
 # Hold of a grant. It is renewed from here without the store, so it can be
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from functools import partial
 
 from plantaingrade.backends.life import BackendLife
@@ -18,6 +19,8 @@
     SCAN_PERIOD_S,
     SCAN_SPREAD,
 )
+from plantaingrade.holds.doubts import Doubts
+from plantaingrade.holds.extension import LeaseExtension
 from plantaingrade.holds.granter import FenceDoubt, Granter
 from plantaingrade.holds.orders import ServerOrders
 from plantaingrade.holds.plans import (
@@ -29,6 +32,7 @@
 from plantaingrade.holds.registry import Planner, Registry
 from plantaingrade.holds.transfer import Transfers
 from plantaingrade.holds.unheld import UnheldRanges
+from plantaingrade.holds.witnesses import Witnesses
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import Assignment, KeyRange
 from plantaingrade.peers.courier import Courier
@@ -39,6 +43,14 @@
 RENEW_LIMIT_S = 1.0
 
 
+@dataclass(slots=True, frozen=True)
+class MemberLinks:
+    """How one member speaks with the others."""
+
+    courier: Courier
+    witnesses: Witnesses
+
+
 class HoldCoordinator:
     """Hold keys for one member and its backend server."""
 
@@ -51,10 +63,11 @@
         orders: ServerOrders,
         clock: Clock,
         log: EventLog,
-        courier: Courier,
+        links: MemberLinks,
         on_joined: Callable[[], None],
     ) -> None:
         """Hold nothing yet; ``on_joined`` is called once a lease is held."""
+        courier, witnesses = links.courier, links.witnesses
         self._courier = courier
         self._on_joined = on_joined
         self._clock = clock
@@ -62,7 +75,9 @@
         self._life = life
         self._member = member
         self._wake = asyncio.Event()
-        self.registry = Registry(store, maps, member, clock, log)
+        self.registry = Registry(store, maps, member, witnesses, clock, log)
+        self._extension = LeaseExtension(self.registry, witnesses, clock, log)
+        self._doubts = Doubts(self.registry, witnesses, log)
         self.granter = Granter(
             self.registry, orders, clock, log, self._notify, self._wake.set
         )
@@ -157,6 +172,7 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._async_lease_loop())
+                tasks.create_task(self._extension.async_run())
                 tasks.create_task(self._async_grant_loop())
                 tasks.create_task(self._async_fence_loop())
                 tasks.create_task(self._async_scan_loop())
@@ -308,7 +324,8 @@
             return
         if self._clock.now() - self._store_ok_since < RETURN_GRACE_S:
             return
-        await self._async_commit(plan_takeover)
+        given_up = await self._doubts.async_given_up()
+        await self._async_commit(partial(plan_takeover, given_up=given_up))
 
     def _note_store(self, *, is_ok: bool) -> None:
         if not is_ok:
--- a/plantaingrade/holds/entity.py
+++ b/plantaingrade/holds/entity.py
@@ -1,4 +1,4 @@
-"""Typed orders to the backend server beside this process."""
+"""Typed orders to the own backend server, and questions to witnesses."""
 
 from dataclasses import dataclass
 
@@ -60,3 +60,42 @@
 
 
 OrderOutcome = Accepted | Outranked | Unanswered | Unsent | Rejected
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Witness:
+    """One run of a process that a member has named in its row."""
+
+    name: str
+    boot: str
+
+
+@dataclass(slots=True, frozen=True)
+class PromiseAsked:
+    """A member asks a witness not to give it up.
+
+    The promise is for its writes from ``first``, the last that it knows to
+    stand in the store, to ``last``, the last that it has sent.
+    """
+
+    name: str
+    boot: str
+    first: int
+    last: int
+    witness_boot: str
+
+
+@dataclass(slots=True, frozen=True)
+class GiveUpAsked:
+    """A member asks a witness to give another up.
+
+    ``number`` is that of the write that stands in the other's row.
+    """
+
+    name: str
+    boot: str
+    number: int
+    witness_boot: str
+
+
+Question = PromiseAsked | GiveUpAsked
--- a/plantaingrade/holds/lease.py
+++ b/plantaingrade/holds/lease.py
@@ -4,11 +4,16 @@
 from dataclasses import dataclass, replace
 
 from plantaingrade.errors import PlantaingradeError
+from plantaingrade.holds.entity import Witness
 from plantaingrade.peers.entity import Member
-from plantaingrade.schema import SchemaError, parse_object
+from plantaingrade.schema import Fields, SchemaError, parse_object
 
 # Far above any reading of the store's clock, which counts from its start.
 MAX_STORE_S = 1e12
+# Digits of the number of a write: more than a process makes in its life.
+MAX_NUMBER_DIGITS = 12
+# Witnesses that are read from a row.
+MAX_WITNESSES = 5
 
 
 class UnreadableLeaseError(PlantaingradeError):
@@ -24,7 +29,9 @@
     ``until_s`` is a time of the store's clock, 0 for a member that holds no
     keys; ``takes_keys`` is whether others may give it keys. ``write_id``
     names the write, so that a writer whose answer was lost can tell its own
-    write from another's. ``version`` is the row's version.
+    write from another's. ``version`` is the row's version. From
+    ``base_until_s`` on the member needs promises of its ``witnesses``; without
+    any both ends are the same.
     """
 
     member: Member
@@ -32,6 +39,15 @@
     write_id: str
     takes_keys: bool = True
     version: int = 0
+    base_until_s: float = 0.0
+    witnesses: tuple[Witness, ...] = ()
+
+    @property
+    def write_number(self) -> int:
+        """Return the number of the write in its run, 0 if it has none."""
+        number = self.write_id.rpartition('.')[-1]
+        is_number = number.isascii() and number.isdigit()
+        return int(number[:MAX_NUMBER_DIGITS]) if is_number else 0
 
     def as_of(self, latest_end_s: float) -> 'MemberRow':
         """Return the row as it is to be used, given how long a lease can be.
@@ -61,6 +77,9 @@
         'write': row.write_id,
         'takes': row.takes_keys,
     }
+    if row.witnesses:
+        fields['base_until'] = round(row.base_until_s, 3)
+        fields['witnesses'] = [[each.name, each.boot] for each in row.witnesses]
     return json.dumps(fields, separators=(',', ':')).encode()
 
 
@@ -79,14 +98,37 @@
             fields.text('address', min_chars=0),
             fields.text('boot'),
         )
+        until_s = fields.number('until', 0, MAX_STORE_S)
+        witnesses = _decode_witnesses(fields)
+        base_until_s = until_s
+        if witnesses:
+            base_until_s = fields.number('base_until', 0, until_s)
         return MemberRow(
             member,
-            fields.number('until', 0, MAX_STORE_S),
+            until_s,
             fields.text('write'),
             fields.flag('takes'),
             version,
+            base_until_s,
+            witnesses,
         )
     except SchemaError as error:
         raise UnreadableLeaseError(
             f'Member row not understood: {error}'
         ) from error
+
+
+def _decode_witnesses(fields: Fields) -> tuple[Witness, ...]:
+    if not fields.has('witnesses'):
+        return ()
+    pairs = fields.rows('witnesses')
+    if len(pairs) > MAX_WITNESSES:
+        raise SchemaError('Too many witnesses.')
+    return tuple(_decode_witness(pair) for pair in pairs)
+
+
+def _decode_witness(pair: object) -> Witness:
+    if not isinstance(pair, list) or len(pair) != 2:
+        raise SchemaError('A witness is not a pair.')
+    fields = Fields({'name': pair[0], 'boot': pair[1]})
+    return Witness(fields.text('name'), fields.text('boot'))
--- a/plantaingrade/holds/plans.py
+++ b/plantaingrade/holds/plans.py
@@ -45,14 +45,24 @@
     return Change(split_evenly(live)) if live else None
 
 
-def plan_takeover(registry: Registry) -> Change | None:
-    """Spread the keys of members whose leases have lapsed.
+def plan_takeover(
+    registry: Registry, given_up: Collection[tuple[str, int]] = ()
+) -> Change | None:
+    """Spread the keys of members whose leases are over.
+
+    ``given_up`` holds names and row versions of members whose witnesses have
+    given them up.
 
     Failure: a member whose row was removed comes back and joins between the
     reading of the rows and this change. It shows as keys taken from a member
     that holds them. So rows that were not there must still not be there.
     """
-    removed = tuple(lapsed_rows(registry)[:MAX_REMOVED])
+    over = [
+        row
+        for row in doubtful_rows(registry)
+        if (row.member.name, row.version) in given_up
+    ]
+    removed = tuple([*lapsed_rows(registry), *over][:MAX_REMOVED])
     known = set(registry.row_by_name) | {registry.member.name}
     absent = sorted(registry.key_map.owners() - known)[:MAX_REMOVED]
     lost = {row.member.name for row in removed} | set(absent)
@@ -96,6 +106,22 @@
     ]
 
 
+def doubtful_rows(registry: Registry) -> list[MemberRow]:
+    """Return the rows of owners whose leases have passed the first end only.
+
+    They hold their keys if a majority of their witnesses has promised it.
+    """
+    now_s = registry.read_now_s - TAKEOVER_MARGIN_S
+    owners = registry.key_map.owners() - {registry.member.name}
+    return [
+        row
+        for name, row in sorted(registry.row_by_name.items())
+        if name in owners
+        and row.witnesses
+        and row.base_until_s < now_s <= row.until_s
+    ]
+
+
 def spread(
     key_map: KeyMap, lost: set[str], live: list[str]
 ) -> dict[KeyRange, str]:
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -20,7 +20,13 @@
     CommitResult,
     SentWrite,
 )
-from plantaingrade.holds.const import LEASE_S, RETRY_S, UNREADABLE_S
+from plantaingrade.holds.const import (
+    BASE_LEASE_S,
+    LEASE_S,
+    RETRY_S,
+    UNREADABLE_S,
+)
+from plantaingrade.holds.entity import Witness
 from plantaingrade.holds.lease import (
     MemberRow,
     UnreadableLeaseError,
@@ -28,7 +34,9 @@
     encode_member_row,
     unreadable_row,
 )
+from plantaingrade.holds.term import LeaseTerm
 from plantaingrade.holds.turns import TurnPauses
+from plantaingrade.holds.witnesses import Witnesses
 from plantaingrade.keyspace.codec import (
     UnreadableMapError,
     decode_map,
@@ -81,18 +89,20 @@
         '_clock',
         '_log',
         '_maps',
+        '_named',
         '_store',
         '_unreadable',
+        '_witnesses',
         '_write_numbers',
         '_writing',
         'changed_from',
         'is_joined',
-        'lease_until',
         'member',
         'own',
         'read_now_s',
         'row_by_name',
         'takes_keys',
+        'term',
         'turns',
     )
 
@@ -101,16 +111,20 @@
         store: Store,
         maps: KeyMaps,
         member: Member,
+        witnesses: Witnesses,
         clock: Clock,
         log: EventLog,
     ) -> None:
         """Know the member; read nothing yet."""
+        self._witnesses = witnesses
+        self.term = LeaseTerm(store.clock)
         self._store = store
         self._maps = maps
         self._clock = clock
         self._log = log
         self.turns = TurnPauses(random.Random(member.boot))
         self._unreadable = UnreadableRows(log)
+        self._named: tuple[Witness, ...] = ()
         self._write_numbers = count(1)
         self._writing = asyncio.Lock()
         self.member = member
@@ -119,7 +133,6 @@
         self.takes_keys = True
         self.own: MemberRow | None = None
         self.is_joined = False
-        self.lease_until = 0.0
         # The store's clock at the last read: a moment that has passed.
         self.read_now_s = 0.0
         self.row_by_name: dict[str, MemberRow] = {}
@@ -129,6 +142,11 @@
         """Return the map of this member's service."""
         return self._maps.find(self.member.service)
 
+    @property
+    def lease_until(self) -> float:
+        """Return the local time until which this member may grant keys."""
+        return self.term.until
+
     def has_lease(self, now: float) -> bool:
         """Tell whether this member may grant keys now."""
         return self.is_joined and now < self.lease_until
@@ -214,6 +232,7 @@
     ) -> CommitResult | None:
         """Send one transaction; return nothing if another must be sent."""
         sent_at = self._clock.now()
+        self.term.on_sent(write.row)
         outcome = await self._store.async_commit(self._transaction(write))
         ended = self._take_outcome(write, outcome, attempt.sent_by_id)
         if ended is not None:
@@ -253,18 +272,30 @@
                 sent_by_id.clear()
                 return write.ending
             case Conflict():
+                self.term.on_refused(write.row)
                 return self._on_conflict(outcome, sent_by_id)
             case OutcomeUnknown():
                 sent_by_id[write.row.write_id] = write
-            case NotDone(failure=StoreFailure.REFUSED):
-                self._log.write('store-refused', write=write.row.write_id)
+            case NotDone(failure=failure):
+                self.term.on_refused(write.row)
+                if failure is StoreFailure.REFUSED:
+                    self._log.write('store-refused', write=write.row.write_id)
         return None
 
     def _next_row(self) -> MemberRow:
         now_s = self.store_now() or 0.0
         write_id = f'{self.member.boot}.{next(self._write_numbers)}'
+        if not self.term.has_open:
+            # Else the promises of two sets would be needed.
+            self._named = self._witnesses.choose()
+        base_s = BASE_LEASE_S if self._named else LEASE_S
         return MemberRow(
-            self.member, now_s + LEASE_S, write_id, self.takes_keys
+            self.member,
+            now_s + LEASE_S,
+            write_id,
+            self.takes_keys,
+            base_until_s=now_s + base_s,
+            witnesses=self._named,
         )
 
     def _transaction(self, write: SentWrite) -> Transaction:
@@ -296,8 +327,9 @@
             # sure of that would let it grant keys under the fences of the
             # run before. It shows as a life that takes a key under a fence
             # that another life had. Only the change itself joins.
+            self.term.on_none_open()
             return
-        self.lease_until = self._store.clock.earliest_local(row.until_s)
+        self.term.on_standing(row)
         self.is_joined = True
         for lapsed in change.removed:
             self.row_by_name.pop(lapsed.member.name, None)
@@ -351,6 +383,7 @@
         if own is None:
             # Nothing sent before it was written can be applied any more.
             sent_by_id.clear()
+            self.term.on_none_open()
             self.own = unreadable_row(self.member, found.version, 0)
             return None
         earlier = sent_by_id.get(own.write_id)
@@ -374,7 +407,7 @@
         self._log.write('lease-lost', why=why, until=self.lease_until)
         self.own = None
         self.is_joined = False
-        self.lease_until = 0.0
+        self.term.on_lost()
         return CommitResult.LOST
 
     def _decode_own(self, row: Row) -> MemberRow | None:
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -40,6 +40,7 @@
 )
 from plantaingrade.peers.map_follower import MapFollower
 from plantaingrade.peers.own_row import OwnRow
+from plantaingrade.peers.witnesses import PeerWitnesses
 from plantaingrade.store.entity import RangeRead, Row
 from plantaingrade.store.interface import Store
 from plantaingrade.store.unreadable import UnreadableRows
@@ -88,6 +89,7 @@
         'has_joined',
         'map_follower',
         'own',
+        'witnesses',
     )
 
     def __init__(
@@ -114,6 +116,7 @@
         self._clock = clock
         self._log = log
         self._announcer = Announcer(own, directory, self._on_datagram)
+        self.witnesses = PeerWitnesses(own, directory, calls, clock)
         self.map_follower = MapFollower(directory, maps, calls, log)
         self._unreadable = UnreadableRows(log)
         self._own_row: OwnRow | None = None
--- /dev/null
+++ b/plantaingrade/peers/witnesses.py
@@ -0,0 +1,88 @@
+"""Choose and ask the witnesses of leases, and answer as one."""
+
+import random
+
+from plantaingrade.clock import Clock
+from plantaingrade.codec import Codec
+from plantaingrade.holds.const import WITNESS_COUNT
+from plantaingrade.holds.entity import (
+    GiveUpAsked,
+    PromiseAsked,
+    Question,
+    Witness,
+)
+from plantaingrade.holds.promises import WitnessBook
+from plantaingrade.peers.calls import PeerCalls
+from plantaingrade.peers.directory import Directory
+from plantaingrade.peers.entity import Member
+
+QUESTION_CODEC = Codec(Question, Question)
+PATH_WITNESS = '/-/witness'
+AGREED = b'yes'
+REFUSED = b'no'
+
+
+class PeerWitnesses:
+    """Other processes as witnesses, and this one for them.
+
+    Any process can be one, whatever its service. Those of other zones come
+    first: what takes an instance away may take its neighbours too.
+    """
+
+    __slots__ = ('_book', '_calls', '_chance', '_clock', '_directory', '_own')
+
+    def __init__(
+        self, own: Member, directory: Directory, calls: PeerCalls, clock: Clock
+    ) -> None:
+        """Have promised nothing yet."""
+        self._own = own
+        self._directory = directory
+        self._calls = calls
+        self._clock = clock
+        self._book = WitnessBook(own.boot)
+        self._chance = random.Random(own.boot)
+
+    def choose(self) -> tuple[Witness, ...]:
+        """Return other members that are not suspected, drawn anew."""
+        now = self._clock.now()
+        members = [
+            member
+            for member in self._directory.members()
+            if member.name != self._own.name
+            and not self._directory.is_suspect(member.name, now)
+        ]
+        self._chance.shuffle(members)
+        members.sort(key=lambda member: member.zone == self._own.zone)
+        return tuple(
+            Witness(member.name, member.boot)
+            for member in members[:WITNESS_COUNT]
+        )
+
+    async def async_ask(self, witness: Witness, question: Question) -> bool:
+        """Ask one; tell whether it agreed, also if it did not answer."""
+        if witness.name == self._own.name:
+            return self._decide(question)
+        member = self._directory.find(witness.name)
+        if member is None:
+            return False
+        body = QUESTION_CODEC.encode(question)
+        return (
+            await self._calls.async_post(member, PATH_WITNESS, body) == AGREED
+        )
+
+    def answer(self, body: bytes) -> bytes:
+        """Answer the question of another process.
+
+        Raises:
+            MalformedMessageError: the question is not understood.
+        """
+        is_agreed = self._decide(QUESTION_CODEC.decode(body))
+        return AGREED if is_agreed else REFUSED
+
+    def _decide(self, question: Question) -> bool:
+        now = self._clock.now()
+        match question:
+            case PromiseAsked():
+                return self._book.on_promise(question, now)
+            case GiveUpAsked():
+                return self._book.on_give_up(question, now)
--- a/plantaingrade/sidecar/control.py
+++ b/plantaingrade/sidecar/control.py
@@ -70,6 +70,8 @@
                 return self._take_handed(body)
             case '/-/offer':
                 return self._answer_offer(body)
+            case '/-/witness':
+                return Answer(STATUS_OK, (), self._peers.witnesses.answer(body))
             case '/-/move':
                 return await self._operators.async_move(body)
             case '/-/wish':
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -19,7 +19,7 @@
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.config.entity import RoutingConfig
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.coordinator import HoldCoordinator
+from plantaingrade.holds.coordinator import HoldCoordinator, MemberLinks
 from plantaingrade.http.pool import split_address
 from plantaingrade.http.server import HttpServer, RequestServer
 from plantaingrade.keyspace.directory import KeyMaps
@@ -198,7 +198,7 @@
             self._orders,
             self._clock,
             self._log,
-            self._peers,
+            MemberLinks(self._peers, self._peers.witnesses),
             self._on_joined,
         )
         self._maps.listen(lambda service, _: self.holds.on_map(service))
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -11,17 +11,23 @@
 
 from plantaingrade.backends.life import BackendLife
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.coordinator import HoldCoordinator
+from plantaingrade.holds.const import WITNESS_COUNT
+from plantaingrade.holds.coordinator import HoldCoordinator, MemberLinks
 from plantaingrade.holds.entity import (
     Accepted,
+    GiveUpAsked,
     Grant,
     OrderOutcome,
     Outranked,
+    PromiseAsked,
+    Question,
     Release,
     Unanswered,
     Unsent,
+    Witness,
 )
 from plantaingrade.holds.orders import NoSessionError
+from plantaingrade.holds.promises import WitnessBook
 from plantaingrade.holds.registry import KEY_MAP
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap, KeyRange
@@ -396,6 +402,39 @@
                     place.holds.expect_handover(token)
 
 
+class FakeWitnesses:
+    """Witnesses among the other members; words to and from them are lost."""
+
+    def __init__(self, world: 'World', own: str, boot: str) -> None:
+        """Answer for one run of a member."""
+        self._world = world
+        self._own = own
+        # No question of this member arrives.
+        self.is_cut = False
+        self.book = WitnessBook(boot)
+
+    def choose(self) -> tuple[Witness, ...]:
+        """Name up to three others that run."""
+        return tuple(
+            Witness(place.name, place.witnesses.book.boot)
+            for place in self._world.places
+            if place.name != self._own and place.task is not None
+        )[:WITNESS_COUNT]
+
+    async def async_ask(self, witness: Witness, question: Question) -> bool:
+        """Ask one; either way may be lost, or take long."""
+        await asyncio.sleep(CALL_S)
+        if self.is_cut or not self._world.is_heard():
+            await asyncio.sleep(CALL_LIMIT_S / 2)
+            return False
+        is_agreed = self._world.decide(witness, question)
+        if not self._world.is_heard():
+            await asyncio.sleep(CALL_LIMIT_S / 2)
+            return False
+        await asyncio.sleep(CALL_S)
+        return is_agreed
+
+
 @dataclass(slots=True)
 class FakePlace:
     """One member with its server."""
@@ -408,6 +447,7 @@
     orders: FakeOrders
     holds: HoldCoordinator
     courier: FakeCourier
+    witnesses: FakeWitnesses
     task: asyncio.Task[None] | None = None
     moves: list[asyncio.Task[bool]] = field(default_factory=list)
 
@@ -431,6 +471,18 @@
         """Tell whether the next word arrives."""
         return self._random.random() >= self.lost_word_share
 
+    def decide(self, witness: Witness, question: Question) -> bool:
+        """Have the run of a member that is named answer, if it still runs."""
+        for place in self.places:
+            if place.name != witness.name or place.task is None:
+                continue
+            match question:
+                case PromiseAsked():
+                    return place.witnesses.book.on_promise(question, _now())
+                case GiveUpAsked():
+                    return place.witnesses.book.on_give_up(question, _now())
+        return False
+
     def add(self, name: str) -> FakePlace:
         """Add a member with a new server, and start it."""
         place = self._make(name, self.add_server())
@@ -519,6 +571,7 @@
         life.on_named(server.instance, _now())
         orders = FakeOrders(server)
         courier = FakeCourier(self, name)
+        witnesses = FakeWitnesses(self, name, member.boot)
         holds = HoldCoordinator(
             store,
             maps,
@@ -527,12 +580,12 @@
             orders,
             LoopClock(),
             self._log,
-            courier,
+            MemberLinks(courier, witnesses),
             lambda: None,
         )
         maps.listen(lambda service, _: holds.on_map(service))
         place = FakePlace(
-            name, server, store, maps, life, orders, holds, courier
+            name, server, store, maps, life, orders, holds, courier, witnesses
         )
         place.task = asyncio.get_running_loop().create_task(holds.async_run())
         return place
--- a/tests/holds/test_coordinator.py
+++ b/tests/holds/test_coordinator.py
@@ -276,9 +276,9 @@
         await settled(world)
         world.lost_word_share = 0.3
         for _ in range(40):
-            _disturb(world, chooser)
+            disturb(world, chooser)
             await watch(world, chooser.uniform(0.1, 2.0))
-        _calm(world)
+        calm(world)
         await watch(world, LEASE_S + 20)
         assert world.held_keys() == KEY_COUNT
         await world.async_stop()
@@ -304,10 +304,10 @@
         await settled(world)
         world.lost_word_share = 0.3
         for _ in range(40):
-            _disturb(world, chooser, kinds=11)
+            disturb(world, chooser, kinds=11)
             await watch(world, chooser.uniform(0.1, 2.0))
             assert not world.fences_not_above()
-        _calm(world)
+        calm(world)
         await watch(world, LEASE_S + 20)
         assert not world.fences_not_above()
         assert world.held_keys() == KEY_COUNT
@@ -316,7 +316,7 @@
     run(story())
 
 
-def _disturb(world: World, chooser: random.Random, kinds: int = 8) -> None:
+def disturb(world: World, chooser: random.Random, kinds: int = 8) -> None:
     place = chooser.choice(world.places)
     match chooser.randrange(kinds):
         case 0:
@@ -356,7 +356,7 @@
     world.move(place, part, target)
 
 
-def _calm(world: World) -> None:
+def calm(world: World) -> None:
     world.lost_word_share = 0.0
     for place in list(world.places):
         place.store.is_away = False
