Release no keys while the store is away

Cause: a process that is told to stop, or whose server leaves, released all its keys at once; their change then waited for the store.

Ruled out: granting the range again after a release (the open change may still be applied; then two servers would hold it).

Change: nothing is released while the last call to the store had no answer; who leaves asks the store first if its last answer is older than 0.3 s (one read for each leaving). The keys are served until the process ends.

--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -137,9 +137,13 @@
                 await self._async_even_out()
 
     async def async_evacuate(self) -> None:
-        """Give every range away, each to a member with room."""
+        """Give every range away, each to a member with room.
+
+        While the store is away they stay: once released, nobody would serve
+        them before it is back.
+        """
         ranges = self._own_ranges()
-        if not ranges:
+        if not ranges or not await self._holds.async_is_store_there():
             return
         now = self._clock.now()
         load_by_member = self._others.takers(now)
--- a/plantaingrade/holds/const.py
+++ b/plantaingrade/holds/const.py
@@ -56,6 +56,9 @@
 # After an outage of the store, members renew within one pause and one call;
 # whoever has not renewed after this time is gone.
 RETURN_GRACE_S = 2.0
+# An answer of the store that is older tells nothing of whether it is there now:
+# all keys of a server that leaves are about to be released.
+ANSWER_MAX_AGE_S = 0.3
 # How often all processes of a service together look for lapsed leases.
 SCAN_PERIOD_S = 1.0
 # Looks are spread by this much around their period, so that they do not fall
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -11,6 +11,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.const import (
+    ANSWER_MAX_AGE_S,
     BOOTSTRAP_WAIT_S,
     HINT_PAUSE_S,
     RENEW_S,
@@ -185,6 +186,16 @@
         """Pass ranges to another member; tell whether they have passed."""
         return await self._transfers.async_give(keys, target)
 
+    async def async_is_store_there(self) -> bool:
+        """Tell whether a change of the map would be answered now.
+
+        Nothing is asked if an answer came just now.
+        """
+        age_s = self._clock.now() - self.registry.answered_at
+        if age_s > ANSWER_MAX_AGE_S:
+            self._note_store(is_ok=await self.registry.async_read())
+        return self.registry.is_store_answering
+
     def _stir(self) -> None:
         self._wake.set()
         self._notify()
@@ -310,7 +321,7 @@
         while True:
             if self.registry.is_joined:
                 await self._async_scan()
-            members = max(1, len(self.registry.row_by_name))
+            members = max(1, len(self.registry.rows.by_name))
             spread = self._random.uniform(*SCAN_SPREAD)
             await asyncio.sleep(SCAN_PERIOD_S * members * spread)
 
--- a/plantaingrade/holds/plans.py
+++ b/plantaingrade/holds/plans.py
@@ -63,7 +63,7 @@
         if (row.member.name, row.version) in given_up
     ]
     removed = tuple([*lapsed_rows(registry), *over][:MAX_REMOVED])
-    known = set(registry.row_by_name) | {registry.member.name}
+    known = set(registry.rows.by_name) | {registry.member.name}
     absent = sorted(registry.key_map.owners() - known)[:MAX_REMOVED]
     lost = {row.member.name for row in removed} | set(absent)
     live = live_members(registry)
@@ -84,7 +84,7 @@
     own = registry.member.name
     names = {
         name
-        for name, row in registry.row_by_name.items()
+        for name, row in registry.rows.by_name.items()
         if row.until_s > now_s and row.takes_keys and name != own
     }
     if registry.takes_keys:
@@ -100,9 +100,9 @@
     """
     return [
         row
-        for name, row in sorted(registry.row_by_name.items())
+        for name, row in sorted(registry.rows.by_name.items())
         if name != registry.member.name
-        and row.until_s + TAKEOVER_MARGIN_S < registry.read_now_s
+        and row.until_s + TAKEOVER_MARGIN_S < registry.rows.read_now_s
     ]
 
 
@@ -111,11 +111,11 @@
 
     They hold their keys if a majority of their witnesses has promised it.
     """
-    now_s = registry.read_now_s - TAKEOVER_MARGIN_S
+    now_s = registry.rows.read_now_s - TAKEOVER_MARGIN_S
     owners = registry.key_map.owners() - {registry.member.name}
     return [
         row
-        for name, row in sorted(registry.row_by_name.items())
+        for name, row in sorted(registry.rows.by_name.items())
         if name in owners
         and row.witnesses
         and row.base_until_s < now_s <= row.until_s
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -24,7 +24,6 @@
     BASE_LEASE_S,
     LEASE_S,
     RETRY_S,
-    UNREADABLE_S,
 )
 from plantaingrade.holds.entity import Witness
 from plantaingrade.holds.lease import (
@@ -34,14 +33,17 @@
     encode_member_row,
     unreadable_row,
 )
+from plantaingrade.holds.rows import (
+    KEY_MAP,
+    TABLE,
+    MemberRows,
+    map_row,
+    member_row,
+)
 from plantaingrade.holds.term import LeaseTerm
 from plantaingrade.holds.turns import TurnPauses
 from plantaingrade.holds.witnesses import Witnesses
-from plantaingrade.keyspace.codec import (
-    UnreadableMapError,
-    decode_map,
-    encode_map,
-)
+from plantaingrade.keyspace.codec import encode_map
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import NO_MAP, KeyMap
 from plantaingrade.peers.entity import Member
@@ -54,17 +56,12 @@
     Put,
     RangeRead,
     Row,
-    RowName,
     StoreFailure,
     Transaction,
     TransactionOutcome,
 )
 from plantaingrade.store.interface import Store
-from plantaingrade.store.unreadable import UnreadableRows
 
-TABLE = 'plantaingrade'
-KEY_MAP = 'map'
-KEY_MEMBER = 'member/'
 Planner = Callable[['Registry'], Change | None]
 
 
@@ -72,35 +69,26 @@
     return CommitResult.FAILED if is_late else CommitResult.NOT_WANTED
 
 
-def map_row(service: str) -> RowName:
-    """Return the name of a service's map."""
-    return RowName(TABLE, service, KEY_MAP)
-
-
-def member_row(service: str, name: str) -> RowName:
-    """Return the name of a member's row."""
-    return RowName(TABLE, service, KEY_MEMBER + name)
-
-
 class Registry:
     """Read and change the rows of one service."""
 
     __slots__ = (
         '_clock',
+        '_is_change_answered',
+        '_is_read_answered',
         '_log',
         '_maps',
         '_named',
         '_store',
-        '_unreadable',
         '_witnesses',
         '_write_numbers',
         '_writing',
+        'answered_at',
         'changed_from',
         'is_joined',
         'member',
         'own',
-        'read_now_s',
-        'row_by_name',
+        'rows',
         'takes_keys',
         'term',
         'turns',
@@ -123,19 +111,21 @@
         self._clock = clock
         self._log = log
         self.turns = TurnPauses(random.Random(member.boot))
-        self._unreadable = UnreadableRows(log)
+        self.rows = MemberRows(member, maps, log)
         self._named: tuple[Witness, ...] = ()
         self._write_numbers = count(1)
         self._writing = asyncio.Lock()
         self.member = member
         # The map that the last change done here was made from.
         self.changed_from = NO_MAP
+        # Whether the last read and the last change had answers: a store may
+        # refuse changes alone. ``answered_at`` is when the last answer came.
+        self._is_read_answered = True
+        self._is_change_answered = False
+        self.answered_at = 0.0
         self.takes_keys = True
         self.own: MemberRow | None = None
         self.is_joined = False
-        # The store's clock at the last read: a moment that has passed.
-        self.read_now_s = 0.0
-        self.row_by_name: dict[str, MemberRow] = {}
 
     @property
     def key_map(self) -> KeyMap:
@@ -159,14 +149,15 @@
         """Read the rows of the service; tell whether that worked."""
         service = self.member.service
         outcome = await self._store.async_read(TABLE, service)
+        self._is_read_answered = isinstance(outcome, RangeRead)
+        self._note_answer(is_answered=self._is_read_answered)
         if not isinstance(outcome, RangeRead):
             self._log.write('store-read-failed', why=outcome.failure)
             return False
-        self.read_now_s = outcome.now_s
-        known = self.row_by_name
-        self.row_by_name = {}
-        for row in outcome.rows:
-            self._take_row(row, known, outcome.now_s)
+        self.rows.take_all(outcome.rows, outcome.now_s)
+        found = self.rows.by_name.get(self.member.name)
+        if found is not None and not self.is_joined:
+            self.own = found
         return True
 
     async def async_commit(
@@ -266,6 +257,8 @@
         sent_by_id: dict[str, SentWrite],
     ) -> CommitResult | None:
         """Act on an outcome; tell whether that ends the attempt."""
+        self._is_change_answered = isinstance(outcome, Committed | Conflict)
+        self._note_answer(is_answered=self._is_change_answered)
         match outcome:
             case Committed(version=version):
                 self._on_committed(write, version)
@@ -282,6 +275,15 @@
                     self._log.write('store-refused', write=write.row.write_id)
         return None
 
+    @property
+    def is_store_answering(self) -> bool:
+        """Tell whether a change would probably be answered now."""
+        return self._is_read_answered and self._is_change_answered
+
+    def _note_answer(self, *, is_answered: bool) -> None:
+        if is_answered:
+            self.answered_at = self._clock.now()
+
     def _next_row(self) -> MemberRow:
         now_s = self.store_now() or 0.0
         write_id = f'{self.member.boot}.{next(self._write_numbers)}'
@@ -321,7 +323,7 @@
     def _on_committed(self, write: SentWrite, version: int) -> None:
         row, change = write.row, write.change
         self.own = replace(row, version=version)
-        self.row_by_name[self.member.name] = self.own
+        self.rows.by_name[self.member.name] = self.own
         if write.is_barrier and not self.is_joined:
             # Failure: a run gives its joining up, and the renewal that makes
             # sure of that would let it grant keys under the fences of the
@@ -332,7 +334,7 @@
         self.term.on_standing(row)
         self.is_joined = True
         for lapsed in change.removed:
-            self.row_by_name.pop(lapsed.member.name, None)
+            self.rows.by_name.pop(lapsed.member.name, None)
         if change.key_map is not None:
             self.turns.on_done()
             self.changed_from = write.base
@@ -352,7 +354,7 @@
             if row.name == own_name and row.version and not row.is_deleted:
                 found = row
                 continue
-            is_read = self._take_row(row, self.row_by_name, conflict.now_s)
+            is_read = self.rows.take(row, conflict.now_s)
             # A member's row that cannot be read is passed over from now on.
             is_blocked |= row.name.key == KEY_MAP and not is_read
         ended = self._on_own_row(found, sent_by_id)
@@ -377,7 +379,7 @@
             return self._on_own_row_gone()
         own = self._decode_own(found)
         if own is None:
-            self._unreadable.note(found, 'Own row.')
+            self.rows.unreadable.note(found, 'Own row.')
         if own is None and self.is_joined:
             return self._lose('own row unreadable')
         if own is None:
@@ -415,63 +417,3 @@
             return decode_member_row(self.member.name, row.body, row.version)
         except UnreadableLeaseError:
             return None
-
-    def _take_row(
-        self, row: Row, known: dict[str, MemberRow], now_s: float
-    ) -> bool:
-        """Keep what a row says; tell whether it could be read.
-
-        A row that cannot be read takes nothing from what others say. A member
-        with such a row is not absent, and its lease may still run.
-        """
-        try:
-            self._keep(row, now_s)
-        except (UnreadableMapError, UnreadableLeaseError) as error:
-            self._unreadable.note(row, str(error))
-            self._keep_unreadable(row, known, now_s)
-            return False
-        return True
-
-    def _keep(self, row: Row, now_s: float) -> None:
-        if row.name.key == KEY_MAP:
-            if row.version:
-                key_map = decode_map(row.body, row.version)
-                self._maps.offer(self.member.service, key_map)
-            return
-        if not row.name.key.startswith(KEY_MEMBER):
-            return
-        name = row.name.key.removeprefix(KEY_MEMBER)
-        if not row.version or row.is_deleted:
-            self.row_by_name.pop(name, None)
-            return
-        found = decode_member_row(name, row.body, row.version)
-        if found.member.service != self.member.service:
-            raise UnreadableLeaseError('The row names another service.')
-        self.row_by_name[name] = found.as_of(now_s + UNREADABLE_S)
-        if name == self.member.name and not self.is_joined:
-            self.own = found
-
-    def _keep_unreadable(
-        self, row: Row, known: dict[str, MemberRow], now_s: float
-    ) -> None:
-        """Keep that a member has a row, if that matters to somebody.
-
-        Failure: the row of a member is overwritten by another writer. It
-        shows as keys that nobody takes over, or, if the member passed for
-        absent, as takeovers of all others that fail with it. A member that
-        lives writes its row again within a renewal. So what stays as it was
-        for longer than any lease is over.
-        """
-        if not row.name.key.startswith(KEY_MEMBER):
-            return
-        name = row.name.key.removeprefix(KEY_MEMBER)
-        if name == self.member.name and not self.is_joined:
-            self.own = unreadable_row(self.member, row.version, 0)
-        if name not in self.key_map.owners():
-            return
-        before = known.get(name)
-        if before is None or before.version != row.version:
-            member = Member(name, self.member.service, '', '', '')
-            until_s = now_s + UNREADABLE_S
-            before = unreadable_row(member, row.version, until_s)
-        self.row_by_name[name] = before
--- /dev/null
+++ b/plantaingrade/holds/rows.py
@@ -0,0 +1,123 @@
+"""The rows of one service, as they were last read in the store."""
+
+from collections.abc import Iterable
+
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.const import UNREADABLE_S
+from plantaingrade.holds.lease import (
+    MemberRow,
+    UnreadableLeaseError,
+    decode_member_row,
+    unreadable_row,
+)
+from plantaingrade.keyspace.codec import UnreadableMapError, decode_map
+from plantaingrade.keyspace.directory import KeyMaps
+from plantaingrade.peers.entity import Member
+from plantaingrade.store.entity import Row, RowName
+from plantaingrade.store.unreadable import UnreadableRows
+
+TABLE = 'plantaingrade'
+KEY_MAP = 'map'
+KEY_MEMBER = 'member/'
+
+
+def map_row(service: str) -> RowName:
+    """Return the name of a service's map."""
+    return RowName(TABLE, service, KEY_MAP)
+
+
+def member_row(service: str, name: str) -> RowName:
+    """Return the name of a member's row."""
+    return RowName(TABLE, service, KEY_MEMBER + name)
+
+
+class MemberRows:
+    """Rows of members by name; the map goes to the maps of all services."""
+
+    __slots__ = ('_maps', '_member', 'by_name', 'read_now_s', 'unreadable')
+
+    def __init__(self, member: Member, maps: KeyMaps, log: EventLog) -> None:
+        """Read on behalf of a member; know no rows yet."""
+        self._member = member
+        self._maps = maps
+        self.unreadable = UnreadableRows(log)
+        self.by_name: dict[str, MemberRow] = {}
+        # The store's clock at the last read: a moment that has passed.
+        self.read_now_s = 0.0
+
+    def take_all(self, rows: Iterable[Row], now_s: float) -> None:
+        """Keep what all rows of the service say, and nothing else."""
+        self.read_now_s = now_s
+        known = self.by_name
+        self.by_name = {}
+        for row in rows:
+            self._take(row, known, now_s)
+
+    def take(self, row: Row, now_s: float) -> bool:
+        """Keep what a row says; tell whether it could be read."""
+        return self._take(row, self.by_name, now_s)
+
+    def _take(
+        self, row: Row, known: dict[str, MemberRow], now_s: float
+    ) -> bool:
+        """Keep what a row says; tell whether it could be read.
+
+        A row that cannot be read takes nothing from what others say. A member
+        with such a row is not absent, and its lease may still run.
+        """
+        try:
+            self._keep(row, now_s)
+        except (UnreadableMapError, UnreadableLeaseError) as error:
+            self.unreadable.note(row, str(error))
+            self._keep_unreadable(row, known, now_s)
+            return False
+        return True
+
+    def _keep(self, row: Row, now_s: float) -> None:
+        if row.name.key == KEY_MAP:
+            self._keep_map(row)
+            return
+        if not row.name.key.startswith(KEY_MEMBER):
+            return
+        name = row.name.key.removeprefix(KEY_MEMBER)
+        if not row.version or row.is_deleted:
+            self.by_name.pop(name, None)
+            return
+        found = decode_member_row(name, row.body, row.version)
+        if found.member.service != self._member.service:
+            raise UnreadableLeaseError('The row names another service.')
+        self.by_name[name] = found.as_of(now_s + UNREADABLE_S)
+
+    def _keep_map(self, row: Row) -> None:
+        """Offer a map if it is newer.
+
+        To decode one of 1,200 ranges takes 6 ms (thread time, one core).
+        """
+        service = self._member.service
+        if row.version > self._maps.find(service).version:
+            self._maps.offer(service, decode_map(row.body, row.version))
+
+    def _keep_unreadable(
+        self, row: Row, known: dict[str, MemberRow], now_s: float
+    ) -> None:
+        """Keep that a member has a row, if that matters to somebody.
+
+        Failure: the row of a member is overwritten by another writer. It
+        shows as keys that nobody takes over, or, if the member passed for
+        absent, as takeovers of all others that fail with it. A member that
+        lives writes its row again within a renewal. So what stays as it was
+        for longer than any lease is over.
+        """
+        if not row.name.key.startswith(KEY_MEMBER):
+            return
+        name = row.name.key.removeprefix(KEY_MEMBER)
+        service = self._member.service
+        is_own = name == self._member.name
+        if not is_own and name not in self._maps.find(service).owners():
+            return
+        before = known.get(name)
+        if before is None or before.version != row.version:
+            member = Member(name, service, '', '', '')
+            until_s = now_s + UNREADABLE_S
+            before = unreadable_row(member, row.version, until_s)
+        self.by_name[name] = before
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -96,7 +96,13 @@
         """Pass ranges to another member; tell whether they have passed.
 
         Ranges that are being passed on already are left to that transfer.
+
+        Failure: keys are released while the store is away, and their change
+        waits for it. It shows as keys that nobody serves for as long as that
+        takes, though their server could.
         """
+        if not self._registry.is_store_answering:
+            return False
         moving = self._granter.moving
         if any(each.overlap(other) for each in keys for other in moving):
             return False
--- a/plantaingrade/operators/desk.py
+++ b/plantaingrade/operators/desk.py
@@ -12,7 +12,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.holds.coordinator import HoldCoordinator
-from plantaingrade.holds.registry import TABLE
+from plantaingrade.holds.rows import TABLE
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KEY_COUNT, KeyRange
 from plantaingrade.operators.const import (
--- a/plantaingrade/operators/wishes.py
+++ b/plantaingrade/operators/wishes.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 
 from plantaingrade.errors import PlantaingradeError
-from plantaingrade.holds.registry import TABLE
+from plantaingrade.holds.rows import TABLE
 from plantaingrade.schema import SchemaError, parse_object
 from plantaingrade.store.entity import Row, RowName
 
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -11,7 +11,7 @@
 from plantaingrade.datagrams import TypedEndpoint
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.lease import UnreadableLeaseError, decode_member_row
-from plantaingrade.holds.registry import KEY_MAP, KEY_MEMBER, TABLE
+from plantaingrade.holds.rows import KEY_MAP, KEY_MEMBER, TABLE
 from plantaingrade.keyspace.codec import UnreadableMapError, decode_map
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap
@@ -217,7 +217,8 @@
 
     def _keep(self, service: str, row: Row) -> None:
         if row.name.key == KEY_MAP:
-            self._maps.offer(service, decode_map(row.body, row.version))
+            if row.version > self._maps.find(service).version:
+                self._maps.offer(service, decode_map(row.body, row.version))
             return
         if row.name == wish_row(self.own.service, self.own.name):
             self._hooks.on_wish(decode_wish(row))
--- a/plantaingrade/peers/own_row.py
+++ b/plantaingrade/peers/own_row.py
@@ -2,7 +2,7 @@
 
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.lease import MemberRow, encode_member_row
-from plantaingrade.holds.registry import member_row
+from plantaingrade.holds.rows import member_row
 from plantaingrade.peers.entity import Member
 from plantaingrade.store.entity import (
     Committed,
--- a/soak/strangers.py
+++ b/soak/strangers.py
@@ -5,7 +5,7 @@
 import random
 
 from plantaingrade.holds.lease import MemberRow, encode_member_row
-from plantaingrade.holds.registry import TABLE, member_row
+from plantaingrade.holds.rows import TABLE, member_row
 from plantaingrade.operators.wishes import wish_row
 from plantaingrade.peers.entity import Member
 from soak.world import PEERS_PORT, Spot, World
--- a/tests/balance/test_coordinator.py
+++ b/tests/balance/test_coordinator.py
@@ -44,6 +44,9 @@
     def owned_by(self, name: str) -> list[Assignment]:
         return [Assignment(keys, name, 1) for keys in self.ranges]
 
+    async def async_is_store_there(self) -> bool:
+        return True
+
     async def async_give(self, keys: list[KeyRange], _: str) -> bool:
         self.given_at.append(asyncio.get_running_loop().time())
         for given in keys:
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -28,7 +28,7 @@
 )
 from plantaingrade.holds.orders import NoSessionError
 from plantaingrade.holds.promises import WitnessBook
-from plantaingrade.holds.registry import KEY_MAP
+from plantaingrade.holds.rows import KEY_MAP
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap, KeyRange
 from plantaingrade.peers.entity import Member, Token
--- a/tests/holds/test_strangers.py
+++ b/tests/holds/test_strangers.py
@@ -14,7 +14,7 @@
     decode_member_row,
     encode_member_row,
 )
-from plantaingrade.holds.registry import TABLE, map_row, member_row
+from plantaingrade.holds.rows import TABLE, map_row, member_row
 from plantaingrade.keyspace.assign import is_complete, split_evenly
 from plantaingrade.keyspace.codec import (
     UnreadableMapError,
@@ -194,7 +194,7 @@
         for place in world.places:
             registry = place.holds.registry
             assert await registry.async_read()
-            assert set(NAMES) <= set(registry.row_by_name)
+            assert set(NAMES) <= set(registry.rows.by_name)
             assert place.maps.find(SERVICE).version == before.version
         await watch(world, 2 * HOLD_S)
         assert world.held_keys() == KEY_COUNT
--- a/tests/peers/test_strangers.py
+++ b/tests/peers/test_strangers.py
@@ -11,7 +11,7 @@
 from plantaingrade.codec import Codec, MalformedMessageError
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.lease import MemberRow, encode_member_row
-from plantaingrade.holds.registry import TABLE, member_row
+from plantaingrade.holds.rows import TABLE, member_row
 from plantaingrade.keyspace.assign import reassign, split_evenly
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyRange
