Renew, wait and repair more rarely the more members there are

By reading the terms: renewals 49 a second (148 keyed members, each 3 s), waits for configurations 20 a second, repairs of what datagrams lost 20 a second.

Ruled out: one transaction for the renewals of a zone (a change of one member fails it for all, and who collects can be lost; kept for later).

Change: renewals of a service together stay at 25 a second up to a pause of 8 s, with both ends of the lease counted from when a renewal is due (holds/times.py); waits grow with the number of processes up to 25 s; repairs come each 0.3 s a member, since an owner that is not known is looked up. Small services as before (up to 75 members, waits 10 s + 0.1 s a member).

Price: keys of a lost instance wait for 6 to 9 s in a service of 148, in place of 3 to 6 s; before leases had two ends it was 10 to 13 s.

Tests of holds, config, peers: 357 passed.

--- a/plantaingrade/config/coordinator.py
+++ b/plantaingrade/config/coordinator.py
@@ -16,8 +16,14 @@
 )
 from plantaingrade.store.interface import Store
 
-# Length of one wait for changes; the platform allows 30 s.
+# Length of one wait for changes; the platform allows 30 s. A wait that hears
+# nothing is ended by the word of another process. The more there are, the
+# sooner one of them hears of a change, and the more of them speak to each: so
+# the waits grow with their number, and 195 processes make 8 calls a second for
+# them in place of 20.
 WAIT_S = 10.0
+WAIT_S_PER_MEMBER = 0.1
+MAX_WAIT_S = 25.0
 # The same after a call that was not answered, until one is. A store that is
 # silent loses what is sent to it, and is back at any moment: with this, the
 # answer time of a call and the longest pause it is asked again within 2.3 s,
@@ -47,6 +53,7 @@
 
     __slots__ = (
         '_ask_peers',
+        '_count_members',
         '_decode',
         '_has_doubt',
         '_hinted',
@@ -70,12 +77,15 @@
         decode: Decode,
         log: EventLog,
         ask_peers: Callable[[], Awaitable[bytes | None]],
+        count_members: Callable[[], int] = int,
     ) -> None:
         """Follow one row, whose body ``decode`` understands.
 
         ``ask_peers`` returns the configuration of another process, for when
-        the store does not answer this one.
+        the store does not answer this one; ``count_members`` how many
+        processes are known.
         """
+        self._count_members = count_members
         self._ask_peers = ask_peers
         # Whether the last wait for changes had no answer.
         self._has_doubt = False
@@ -178,7 +188,7 @@
         nothing tells so before it is over. It shows as an old configuration
         in use seconds after a new one was acknowledged.
         """
-        wait_s = DOUBTFUL_WAIT_S if self._has_doubt else WAIT_S
+        wait_s = self._wait_s()
         outcome = await self._store.async_follow(self._table, after, wait_s)
         self._has_doubt = isinstance(outcome, NotDone)
         match outcome:
@@ -196,6 +206,12 @@
                 await self._async_pause()
                 return after
 
+    def _wait_s(self) -> float:
+        if self._has_doubt:
+            return DOUBTFUL_WAIT_S
+        grown_s = WAIT_S + WAIT_S_PER_MEMBER * self._count_members()
+        return min(MAX_WAIT_S, grown_s)
+
     async def _async_pause(self) -> None:
         """Leave the store alone for a while, longer after each failure."""
         pause_s = self._retry_s
--- a/plantaingrade/holds/const.py
+++ b/plantaingrade/holds/const.py
@@ -1,14 +1,18 @@
 """Times of leases and grants, in seconds."""
 
-# A member's lease in the store. The platform's store may be away for up to
-# 10 s, and a lease that outlasts that keeps keys served meanwhile; the price
-# is that the keys of a lost instance wait for the rest of the lease.
-LEASE_S = 13.0
-# Renewal, so that 10 s of a lease are left when an outage begins.
+# Renewal of a lease in a small service; see ``holds.times`` for larger ones.
 RENEW_S = 3.0
-# First end of a lease: until then a member holds it without the promise of its
-# witnesses. What is left when a renewal is due is a hold of a grant.
-BASE_LEASE_S = 6.0
+# Second end of a lease after a renewal was due. The platform's store may be
+# away for up to 10 s, and a lease that outlasts that keeps keys served.
+OUTAGE_S = 10.0
+# First end of a lease after a renewal was due: until then a member holds it
+# without the promise of its witnesses. It is a hold of a grant.
+SPARE_S = 3.0
+# Both ends in a small service, from a renewal on.
+BASE_LEASE_S = RENEW_S + SPARE_S
+LEASE_S = RENEW_S + OUTAGE_S
+# Pause after a failed renewal: an outage's end is found within this time.
+RETRY_S = 0.25
 # Time before the end of a lease at which witnesses are asked: a renewal is late
 # then, and a grant for the usual hold would outlast the lease.
 ASK_BEFORE_S = 2.7
@@ -16,8 +20,6 @@
 ASK_PAUSE_S = 0.25
 # Witnesses of a lease: two of three are enough, so that one may be lost.
 WITNESS_COUNT = 3
-# Pause after a failed renewal: an outage's end is found within this time.
-RETRY_S = 0.25
 # Hold of a grant. It is renewed from here without the store, so it can be
 # short; a server that no longer answers is waited out for this long before
 # its keys pass on.
@@ -51,8 +53,10 @@
 # A writer's estimate of the store's clock is off by half a call at most, and a
 # call takes 1 s at most; the rest is spare.
 ESTIMATE_SLACK_S = 2.0
+# Longest pause between two renewals, however large the service.
+MAX_RENEW_S = 8.0
 # No lease ends later than this after it was written.
-UNREADABLE_S = LEASE_S + ESTIMATE_SLACK_S
+UNREADABLE_S = MAX_RENEW_S + OUTAGE_S + ESTIMATE_SLACK_S
 # After an outage of the store, members renew within one pause and one call;
 # whoever has not renewed after this time is gone.
 RETURN_GRACE_S = 2.0
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -14,7 +14,6 @@
     ANSWER_MAX_AGE_S,
     BOOTSTRAP_WAIT_S,
     HINT_PAUSE_S,
-    RENEW_S,
     RETRY_S,
     RETURN_GRACE_S,
     SCAN_PERIOD_S,
@@ -231,7 +230,7 @@
         )
         self._note_store(is_ok=committed is not CommitResult.FAILED)
         if committed is CommitResult.DONE:
-            return RENEW_S
+            return self.registry.lease_times().renew_s
         return RETRY_S
 
     async def _async_join(self) -> float:
@@ -259,7 +258,7 @@
             return RETRY_S
         self._wake.set()
         self._on_joined()
-        return RENEW_S
+        return self.registry.lease_times().renew_s
 
     async def _async_grant_loop(self) -> None:
         while True:
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -20,11 +20,7 @@
     CommitResult,
     SentWrite,
 )
-from plantaingrade.holds.const import (
-    BASE_LEASE_S,
-    LEASE_S,
-    RETRY_S,
-)
+from plantaingrade.holds.const import RETRY_S
 from plantaingrade.holds.entity import Witness
 from plantaingrade.holds.lease import (
     MemberRow,
@@ -41,6 +37,7 @@
     member_row,
 )
 from plantaingrade.holds.term import LeaseTerm
+from plantaingrade.holds.times import LeaseTimes, lease_times
 from plantaingrade.holds.turns import TurnPauses
 from plantaingrade.holds.witnesses import Witnesses
 from plantaingrade.keyspace.codec import encode_map
@@ -141,6 +138,11 @@
         """Tell whether this member may grant keys now."""
         return self.is_joined and now < self.lease_until
 
+    def lease_times(self) -> LeaseTimes:
+        """Return the times of leases in a service of this size."""
+        known = max(len(self.rows.by_name), len(self.key_map.owners()))
+        return lease_times(known)
+
     def store_now(self) -> float | None:
         """Return about what the store's clock reads now."""
         return self._store.clock.estimate(self._clock.now())
@@ -290,10 +292,11 @@
         if not self.term.has_open:
             # Else the promises of two sets would be needed.
             self._named = self._witnesses.choose()
-        base_s = BASE_LEASE_S if self._named else LEASE_S
+        times = self.lease_times()
+        base_s = times.base_s if self._named else times.full_s
         return MemberRow(
             self.member,
-            now_s + LEASE_S,
+            now_s + times.full_s,
             write_id,
             self.takes_keys,
             base_until_s=now_s + base_s,
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -53,6 +53,10 @@
 # A lost datagram about a map is made up for by a redirect; what even that
 # does not repair is repaired by this.
 REFRESH_S = 20.0
+# The same for each member, where that is longer: an owner that is not known is
+# looked up, so that this only mends what nobody asks for. 195 members read the
+# store 20 times a second for it, and 6 times with this.
+REFRESH_S_PER_MEMBER = 0.3
 # Pause after the members were read for one that is not known.
 LOOK_UP_PAUSE_S = 1.0
 
@@ -147,11 +151,15 @@
             await asyncio.sleep(pause_s)
         self._announcer.introduce()
         while True:
-            await asyncio.sleep(REFRESH_S)
+            await asyncio.sleep(self._refresh_pause_s())
             self._looked_up.clear()
             await self.async_refresh()
             self._announcer.greet()
 
+    def _refresh_pause_s(self) -> float:
+        count = len(self._directory.members())
+        return max(REFRESH_S, REFRESH_S_PER_MEMBER * count)
+
     async def async_refresh(self) -> bool:
         """Read the members and maps of every service from the store."""
         for service in self._hooks.services():
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -164,6 +164,7 @@
             self._wire.decode_config,
             self._log,
             lambda: self._calls.async_ask_config(),
+            lambda: len(self._directory.members()),
         )
         self._calls = PeerCalls(
             self._own,
