--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -25,11 +25,12 @@
 
 def readings(source: Path) -> set[str]:
     """Return the clocks that a module reads by the library's ``time``."""
-    found = set()
-    for node in ast.walk(ast.parse(source.read_text())):
-        match node:
-            case ast.Attribute(value=ast.Name(id='time'), attr=name):
-                found.add(name)
+    attributes = (
+        node
+        for node in ast.walk(ast.parse(source.read_text()))
+        if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name)
+    )
+    found = {each.attr for each in attributes if each.value.id == 'time'}
     return found & READINGS
 
 
