--- a/tests/guards.py
+++ b/tests/guards.py
@@ -226,6 +226,55 @@
         'if session is None:',
         'tests/http',
     ),
+    Guard(
+        'a witness gives up nothing that it promised',
+        'plantaingrade/holds/promises.py',
+        'if said is None or said.promised_to >= asked.number:',
+        'if said is None:',
+        'tests/holds/test_promises.py',
+    ),
+    Guard(
+        'a witness promises nothing that it gave up',
+        'plantaingrade/holds/promises.py',
+        'if said is None or said.given_up_to >= asked.first:',
+        'if said is None:',
+        'tests/holds/test_promises.py',
+    ),
+    Guard(
+        'another run of a witness says nothing',
+        'plantaingrade/holds/promises.py',
+        'if witness_boot != self.boot:',
+        'if False:',
+        'tests/holds/test_promises.py',
+    ),
+    Guard(
+        'a write that may stand bounds the lease',
+        'plantaingrade/holds/term.py',
+        'return min(self._end_of(each) for each in sent)',
+        'return self._end_of(self._standing)',
+        'tests/holds/test_promises.py',
+    ),
+    Guard(
+        'no keys are released while the store is away',
+        'plantaingrade/holds/transfer.py',
+        'if not self._registry.is_store_answering:',
+        'if False:',
+        'tests/holds/test_store_away.py',
+    ),
+    Guard(
+        'brief calls count on the next free slot',
+        'plantaingrade/admission/slots.py',
+        'return work_s <= BRIEF_PART * self.estimate.longest_s()',
+        'return False',
+        'tests/admission/test_short_calls.py',
+    ),
+    Guard(
+        'waits are short while the store is in doubt',
+        'plantaingrade/config/coordinator.py',
+        'if self._has_doubt:',
+        'if False:',
+        'tests/config',
+    ),
 )
 
 
--- a/tests/holds/test_promises.py
+++ b/tests/holds/test_promises.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from plantaingrade.holds.const import BASE_LEASE_S, LEASE_S, SCAN_PERIOD_S
@@ -162,7 +162,9 @@
 # starts again.
 EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(['promise', 'give-up', 'restart']),
+        st.sampled_from(
+            ['promise', 'give-up', 'promise', 'give-up', 'restart']
+        ),
         st.integers(0, 2),
         st.integers(1, 4),
         st.integers(0, 2),
@@ -171,6 +173,7 @@
 )
 
 
+@settings(max_examples=500, deadline=None)
 @given(EVENTS)
 def test_no_write_is_promised_and_given_up_by_majorities(events) -> None:
     """Questions arrive in any order, late or twice; witnesses start again.
@@ -202,6 +205,26 @@
         assert not all(is_majority(each, WITNESSES) for each in both)
 
 
+@pytest.mark.parametrize('is_promise_first', [False, True])
+def test_what_was_said_first_counts(is_promise_first) -> None:
+    """A witness that takes the second question too has said both."""
+    book = WitnessBook('w')
+    promise = PromiseAsked('m', 'b', 2, 4, 'w')
+    give_up = GiveUpAsked('m', 'b', 3, 'w')
+    if is_promise_first:
+        assert book.on_promise(promise, 0.0)
+        assert not book.on_give_up(give_up, 0.0)
+    else:
+        assert book.on_give_up(give_up, 0.0)
+        assert not book.on_promise(promise, 0.0)
+
+
+def test_a_write_that_no_longer_stands_may_have_been_given_up() -> None:
+    book = WitnessBook('w')
+    assert book.on_give_up(GiveUpAsked('m', 'b', 2, 'w'), 0.0)
+    assert book.on_promise(PromiseAsked('m', 'b', 3, 4, 'w'), 0.0)
+
+
 def test_what_was_said_is_kept_for_longer_than_any_lease() -> None:
     book = WitnessBook('w')
     assert book.on_promise(PromiseAsked('m', 'b', 1, 2, 'w'), 0.0)
