Wait for keys of a server that has not been tried yet

Cause, shown by a test that fails before: a process that starts again knows from the map that a key is its own before it has a session with its server, and a key without a session was refused at once, as of a server that cannot be reached.

Ruled out: the leases with two ends (a process without a lease waits 0.4 s before it refuses); the wait itself (it was not begun).

Change: a server counts as unreachable once it was tried and not reached.

--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -156,7 +156,7 @@
         own = self.find_own(key)
         if own is None:
             return False
-        if not self.granter.has_session:
+        if self.granter.is_unreachable:
             return True
         keys = self.granter.moving_range(key) or own.keys
         return self._unheld.is_overdue(keys, self._clock.now())
--- a/plantaingrade/holds/granter.py
+++ b/plantaingrade/holds/granter.py
@@ -107,9 +107,14 @@
         self.opener = SessionOpener(orders, clock, log)
 
     @property
-    def has_session(self) -> bool:
-        """Tell whether the server can be reached."""
-        return bool(self._orders.session)
+    def is_unreachable(self) -> bool:
+        """Tell whether the server was tried and not reached.
+
+        Failure: a process has just started and has not tried yet. It shows as
+        requests for its keys that are refused at once, though their grants
+        are some milliseconds away.
+        """
+        return not self._orders.session and self.opener.has_failed
 
     def is_held(self, assignment: Assignment, key: int, now: float) -> bool:
         """Tell whether work on a key may begin now.
--- a/plantaingrade/holds/opening.py
+++ b/plantaingrade/holds/opening.py
@@ -19,12 +19,21 @@
     answered.
     """
 
-    __slots__ = ('_clock', '_log', '_next_at', '_orders', '_pause_s')
+    __slots__ = (
+        '_clock',
+        '_log',
+        '_next_at',
+        '_orders',
+        '_pause_s',
+        'has_failed',
+    )
 
     def __init__(
         self, orders: ServerOrders, clock: Clock, log: EventLog
     ) -> None:
         """Open nothing yet."""
+        # Whether the server was not reached when it was tried last.
+        self.has_failed = False
         self._orders = orders
         self._clock = clock
         self._log = log
@@ -46,7 +55,9 @@
             return
         self._next_at = now + self._pause_s
         self._pause_s = min(MAX_OPEN_PAUSE_S, 2 * self._pause_s)
-        if await self._orders.async_open():
+        is_open = await self._orders.async_open()
+        self.has_failed = not is_open
+        if is_open:
             self._log.write('server-session', number=self._orders.session)
 
     def on_answer(self) -> None:
