Bound what a cold backend server gets

Ruled out: messages between processes, since all requests for a server pass the one beside it. Change: a token bucket in the admission, pure, from the declared requests a second of the service and the settings' overage and slack; half of the slack is left to a process that restarts. What does not fit waits as long as it can be in time, or is refused at once. A server asked who it is tells how long it stays cold, so a new life is bound before its first heartbeat. Its load says how many slots it can keep busy.

--- a/plantaingrade/admission/gate.py
+++ b/plantaingrade/admission/gate.py
@@ -31,13 +31,14 @@
 class Gate:
     """Act on the decisions of a slot queue."""
 
-    __slots__ = ('_clock', '_turn_by_ticket', 'queue')
+    __slots__ = ('_clock', '_refill', '_turn_by_ticket', 'queue')
 
     def __init__(self, queue: SlotQueue, clock: Clock) -> None:
         """Use a queue."""
         self.queue = queue
         self._clock = clock
         self._turn_by_ticket: dict[Ticket, asyncio.Future[Verdict]] = {}
+        self._refill: asyncio.TimerHandle | None = None
 
     @asynccontextmanager
     async def slot(self, ticket: Ticket) -> AsyncIterator[None]:
@@ -59,11 +60,12 @@
     def resize(self, slots: int) -> None:
         """Follow the server's number of slots."""
         self.queue.slots = slots
-        self._act(self.queue.fill(self._clock.now()))
+        self._fill()
 
     async def _wait(self, wait: Wait) -> Verdict:
         turn = asyncio.get_running_loop().create_future()
         self._turn_by_ticket[wait.ticket] = turn
+        self._plan_refill()
         try:
             async with asyncio.timeout(wait.give_up_at - self._clock.now()):
                 return await turn
@@ -77,6 +79,27 @@
         finally:
             self._turn_by_ticket.pop(wait.ticket, None)
 
+    def _fill(self) -> None:
+        if self._refill is not None:
+            self._refill.cancel()
+        self._refill = None
+        self._act(self.queue.fill(self._clock.now()))
+        self._plan_refill()
+
+    def _plan_refill(self) -> None:
+        """Look again when a cold server may get one more request.
+
+        Failure: all that ran has ended, and the server was still too cold for
+        those who wait. It shows as slots that stay empty until another
+        request ends, which may be never.
+        """
+        if self._refill is not None:
+            return
+        pause_s = self.queue.refill_s(self._clock.now())
+        if pause_s is not None:
+            loop = asyncio.get_running_loop()
+            self._refill = loop.call_later(pause_s, self._fill)
+
     def _leave(self, ticket: Ticket) -> None:
         """Give up a place, or the slot that came at the same moment."""
         if self._has_slot(ticket):
@@ -89,6 +112,7 @@
 
     def _release(self, ticket: Ticket) -> None:
         self._act(self.queue.release(ticket, self._clock.now()))
+        self._plan_refill()
 
     def _act(self, verdicts: list[Verdict]) -> None:
         for verdict in verdicts:
--- a/plantaingrade/admission/slots.py
+++ b/plantaingrade/admission/slots.py
@@ -19,6 +19,7 @@
 
 from msgspec import Struct
 
+from plantaingrade.admission.cold import ColdAllowance
 from plantaingrade.admission.estimate import WorkEstimate, WorkRate
 from plantaingrade.requests.entity import NotRun, NotRunReason
 
@@ -33,6 +34,9 @@
 # Part of the longest kind of work up to which work counts as brief: on a server
 # with nine slots it holds the others up by a thirtieth of that kind's time.
 BRIEF_PART = 0.3
+# Shortest pause before waiting tickets are looked at again, in seconds: timers
+# fire a millisecond late, and one that fires early would find nothing.
+MIN_REFILL_S = 0.002
 
 
 class Lane(IntEnum):
@@ -94,6 +98,7 @@
         '_numbers',
         '_rate',
         '_started',
+        'cold',
         'estimate',
         'slots',
     )
@@ -101,6 +106,7 @@
     def __init__(self, slots: int, estimate: WorkEstimate) -> None:
         """Start empty."""
         self.slots = slots
+        self.cold = ColdAllowance()
         self.estimate = estimate
         self._rate = WorkRate()
         self._numbers = count()
@@ -128,7 +134,7 @@
         work_s = self.estimate.expected_s(ticket.kind)
         if now + work_s > ticket.until:
             return _refuse(ticket, NotRunReason.TOO_LATE, work_s)
-        if self.running < self.slots and not self.waiting:
+        if self._may_start(now) and not self.waiting:
             return self._start(ticket, now)
         wait_s = self._wait_in_time(ticket, now)
         ends_by = ticket.until if self._is_brief(ticket) else ticket.due
@@ -147,13 +153,26 @@
     def fill(self, now: float) -> list[Verdict]:
         """Give free slots to waiting tickets."""
         verdicts: list[Verdict] = []
-        while self.running < self.slots:
+        while self._may_start(now):
             ticket = self._next(now)
             if ticket is None:
                 break
             verdicts.append(self._start(ticket, now))
         return verdicts
 
+    def refill_s(self, now: float) -> float | None:
+        """Return when ``fill`` is due again if no ticket ends before.
+
+        Nothing is due where nobody waits, or where all slots are taken.
+        """
+        if self.running >= self.slots or not self.waiting:
+            return None
+        return max(MIN_REFILL_S, self.cold.wait_s(now))
+
+    def usable_slots(self, now: float) -> float:
+        """Return how many slots the server can keep busy now."""
+        return self.cold.slots(self.slots, self.estimate.mean_s(), now)
+
     def give_up(self, ticket: Ticket, now: float) -> Verdict:
         """Decide on a ticket whose time to wait has passed.
 
@@ -183,11 +202,15 @@
         ticket.is_waiting = False
         ticket.started = now
         self._started[ticket] = None
+        self.cold.spend(now)
         if ticket.lane is Lane.IN_TIME:
             work_s = self.estimate.expected_s(ticket.kind)
             self._rate.observe(ticket.priority, work_s, now)
         return Start(ticket)
 
+    def _may_start(self, now: float) -> bool:
+        return self.running < self.slots and not self.cold.wait_s(now)
+
     def _line_up(self, ticket: Ticket, lane: Lane, give_up_at: float) -> Wait:
         ticket.lane = lane
         ticket.is_waiting = True
@@ -236,7 +259,8 @@
             wait_s = first_free_s(rests_s, ahead_s, self.slots)
         else:
             wait_s = self._even_share_s([*rests_s, *ahead_s])
-        return wait_s / self._share_left(ticket.priority, now)
+        wait_s /= self._share_left(ticket.priority, now)
+        return max(wait_s, self.cold.wait_s(now, len(ahead_s)))
 
     def _wait_late(self, ticket: Ticket, now: float) -> float:
         """Predict the wait for slots that requests in time leave."""
@@ -247,7 +271,8 @@
             if place[-1] is not ticket and place[-1].is_waiting
         ]
         wait_s = self._even_share_s([*self._rests_s(now), *ahead_s])
-        return wait_s / self._share_left(None, now)
+        wait_s /= self._share_left(None, now)
+        return max(wait_s, self.cold.wait_s(now, len(ahead_s)))
 
     def _even_share_s(self, work_s: Sequence[float]) -> float:
         """Return how long work takes if all slots share it evenly."""
--- a/plantaingrade/backends/report.py
+++ b/plantaingrade/backends/report.py
@@ -48,6 +48,17 @@
     sequence: int
 
 
+class ServerPresence(Struct, frozen=True):
+    """What a server says when it is asked who it is.
+
+    ``cold_s`` is how long it will stay slow, or nothing where it does not
+    tell.
+    """
+
+    instance: str
+    cold_s: float | None = None
+
+
 class Farewell(Struct, frozen=True):
     """The server says that this life of it leaves."""
 
--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -81,7 +81,7 @@
         now = self._clock.now()
         self._reserved = [each for each in self._reserved if each[0] > now]
         work = self._meter.demand(now) + sum(each[1] for each in self._reserved)
-        slots = max(1, self._queue.slots)
+        slots = max(1, round(self._queue.usable_slots(now)))
         share = LEAVING_SHARE if self.is_leaving else work / slots
         return Load(share, self._queue.estimate.mean_s(), slots)
 
--- a/plantaingrade/config/entity.py
+++ b/plantaingrade/config/entity.py
@@ -33,12 +33,17 @@
 
 
 class ServiceConfig(Struct, frozen=True):
-    """One service as the operator declares it."""
+    """One service as the operator declares it.
+
+    ``cold_per_s`` is how many requests a second one of its servers tolerates
+    while it is cold, or nothing where that is not declared.
+    """
 
     name: str
     is_keyed: bool
     health_path: str
     max_connections: int
+    cold_per_s: float | None = None
 
 
 class Limits(Struct, frozen=True):
--- a/plantaingrade/holds/orders.py
+++ b/plantaingrade/holds/orders.py
@@ -4,6 +4,7 @@
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
+from plantaingrade.backends.report import ServerPresence
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.holds.entity import Grant, OrderOutcome, Release
 
@@ -50,8 +51,8 @@
     ) -> OrderOutcome:
         """Take a range back; wait until running work on it has ended."""
 
-    async def async_ask_instance(self, path: str) -> str | None:
-        """Return the id of the server's present life, if it tells one."""
+    async def async_ask_presence(self, path: str) -> ServerPresence | None:
+        """Return what the server's present life says of itself, if it does."""
 
     def close(self) -> None:
         """End the session."""
--- a/plantaingrade/platform/config.py
+++ b/plantaingrade/platform/config.py
@@ -21,6 +21,8 @@
 # Hosts and paths may be longer than names.
 MAX_PATH_CHARS = 4096
 MAX_WEIGHT = 1e9
+FIELD_COLD = 'coldPerS'
+MAX_COLD_PER_S = 1e9
 
 
 def decode_config(body: bytes) -> RoutingConfig:
@@ -63,9 +65,16 @@
         is_keyed=raw.flag('sharded') if raw.has('sharded') else False,
         health_path=raw.text('healthCheckPath', MAX_PATH_CHARS),
         max_connections=_count(raw, 'maxConnections', DEFAULT_CONNECTIONS),
+        cold_per_s=_read_cold(raw),
     )
 
 
+def _read_cold(raw: Fields) -> float | None:
+    if not raw.has(FIELD_COLD):
+        return None
+    return raw.number(FIELD_COLD, 0, MAX_COLD_PER_S)
+
+
 def _read_route(name: str, raw: Fields) -> Route:
     kind = raw.text('type')
     if kind not in {TYPE_IDEMPOTENT, TYPE_ONCE}:
--- a/plantaingrade/platform/const.py
+++ b/plantaingrade/platform/const.py
@@ -9,6 +9,7 @@
 HEADER_CALLER = b'caller-service'
 HEADER_INSTANCE = b'instance-id'
 HEADER_KEY = b'shard-key'
+HEADER_COLD = b'cold-ms'
 HEADER_HANDOVER = b'handover'
 HEADER_ENCODING = b'content-encoding'
 
--- a/plantaingrade/platform/orders.py
+++ b/plantaingrade/platform/orders.py
@@ -5,6 +5,8 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
+from plantaingrade.backends.report import ServerPresence
+from plantaingrade.const import MS_PER_S
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.holds.entity import (
     Accepted,
@@ -16,12 +18,13 @@
     Unanswered,
     Unsent,
 )
+from plantaingrade.holds.orders import NoSessionError
 from plantaingrade.http.channel import ChannelClosedError
 from plantaingrade.http.client import Call, Reply, fetch
 from plantaingrade.http.pool import ConnectFailedError, Pool
-from plantaingrade.holds.orders import NoSessionError
 from plantaingrade.http.session import SessionEndedError, Sessions, Turn
 from plantaingrade.platform.const import (
+    HEADER_COLD,
     HEADER_HANDOVER,
     HEADER_INSTANCE,
     PATH_GRANT,
@@ -33,6 +36,8 @@
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 HEALTH_TIMEOUT_S = 0.5
+# Eleven days in milliseconds; more is no time that a server stays cold.
+MAX_COLD_DIGITS = 9
 
 
 class OrderRejectedError(PlantaingradeError):
@@ -129,8 +134,8 @@
         """End the session."""
         self._sessions.close()
 
-    async def async_ask_instance(self, path: str) -> str | None:
-        """Return the id of the server's present life, if it tells one.
+    async def async_ask_presence(self, path: str) -> ServerPresence | None:
+        """Return what the server's present life says of itself, if it does.
 
         Uses the health check, which takes a slot like any other request.
         """
@@ -141,7 +146,10 @@
                 )
         except (TimeoutError, ConnectFailedError, ChannelClosedError):
             return None
-        return _read_text(reply, HEADER_INSTANCE) or None
+        instance = _read_text(reply, HEADER_INSTANCE)
+        if not instance:
+            return None
+        return ServerPresence(instance, _read_cold_s(reply))
 
 
 def _make_call(address: str, path: str, fields: dict[str, object]) -> Call:
@@ -169,6 +177,13 @@
     return Rejected(reply.status)
 
 
+def _read_cold_s(reply: Reply) -> float | None:
+    text = _read_text(reply, HEADER_COLD)
+    if not text.isdigit() or len(text) > MAX_COLD_DIGITS:
+        return None
+    return int(text) / MS_PER_S
+
+
 def _read_text(reply: Reply, name: bytes) -> str:
     """Return a header's text, empty if there is none that can be read."""
     try:
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -17,7 +17,6 @@
 from plantaingrade.balance.others import Others
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
-from plantaingrade.config.entity import RoutingConfig
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator, MemberLinks
 from plantaingrade.http.pool import split_address
@@ -45,6 +44,7 @@
     INTERNAL_IDLE_S,
     VERIFY_PAUSE_S,
 )
+from plantaingrade.sidecar.effects import ConfigEffects
 from plantaingrade.sidecar.figures import Figures
 from plantaingrade.sidecar.fronts import (
     CallerFront,
@@ -204,7 +204,6 @@
             self._on_joined,
         )
         self._maps.listen(lambda service, _: self.holds.on_map(service))
-        self._config.listen(self._on_config)
 
     def _build_paths(self) -> None:
         queue = SlotQueue(FIRST_SLOTS, WorkEstimate())
@@ -279,7 +278,10 @@
             self._life,
             self._orders,
             LifeHooks(
-                self._on_new_life, self._balance.leave, self._gate.resize
+                self._on_new_life,
+                self._balance.leave,
+                self._gate.resize,
+                self._gate.queue.cold.stay_cold,
             ),
             self._config,
             self._clock,
@@ -363,6 +365,14 @@
         self._caller_server = await self._async_serve(
             listeners.callers, self._caller_front.async_handle
         )
+        effects = ConfigEffects(
+            self._own.service,
+            self._settings.bounds,
+            self._caller_server,
+            self._caller_front,
+            self._gate.queue.cold,
+        )
+        self._config.listen(effects.apply)
         peers_bind = self._options.peers_bind or listeners.peers
         serve_by_address = {
             peers_bind: self._peer_front.async_handle,
@@ -461,9 +471,5 @@
         if not self._is_leaving:
             self._balance.stay()
 
-    def _on_config(self, config: RoutingConfig) -> None:
-        self._caller_server.idle_s = config.limits.idle_timeout_s
-        self._caller_front.limits = config.limits
-
     def _on_joined(self) -> None:
         self._start(self._peers.async_refresh())
--- a/plantaingrade/sidecar/server_watch.py
+++ b/plantaingrade/sidecar/server_watch.py
@@ -37,12 +37,14 @@
     """What is told of the server's lives.
 
     ``on_new_life`` is told of each new one, ``on_leaving`` that the present
-    one leaves, and ``on_slots`` how many slots it has, with each report.
+    one leaves, ``on_slots`` how many slots it has, with each report, and
+    ``on_cold`` until when it is cold, whenever it says so.
     """
 
     on_new_life: Callable[[], None]
     on_leaving: Callable[[], None]
     on_slots: Callable[[int], None]
+    on_cold: Callable[[float], None]
 
 
 class ServerWatch:
@@ -87,6 +89,7 @@
                 if not self._server.is_named_by(report):
                     return False
                 self._follow(self._life.on_heartbeat(report, now))
+                self._hooks.on_cold(self._life.cold_until)
             case Farewell(life):
                 self._log.write(
                     'server-farewell', instance=life.instance, born=life.born_ms
@@ -114,9 +117,14 @@
         service = config and config.service_by_name.get(self._server.service)
         if not service:
             return
-        instance = await self._orders.async_ask_instance(service.health_path)
-        if instance:
-            self._follow(self._life.on_named(instance, self._clock.now()))
+        presence = await self._orders.async_ask_presence(service.health_path)
+        if presence is None:
+            return
+        now = self._clock.now()
+        if presence.cold_s is not None:
+            # Told first: with a new life, work may go to it at once.
+            self._hooks.on_cold(now + presence.cold_s)
+        self._follow(self._life.on_named(presence.instance, now))
 
     def stop(self) -> None:
         """Stop asking."""
--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -26,6 +26,7 @@
 from plantaingrade.keyspace.entity import KeyRange
 from plantaingrade.platform.const import (
     HEADER_CALLER,
+    HEADER_COLD,
     HEADER_EXPECTED,
     HEADER_HANDOVER,
     HEADER_INSTANCE,
@@ -40,6 +41,7 @@
 from plantaingrade.platform.units import parse_time
 from plantaingrade.requests.entity import Answer
 from plantaingrade.sidecar.fronts import refuse_malformed, send_answer
+from standins.cold import Coldness
 from standins.fences import Taken, find_old_fences
 from standins.life import Heartbeat, Life
 from standins.reports import Reporter
@@ -184,6 +186,7 @@
         self._random = random.Random(seed)
         self.life = life or Life.from_seed(seed)
         self.state = 'ready'
+        self.cold = Coldness(clock)
         self.is_up = False
         self.running = 0
         self.holds: list[Hold] = []
@@ -236,7 +239,8 @@
 
     async def async_heartbeat(self) -> bool:
         """Send one heartbeat; tell whether it was acknowledged."""
-        return await self.reporter.async_say(self.state) == STATUS_OK
+        status = await self.reporter.async_say(self.state, self.cold.left_s)
+        return status == STATUS_OK
 
     def holds_key(self, key: int) -> bool:
         """Tell whether this server may work on a key now."""
@@ -265,7 +269,8 @@
         elif path == PATH_RELEASE:
             await self._release(json.loads(body), channel)
         elif path == '/healthz':
-            self._send(channel, STATUS_OK, ())
+            cold_ms = str(int(self.cold.left_s * MS_PER_S)).encode()
+            self._send(channel, STATUS_OK, ((HEADER_COLD, cold_ms),))
         else:
             await self._run(raw, channel)
 
--- a/standins/life.py
+++ b/standins/life.py
@@ -52,6 +52,7 @@
     capacity: int
     state: str
     sequence: int
+    cold_s: float = 0.0
 
     def fields(self) -> dict[str, Any]:
         """Return the fields as they go over the wire."""
@@ -62,7 +63,7 @@
             'version': 'v1',
             'capacity': self.capacity,
             'state': self.state,
-            'coldRemaining': format_time(0),
+            'coldRemaining': format_time(self.cold_s),
             'sequence': self.sequence,
             'born': self.life.born_ms,
         }
--- a/standins/reports.py
+++ b/standins/reports.py
@@ -25,9 +25,9 @@
         self._address = address
         self._pool = pool
 
-    async def async_say(self, state: str) -> int | None:
+    async def async_say(self, state: str, cold_s: float = 0.0) -> int | None:
         """Send one heartbeat; return the answer's status, if one came."""
-        heartbeat = replace(self._next, state=state)
+        heartbeat = replace(self._next, state=state, cold_s=cold_s)
         self._next = replace(self._next, sequence=self._next.sequence + 1)
         body = json.dumps(heartbeat.fields()).encode()
         return await self._async_put(heartbeat.life.instance, body)
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 
 from plantaingrade.backends.life import BackendLife
+from plantaingrade.backends.report import ServerPresence
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.const import WITNESS_COUNT
 from plantaingrade.holds.coordinator import HoldCoordinator, MemberLinks
@@ -322,9 +323,11 @@
         await asyncio.sleep(CALL_S)
         return Accepted(f'token-{release.keys.first}')
 
-    async def async_ask_instance(self, path: str) -> str | None:
+    async def async_ask_presence(self, path: str) -> ServerPresence | None:
         """Return the server's id."""
-        return self.server.instance if self.server.is_up else None
+        if not self.server.is_up:
+            return None
+        return ServerPresence(self.server.instance)
 
     def close(self) -> None:
         """End the session."""
