Evacuate an availability zone when an operator asks

Change: the follower of the configuration hears of these rows by the same feed, at no call more. A process of the zone refuses work without keys at once, gives its keys away, and lets nothing through from half of the allowed time on, at once if it cannot know since when. Others choose no server there. When the zone returns its server is asked whether it is cold before it gets anything. The wish of an operator for one server and an evacuation share one path (Retreat).

--- a/plantaingrade/config/coordinator.py
+++ b/plantaingrade/config/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from plantaingrade.config.entity import RoutingConfig
 from plantaingrade.config.lookup import RouteTable
@@ -48,6 +49,13 @@
 Decode = Callable[[bytes], RoutingConfig]
 
 
+class RowListener(Protocol):
+    """Listener to the rows of the followed table."""
+
+    def __call__(self, rows: tuple[Row, ...], *, is_whole: bool) -> None:
+        """Take rows that have changed, or all that there are."""
+
+
 class ConfigFollower:
     """Keep the newest configuration; never go back to an older one."""
 
@@ -63,6 +71,7 @@
         '_listeners',
         '_log',
         '_retry_s',
+        '_row_listeners',
         '_store',
         '_table',
         'config',
@@ -99,6 +108,7 @@
         self._decode = decode
         self._log = log
         self._listeners: list[Callable[[RoutingConfig], None]] = []
+        self._row_listeners: list[RowListener] = []
         self.config: RoutingConfig | None = None
         self.routes: RouteTable | None = None
 
@@ -111,6 +121,10 @@
         """Call back after each change."""
         self._listeners.append(listener)
 
+    def listen_rows(self, listener: RowListener) -> None:
+        """Have all rows of the table told, and whether those are all it has."""
+        self._row_listeners.append(listener)
+
     def on_hint(self, version: int) -> None:
         """Take the word of another process that a version is in force.
 
@@ -178,7 +192,7 @@
         if not isinstance(outcome, RangeRead):
             self._log.write('config-not-read', why=outcome.failure)
             return None
-        self._take(outcome.rows)
+        self._take(outcome.rows, is_whole=True)
         return outcome.version
 
     async def _async_follow(self, after: int) -> int | None:
@@ -195,7 +209,7 @@
             case Changes(rows=rows, version=version):
                 self._retry_s = RETRY_S
                 if rows:
-                    self._take(rows)
+                    self._take(rows, is_whole=False)
                     await asyncio.sleep(SETTLE_S)
                 return version
             case HistoryGone():
@@ -218,7 +232,9 @@
         self._retry_s = min(MAX_RETRY_S, 2 * pause_s)
         await asyncio.sleep(pause_s)
 
-    def _take(self, rows: tuple[Row, ...]) -> None:
+    def _take(self, rows: tuple[Row, ...], *, is_whole: bool) -> None:
+        for listener in self._row_listeners:
+            listener(rows, is_whole=is_whole)
         for row in rows:
             if row.name.key == self._key and not row.is_deleted:
                 self._take_config(row.body, source='store')
--- a/plantaingrade/platform/const.py
+++ b/plantaingrade/platform/const.py
@@ -23,6 +23,7 @@
 
 TABLE_OPERATOR = 'op'
 KEY_CONFIG = 'config'
+PREFIX_EVACUATION = 'evacuate/'
 
 ENV_SETTINGS = 'PLANTAINGRADE_BOOT'
 STATE_READY = 'ready'
--- a/plantaingrade/platform/settings.py
+++ b/plantaingrade/platform/settings.py
@@ -161,6 +161,9 @@
             f'{bounds}budgetWindow', parse_time, DEFAULT_WINDOW_S
         ),
         retry_slack=reader.take(f'{bounds}retryBudgetSlack', float, 0.0),
+        cold_overage=reader.take(f'{bounds}coldOverage', float, 1.0),
+        cold_slack=reader.take(f'{bounds}coldSlack', float, 0.0),
+        evacuate_s=reader.take(f'{bounds}evacuate', parse_time, 0.0),
     )
 
 
--- a/plantaingrade/platform/wire.py
+++ b/plantaingrade/platform/wire.py
@@ -8,6 +8,7 @@
 from plantaingrade.platform.const import (
     KEY_CONFIG,
     PATH_READY,
+    PREFIX_EVACUATION,
     TABLE_OPERATOR,
 )
 from plantaingrade.platform.headers import (
@@ -28,6 +29,7 @@
     return PlatformWire(
         config_table=TABLE_OPERATOR,
         config_key=KEY_CONFIG,
+        evacuation_prefix=PREFIX_EVACUATION,
         ready_path=PATH_READY,
         decode_config=decode_config,
         decode_request=decode_request,
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -82,6 +82,7 @@
         '_wire',
         'is_closed',
         'is_drained',
+        'is_evacuated',
     )
 
     def __init__(
@@ -99,6 +100,8 @@
         self.is_closed = False
         # By an operator; keys are still served until they have passed on.
         self.is_drained = False
+        # By an operator; nothing is served, whoever owns the keys.
+        self.is_evacuated = False
         self._hooks = hooks
         self._wire = wire
         self._life = life
@@ -211,6 +214,8 @@
     def _refuse_by_state(self, routed: RoutedRequest) -> NotRun | None:
         if self.is_closed:
             return NotRun(NotRunReason.LEAVING)
+        if self.is_evacuated:
+            return NotRun(NotRunReason.DRAINING, DEFAULT_RETRY_AFTER_S)
         if self.is_drained and not self._needs_hold(routed):
             return NotRun(NotRunReason.DRAINING, DEFAULT_RETRY_AFTER_S)
         if self._hooks.is_keyed() is None:
--- a/plantaingrade/requests/targets.py
+++ b/plantaingrade/requests/targets.py
@@ -23,6 +23,7 @@
     """Choose by owner for requests with a key, else by zone and load."""
 
     __slots__ = (
+        '_away_zones',
         '_clock',
         '_directory',
         '_failures',
@@ -43,13 +44,16 @@
         pull_map: Callable[[str, Member], None],
         look_up: Callable[[str], None],
         load_of: LoadOf,
+        away_zones: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         """Choose on behalf of one process.
 
         ``pull_map`` asks a member for the whole map of a service. ``look_up``
         is told of an owner that is not known. ``load_of`` tells the load of a
-        member at a time, if it is known.
+        member at a time, if it is known. ``away_zones`` names the zones that
+        are evacuated.
         """
+        self._away_zones = away_zones
         self._failures = FailureRates()
         self._load_of = load_of
         self._look_up = look_up
@@ -135,6 +139,7 @@
 
     def _places(self, service: str, tried: set[str]) -> list[Place]:
         now = self._clock.now()
+        away = self._away_zones()
         return [
             Place(
                 member,
@@ -142,5 +147,5 @@
                 self._failures.rate(member.name, now),
             )
             for member in self._directory.serving(service)
-            if member.name not in tried
+            if member.name not in tried and member.zone not in away
         ]
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -5,7 +5,6 @@
 import os
 from types import TracebackType
 
-
 from plantaingrade.admission.estimate import WorkEstimate
 from plantaingrade.admission.gate import Gate
 from plantaingrade.admission.repeats import RepeatBudget
@@ -17,13 +16,13 @@
 from plantaingrade.balance.others import Others
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
+from plantaingrade.config.evacuations import Evacuations
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator, MemberLinks
 from plantaingrade.http.pool import split_address
 from plantaingrade.http.server import HttpServer, RequestServer
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.operators.desk import OperatorDesk
-from plantaingrade.operators.wishes import Wish, WishedState
 from plantaingrade.peers.calls import PeerCalls
 from plantaingrade.peers.coordinator import PeerCoordinator, PeerHooks
 from plantaingrade.peers.directory import Directory
@@ -37,13 +36,13 @@
     ServerWire,
 )
 from plantaingrade.requests.targets import TargetChooser
-from plantaingrade.sidecar.control import Control
 from plantaingrade.sidecar.const import (
     FINISH_PART,
     FIRST_SLOTS,
     INTERNAL_IDLE_S,
     VERIFY_PAUSE_S,
 )
+from plantaingrade.sidecar.control import Control
 from plantaingrade.sidecar.effects import ConfigEffects
 from plantaingrade.sidecar.figures import Figures
 from plantaingrade.sidecar.fronts import (
@@ -56,6 +55,7 @@
 )
 from plantaingrade.sidecar.leaving import Leaving
 from plantaingrade.sidecar.pools import Pools
+from plantaingrade.sidecar.retreat import Retreat
 from plantaingrade.sidecar.server_watch import LifeHooks, OwnServer, ServerWatch
 from plantaingrade.sidecar.settings import InstanceSettings, OwnOptions
 from plantaingrade.sidecar.wire import PlatformWire
@@ -105,6 +105,7 @@
     ) -> None:
         """Stop everything that was started."""
         self._watch.stop()
+        self._retreat.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -183,7 +184,9 @@
             self._clock,
             self._log,
             self._loads,
-            PeerHooks(self._service_names, self._apply_wish),
+            PeerHooks(
+                self._service_names, lambda wish: self._retreat.on_wish(wish)
+            ),
         )
         store = RelayedStore(
             self._direct_store,
@@ -204,6 +207,8 @@
             self._on_joined,
         )
         self._maps.listen(lambda service, _: self.holds.on_map(service))
+        self._evacuations = Evacuations(self._wire.evacuation_prefix)
+        self._config.listen_rows(self._evacuations.take)
 
     def _build_paths(self) -> None:
         queue = SlotQueue(FIRST_SLOTS, WorkEstimate())
@@ -256,6 +261,7 @@
             self._peers.map_follower.pull,
             self._peers.look_up,
             self._load_of,
+            lambda: self._evacuations.zones,
         )
         bounds = self._settings.bounds
         self._requests = RequestCoordinator(
@@ -287,6 +293,16 @@
             self._clock,
             self._log,
         )
+        self._retreat = Retreat(
+            self._server_path,
+            self._balance,
+            self._watch.async_ask,
+            lambda: self._life.takes_work and not self._is_leaving,
+            self._own.zone,
+            self._settings.bounds.evacuate_s,
+            self._log,
+        )
+        self._evacuations.listen(self._retreat.on_evacuations)
         self._caller_front = CallerFront(
             self._requests,
             self._wire.decode_request,
@@ -304,7 +320,7 @@
             self._direct_store,
             self._clock,
         )
-        self._operators.apply_by(self._apply_wish)
+        self._operators.apply_by(self._retreat.on_wish)
         self._operators.show_life_by(lambda: self._life.present)
         self._peer_front = PeerFront(
             self._settings.service,
@@ -441,25 +457,6 @@
             return []
         return sorted(self._config.config.service_by_name)
 
-    def _apply_wish(self, wish: Wish) -> None:
-        """Follow what an operator wants of the own server."""
-        is_drained = wish.state is not WishedState.SERVE
-        if is_drained == self._balance.is_drained:
-            return
-        self._log.write(
-            'wish-followed',
-            state=wish.state,
-            command=wish.command_id,
-            operator=wish.operator,
-            version=wish.version,
-        )
-        self._server_path.is_drained = is_drained
-        self._balance.is_drained = is_drained
-        if is_drained:
-            self._balance.leave()
-        elif self._life.takes_work and not self._is_leaving:
-            self._balance.stay()
-
     def _on_new_life(self) -> None:
         """Forget the life before; take keys again unless told to stop.
 
--- a/plantaingrade/sidecar/settings.py
+++ b/plantaingrade/sidecar/settings.py
@@ -59,6 +59,12 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    # A cold server may get its tolerated requests a second times the first
+    # figure, and the second one more.
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+    # Time from an operator's word until nothing goes to the servers of a zone.
+    evacuate_s: float = 0.0
 
 
 class InstanceSettings(Struct, frozen=True):
--- a/plantaingrade/sidecar/wire.py
+++ b/plantaingrade/sidecar/wire.py
@@ -23,6 +23,7 @@
 
     config_table: str
     config_key: str
+    evacuation_prefix: str
     ready_path: bytes
     decode_config: Callable[[bytes], RoutingConfig]
     decode_request: Callable[[h11.Request, bytes, float], CallerRequest]
--- a/standins/shared_store.py
+++ b/standins/shared_store.py
@@ -126,6 +126,10 @@
         }
         self.commit({'puts': [entry]})
 
+    def delete(self, table: str, key: str, part: str = '') -> None:
+        """Delete a row without a condition, as other writers do."""
+        self.commit({'deletes': [{'table': table, 'part': part, 'key': key}]})
+
     def version_of(self, name: Name) -> int:
         """Return a row's version, 0 if it is not there."""
         row = self.row_by_name.get(name)
--- a/tests/sidecar/rig.py
+++ b/tests/sidecar/rig.py
@@ -6,6 +6,8 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
+from msgspec.structs import replace
+
 from plantaingrade.clock import BootClock
 from plantaingrade.eventlog import EventLog
 from plantaingrade.http.client import Call, Reply, fetch
@@ -59,6 +61,7 @@
         self._pool = Pool(self.clock, connect_timeout_s=WAIT_LIMIT_S)
         self._stack = AsyncExitStack()
         self._seed = 0
+        self.evacuate_s = 0.0
         self._log = EventLog('rig', self.clock, _null())
 
     async def __aenter__(self) -> 'Rig':
@@ -114,6 +117,8 @@
         settings = _settings(
             f'127.{self._net}.0.{number}', zone, service, self.store_address
         )
+        bounds = replace(settings.bounds, evacuate_s=self.evacuate_s)
+        settings = replace(settings, bounds=bounds)
         plan = ServerPlan(
             service,
             zone,
