Refuse requests that crash one server after the other

Cause: a request that crashes each server that begins to run it was sent on as often as its caller came back; nothing recognised it. Change: a request is known by service, caller, method, path and body. The process beside a server that crashed tells all others by a datagram what ran there; each counts the evidence, one part in what ran together, a third at least. A request is refused for a minute after two crashes that it alone explains, or three in any case, unless a server answered it lately. Pure decisions, bounded in number and time. The refusal is true: it was not sent.

--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -36,6 +36,7 @@
     MapChanged,
     Member,
     Passed,
+    ServerCrashed,
     Token,
     Welcome,
     Word,
@@ -67,11 +68,13 @@
     """What the coordinator asks and tells.
 
     ``services`` names all that are configured; ``on_wish`` is told what
-    operators want of the own server.
+    operators want of the own server, and ``on_crash`` what ran at another
+    member's server when that crashed.
     """
 
     services: Callable[[], Iterable[str]]
     on_wish: Callable[[Wish], None]
+    on_crash: Callable[[tuple[str, ...]], None]
 
 
 class PeerCoordinator:
@@ -292,6 +295,10 @@
         )
         self._announcer.tell(message, names)
 
+    def tell_crash(self, prints: tuple[str, ...]) -> None:
+        """Tell every member what ran at the own server when it crashed."""
+        self._announcer.tell_all(ServerCrashed(prints))
+
     def take_handed(self, body: bytes) -> Handed | None:
         """Take the word that keys have passed to this member.
 
@@ -313,8 +320,7 @@
             case Hello(member) if member.is_addressed():
                 self._welcome(member)
             case Welcome(member):
-                self._meet(member)
-                self._announcer.on_welcome(member.name)
+                self._on_welcome(member)
             case Introduced(member):
                 self._meet(member)
             case Goodbye(name, boot):
@@ -322,11 +328,20 @@
                 self._log.write('member-left', member=name, boot=boot)
             case MapChanged():
                 self.map_follower.on_changed(message)
+            case ServerCrashed(prints):
+                self._hooks.on_crash(prints)
             case Passed(word):
                 self._on_passed(message, word)
-            case LoadTold(name, share, work_s, slots):
-                load = Load(share, work_s, slots)
-                self._loads.note(name, load, self._clock.now())
+            case LoadTold():
+                self._on_load(message)
+
+    def _on_welcome(self, member: Member) -> None:
+        self._meet(member)
+        self._announcer.on_welcome(member.name)
+
+    def _on_load(self, told: LoadTold) -> None:
+        load = Load(told.share, told.work_s, told.slots)
+        self._loads.note(told.name, load, self._clock.now())
 
     def _on_passed(self, passed: Passed, word: Word) -> None:
         """Take a word that is meant for the whole zone."""
--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -139,8 +139,14 @@
     member: Member
 
 
+class ServerCrashed(Message):
+    """A member's server crashed; ``prints`` names what ran there."""
+
+    prints: tuple[str, ...]
+
+
 # What concerns all members.
-Word = Introduced | Goodbye | MapChanged
+Word = Introduced | Goodbye | MapChanged | ServerCrashed
 
 
 class Passed(Message):
@@ -154,7 +160,14 @@
 
 
 Datagram = (
-    Hello | Welcome | Introduced | Goodbye | MapChanged | LoadTold | Passed
+    Hello
+    | Welcome
+    | Introduced
+    | Goodbye
+    | MapChanged
+    | LoadTold
+    | Passed
+    | ServerCrashed
 )
 
 
--- a/plantaingrade/requests/entity.py
+++ b/plantaingrade/requests/entity.py
@@ -31,6 +31,7 @@
     UNREACHABLE = 'process-unreachable'
     LEAVING = 'process-leaving'
     NO_ROOM = 'no-room-for-body'
+    CRASHES = 'crashes-servers'
 
 
 class UnknownReason(StrEnum):
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -28,6 +28,7 @@
     ONCE_IDLE_S,
     SERVER_GRACE_S,
 )
+from plantaingrade.requests.crashes import CrashWatch
 from plantaingrade.requests.entity import (
     Answer,
     Answered,
@@ -39,6 +40,7 @@
     Unknown,
     UnknownReason,
 )
+from plantaingrade.requests.suspects import Suspects, fingerprint
 
 # Stands for no key where work is counted by key.
 NO_KEY = -1
@@ -60,12 +62,14 @@
     ``is_keyed`` tells whether the server's service is divided by key, or
     nothing while no configuration is known. ``on_other_life`` is told of an
     unexpected id. ``observe`` is told of each key asked for here, or of
-    ``NO_KEY``, with the work that it brings.
+    ``NO_KEY``, with the work that it brings. ``on_crash`` is told what ran at
+    the server when it crashed.
     """
 
     is_keyed: Callable[[], bool | None]
     on_other_life: Callable[[str], None]
     observe: Callable[[int, float], None]
+    on_crash: Callable[[tuple[str, ...]], None]
 
 
 class ServerPath:
@@ -73,6 +77,7 @@
 
     __slots__ = (
         '_clock',
+        '_crashes',
         '_gate',
         '_holds',
         '_hooks',
@@ -103,6 +108,7 @@
         # By an operator; nothing is served, whoever owns the keys.
         self.is_evacuated = False
         self._hooks = hooks
+        self._crashes = CrashWatch(Suspects())
         self._wire = wire
         self._life = life
         self._holds = holds
@@ -120,6 +126,11 @@
         whether it ran.
         """
         self._pool.forget(self._wire.address)
+        self._note_down()
+
+    def suspect(self, prints: tuple[str, ...]) -> None:
+        """Take what ran at a server when it crashed, here or elsewhere."""
+        self._crashes.suspects.note_crash(prints, self._clock.now())
 
     async def async_serve(
         self, routed: RoutedRequest, map_version: int = 0
@@ -189,7 +200,7 @@
         )
 
     async def _async_decide(self, routed: RoutedRequest) -> Outcome:
-        refusal = self._refuse_by_state(routed)
+        refusal = self._refuse_by_state(routed) or self._refuse_suspect(routed)
         if refusal is None and not self._needs_hold(routed):
             self._observe(routed, NO_KEY)
         if refusal is None and self._needs_hold(routed):
@@ -203,6 +214,19 @@
         except RefusedError as error:
             return error.outcome
 
+    def _refuse_suspect(self, routed: RoutedRequest) -> NotRun | None:
+        """Refuse a request that one server after the other crashed with."""
+        print_ = fingerprint(routed)
+        left_s = self._crashes.suspects.left_s(print_, self._clock.now())
+        return NotRun(NotRunReason.CRASHES, left_s) if left_s else None
+
+    def _note_down(self) -> None:
+        prints = self._crashes.on_down(self._clock.now())
+        if prints:
+            self._log.write('server-crashed', ran=prints)
+            self.suspect(prints)
+            self._hooks.on_crash(prints)
+
     def _observe(self, routed: RoutedRequest, key: int) -> None:
         """Count what a request asks of the server, whatever comes of it."""
         work_s = self._gate.queue.estimate.expected_s(routed.kind)
@@ -287,6 +311,7 @@
                 id=routed.caller.request_id.decode('ascii', 'replace'),
                 why=str(error.__cause__),
             )
+            self._note_down()
             return NotRun(NotRunReason.CONNECT_FAILED, DEFAULT_RETRY_AFTER_S)
         headers = tuple(self._wire.encode(routed, instance, left_s))
         caller = routed.caller
@@ -297,7 +322,27 @@
         except ChannelClosedError:
             channel.abort()
             return NotRun(NotRunReason.CONNECT_FAILED, DEFAULT_RETRY_AFTER_S)
-        return await self._async_read(routed, channel, request)
+        return await self._async_watch(routed, channel, request)
+
+    async def _async_watch(
+        self, routed: RoutedRequest, channel: Channel, request: h11.Request
+    ) -> Outcome:
+        """Read the answer, and note what it tells of the server's health."""
+        print_ = fingerprint(routed)
+        self._crashes.on_sent(print_)
+        outcome = None
+        try:
+            outcome = await self._async_read(routed, channel, request)
+        finally:
+            now = self._clock.now()
+            match outcome:
+                case Answered():
+                    self._crashes.on_answered(print_, now)
+                case Unknown(reason=UnknownReason.BROKEN):
+                    self._crashes.on_broken(print_, now)
+                case _:
+                    self._crashes.on_ended(print_)
+        return outcome
 
     async def _async_read(
         self, routed: RoutedRequest, channel: Channel, request: h11.Request
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -185,7 +185,9 @@
             self._log,
             self._loads,
             PeerHooks(
-                self._service_names, lambda wish: self._retreat.on_wish(wish)
+                self._service_names,
+                lambda wish: self._retreat.on_wish(wish),
+                lambda prints: self._server_path.suspect(prints),
             ),
         )
         store = RelayedStore(
@@ -243,6 +245,7 @@
                 self._is_keyed,
                 lambda instance: self._watch.verify(instance),
                 self._balance.observe,
+                self._peers.tell_crash,
             ),
         )
         peer_path = PeerPath(
--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -82,6 +82,10 @@
     refuse: int = 0
 
 
+# A request whose path holds this crashes each server that begins to run it.
+DEADLY = b'deadly'
+
+
 @dataclass(slots=True, frozen=True)
 class Run:
     """One run of a request at a server."""
@@ -202,6 +206,7 @@
             self.state,
             sequence=1,
         )
+        self._crashing: asyncio.Task[None] | None = None
         self.reporter = Reporter(first, plan.reports, self._pool)
         self._tasks: set[asyncio.Task[None]] = set()
         self._server = HttpServer(clock, self._serve, refuse_malformed, IDLE_S)
@@ -372,6 +377,8 @@
             self._send(channel, STATUS_UNAVAILABLE, marks)
             return
         run = self._begin_run(headers, number)
+        if DEADLY in raw.target:
+            self._crashing = asyncio.create_task(self.async_crash())
         held_until = self._held_until(run.key)
         try:
             await asyncio.sleep(self.plan.work_s)
