--- a/plantaingrade/requests/entity.py
+++ b/plantaingrade/requests/entity.py
@@ -123,11 +123,16 @@
 
 
 class ServerLoad(Struct, frozen=True):
-    """What a backend server says of its slots."""
+    """What a backend server says of its slots.
+
+    ``pace`` is how long work takes there at this moment, 1 on a machine
+    without other work, or nothing where the server does not tell.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 class ServerReply(Struct, frozen=True):
