--- a/demo/callers.py
+++ b/demo/callers.py
@@ -7,12 +7,11 @@
 import uuid
 from dataclasses import dataclass, field
 
-import h11
-
 from demo.topology import Deployment
 from plantaingrade.clock import BootClock
 from plantaingrade.http.channel import ChannelClosedError
 from plantaingrade.http.client import Call, Reply, fetch
+from plantaingrade.http.messages import LocalProtocolError
 from plantaingrade.http.pool import ConnectFailedError, Pool
 from plantaingrade.journal.keys import range_slice_id, slice_index
 from standins.backend import digest
@@ -193,7 +192,7 @@
             told.outcome = 'not-run'
             told.reason = 'caller-connect'
             return
-        except (ChannelClosedError, h11.ProtocolError):
+        except (ChannelClosedError, LocalProtocolError):
             told.reason = 'caller-broken'
             return
         except TimeoutError:
--- a/plantaingrade/requests/peer_path.py
+++ b/plantaingrade/requests/peer_path.py
@@ -10,7 +10,6 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.http.channel import ChannelClosedError
 from plantaingrade.http.exchange import read_answer, send_request
-from plantaingrade.http.heads import header_pairs
 from plantaingrade.http.pool import ConnectFailedError, Pool
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member
@@ -96,14 +95,14 @@
         headers = encode_hop(routed, known, self._clock.now())
         caller = routed.caller
         try:
-            request = send_request(
+            send_request(
                 channel, caller.method, caller.target, headers, caller.body
             )
         except ChannelClosedError:
             channel.abort()
             return NotRun(NotRunReason.PEER_DOWN, DEFAULT_RETRY_AFTER_S)
         try:
-            whole = await read_answer(channel, request, lambda _: True)
+            whole = await read_answer(channel, lambda _: True)
         except ChannelClosedError:
             channel.abort()
             self._note_unreachable(member, 'connection broken')
@@ -114,7 +113,7 @@
         self._pool.give_back(member.address, channel)
         if self._directory.trust(member.name):
             self._log.write('member-regained', member=member.name)
-        headers = header_pairs(whole.head)
+        headers = whole.head.headers
         load = decode_load(headers)
         if load is not None:
             self._loads.note(member.name, load, self._clock.now())
--- a/tests/balance/fleet.py
+++ b/tests/balance/fleet.py
@@ -19,11 +19,11 @@
 from plantaingrade.backends.life import BackendLife, LifeState
 from plantaingrade.balance.book import LoadBook
 from plantaingrade.balance.coordinator import BalanceCoordinator
-from plantaingrade.balance.others import TELL_COUNT
 from plantaingrade.balance.entity import Load
+from plantaingrade.balance.others import TELL_COUNT
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.turns import TurnPauses
 from plantaingrade.holds.transfer import CROWDED_LIMIT_S
+from plantaingrade.holds.turns import TurnPauses
 from plantaingrade.holds.unheld import MAX_UNHELD_WAIT_S
 from plantaingrade.keyspace.assign import cut
 from plantaingrade.keyspace.entity import (
