Let a server that joins a quiet service have its share

Cause: a server of unknown load counted as half loaded; where the others have less to do each request went to them, and only an answer tells a load. Change: one of unknown load counts as the mean of those known, half loaded at most. A test that failed before: 0 of 2,000 requests among three others at 0.2 to 0.3, now at least 0.6 and at most 1.5 of an even share.

--- a/plantaingrade/requests/placing.py
+++ b/plantaingrade/requests/placing.py
@@ -25,8 +25,8 @@
 MIN_GAIN = 0.1
 # Load from which another server is not asked after one has refused.
 FULL_FROM = 0.95
-# Assumed of a server that has not told its load lately: it is tried by some
-# requests, and its answers tell the rest.
+# Most that is assumed of a server that has not told its load lately: among
+# servers with more to do it is tried, and its answers tell the rest.
 UNKNOWN_SHARE = 0.5
 # Failures above those of the soundest server, as a share of requests, that are
 # put up with: rates of a dozen requests stray by a tenth. What all servers
@@ -94,4 +94,22 @@
     if not places:
         return None
     drawn = chance.sample(places, min(2, len(places)))
-    return min(drawn, key=lambda place: place.share)
+    unknown = assumed_share(places)
+    return min(
+        drawn,
+        key=lambda place: unknown if place.load is None else place.share,
+    )
+
+
+def assumed_share(places: Sequence[Place]) -> float:
+    """Return what is assumed of those that have not told their load.
+
+    Failure: a server joins others that have little to do, is taken for half
+    loaded, and gets nothing, so that it never tells its load. Taken for an
+    average one it gets half of what it is drawn for, and is not overrun by
+    many processes that do not know its load either.
+    """
+    known = [place.share for place in places if place.load is not None]
+    if not known:
+        return UNKNOWN_SHARE
+    return min(UNKNOWN_SHARE, sum(known) / len(known))
--- a/tests/requests/test_placing.py
+++ b/tests/requests/test_placing.py
@@ -72,6 +72,24 @@
     assert chosen['b'] > 900
 
 
+def test_a_server_that_joins_a_quiet_service_gets_its_share() -> None:
+    """A server joins while the others have little to do.
+
+    It told nobody its load, was taken for half loaded, and so each request
+    went to another: nobody ever heard of its load, and it got nothing.
+    """
+    near = [place('a', 0.3), place('b', 0.25), place('c', 0.2)]
+    chosen = count([*near, place('new', None)], [])
+    assert chosen['new'] > 2000 / 4 * 0.6
+
+
+def test_a_server_that_joins_is_not_overrun() -> None:
+    """Many processes do not know its load at the same time."""
+    near = [place('a', 0.3), place('b', 0.25), place('c', 0.2)]
+    chosen = count([*near, place('new', None)], [])
+    assert chosen['new'] < 2000 / 4 * 1.5
+
+
 def test_nobody_is_chosen_from_nobody() -> None:
     assert choose_place([], [], random.Random(1)) is None
     assert best_of_two([], random.Random(1)) is None
