Import compiled modules out of the one-file application

Cause: with httptools and msgspec the zip application would not start: Python imports no compiled module from a zip. Change: zipped.py finds compiled modules in the archive, reads each into memory that has a file's name, and imports it by that name.

--- /dev/null
+++ b/tests/test_zipped.py
@@ -0,0 +1,69 @@
+"""Compiled modules inside a zip application."""
+
+import subprocess
+import sys
+import zipapp
+from pathlib import Path
+
+import httptools
+import pytest
+
+from plantaingrade import zipped
+
+MAIN = """
+import sys
+from plantaingrade.zipped import CompiledFinder
+sys.meta_path.insert(0, CompiledFinder(sys.path[0]))
+import httptools
+assert sys.path[0] in httptools.__file__, httptools.__file__
+print(httptools.HttpRequestParser.__module__)
+"""
+
+
+def test_compiled_modules_are_imported_out_of_one_file(tmp_path) -> None:
+    """The application is one file that unpacks nothing and has no child.
+
+    With a compiled library among its needs it found no module of that name.
+    """
+    folder = tmp_path / 'app'
+    copy_into(folder / 'httptools', Path(httptools.__file__).parent)
+    package = folder / 'plantaingrade'
+    package.mkdir()
+    (package / '__init__.py').touch()
+    source = Path(zipped.__file__).read_text(encoding='utf-8')
+    (package / 'zipped.py').write_text(source, encoding='utf-8')
+    (folder / '__main__.py').write_text(MAIN, encoding='utf-8')
+    archive = tmp_path / 'app.pyz'
+    zipapp.create_archive(folder, archive)
+    found = subprocess.run(
+        [sys.executable, '-S', str(archive)],
+        capture_output=True,
+        check=True,
+        cwd=tmp_path,
+    )
+    assert found.stdout.strip() == b'httptools.parser.parser'
+    assert sorted(each.name for each in tmp_path.iterdir()) == [
+        'app',
+        'app.pyz',
+    ]
+
+
+def copy_into(folder: Path, source: Path) -> None:
+    """Copy a library's modules, compiled ones among them."""
+    for path in source.rglob('*'):
+        if path.suffix in {'.py', '.so'}:
+            target = folder / path.relative_to(source)
+            target.parent.mkdir(parents=True, exist_ok=True)
+            target.write_bytes(path.read_bytes())
+
+
+@pytest.mark.parametrize(
+    ('entry', 'module'),
+    [
+        ('msgspec/_core.cpython-311-x86_64-linux-gnu.so', 'msgspec._core'),
+        ('a/b/c.abi3.so', 'a.b.c'),
+        ('alone.so', 'alone'),
+    ],
+)
+def test_modules_are_known_by_their_entries(entry, module) -> None:
+    assert zipped.module_of(entry) == module
--- a/tools/binary.py
+++ b/tools/binary.py
@@ -1,7 +1,8 @@
 """Build the one-file zip application.
 
-Only pure-Python parts go in: a zip cannot hold compiled modules, nothing is
-unpacked when it runs, and no child process is started.
+Compiled modules go in as they are, and are imported from memory when it runs:
+nothing is unpacked, and no child process is started. They make the file one
+for an interpreter's version and a kind of machine.
 """
 
 import shutil
@@ -13,8 +14,10 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 TARGET = ROOT / 'dist' / 'plantaingrade.pyz'
-COMPILED = ('*.so', '*.pyd', '*.c', '*.h', '*.pyx')
-LEFT_OUT = ('bin', '__pycache__', 'yaml/_yaml')
+SOURCES = ('*.pyd', '*.c', '*.h', '*.pyx')
+# Compiled parts of libraries that do without them.
+OPTIONAL = ('yaml/_yaml*.so', 'multidict/*.so')
+LEFT_OUT = ('bin', '__pycache__')
 
 
 def main() -> None:
@@ -40,7 +43,7 @@
             folder,
             TARGET,
             interpreter='/usr/bin/env python3',
-            main='plantaingrade.cli:main',
+            main='plantaingrade.zipped:main',
             compressed=True,
         )
     size = TARGET.stat().st_size
@@ -48,8 +51,8 @@
 
 
 def strip(folder: Path) -> None:
-    """Remove what a zip cannot hold or a process never needs."""
-    for pattern in COMPILED:
+    """Remove what a process never needs."""
+    for pattern in (*SOURCES, *OPTIONAL):
         for path in folder.rglob(pattern):
             path.unlink()
     for name in LEFT_OUT:
