Ask witnesses at one place

Extending a lease and giving a member up asked several witnesses and picked who agreed, each by itself; one function does both. No change of behaviour.

--- a/plantaingrade/holds/doubts.py
+++ b/plantaingrade/holds/doubts.py
@@ -8,7 +8,7 @@
 from plantaingrade.holds.plans import doubtful_rows
 from plantaingrade.holds.promises import is_majority
 from plantaingrade.holds.registry import Registry
-from plantaingrade.holds.witnesses import Witnesses
+from plantaingrade.holds.witnesses import Witnesses, async_agreed
 
 # Members asked about at a time: each costs some calls, and a transaction has
 # room for as many rows.
@@ -47,25 +47,13 @@
 
     async def _async_is_given_up(self, row: MemberRow) -> bool:
         member = row.member
-        answers = await asyncio.gather(
-            *(
-                self._witnesses.async_ask(
-                    witness,
-                    GiveUpAsked(
-                        member.name,
-                        member.boot,
-                        row.write_number,
-                        witness.boot,
-                    ),
-                )
-                for witness in row.witnesses
+        question_by_witness = {
+            witness: GiveUpAsked(
+                member.name, member.boot, row.write_number, witness.boot
             )
-        )
-        agreed = [
-            witness
-            for witness, is_agreed in zip(row.witnesses, answers, strict=True)
-            if is_agreed
-        ]
+            for witness in row.witnesses
+        }
+        agreed = await async_agreed(self._witnesses, question_by_witness)
         is_given_up = is_majority(agreed, row.witnesses)
         self._log.write(
             'member-given-up' if is_given_up else 'member-in-doubt',
--- a/plantaingrade/holds/extension.py
+++ b/plantaingrade/holds/extension.py
@@ -9,10 +9,9 @@
     ASK_PAUSE_S,
     BASE_LEASE_S,
 )
-from plantaingrade.holds.entity import Witness
 from plantaingrade.holds.promises import is_majority
 from plantaingrade.holds.registry import Registry
-from plantaingrade.holds.witnesses import Witnesses
+from plantaingrade.holds.witnesses import Witnesses, async_agreed
 
 
 class LeaseExtension:
@@ -65,29 +64,16 @@
         term = self._registry.term
         sets = term.witness_sets()
         named = sorted({witness for each in sets for witness in each})
-        questions = [term.question(witness) for witness in named]
-        answers = await asyncio.gather(
-            *(
-                self._witnesses.async_ask(witness, question)
-                for witness, question in zip(named, questions, strict=True)
-            )
-        )
-        agreed = _agreed(named, answers)
+        question_by_witness = {each: term.question(each) for each in named}
+        last = question_by_witness[named[0]].last
+        agreed = await async_agreed(self._witnesses, question_by_witness)
         is_promised = all(is_majority(agreed, each) for each in sets)
         if is_promised:
-            term.on_promised(questions[0].last)
+            term.on_promised(last)
         self._log.write(
             'lease-extended' if is_promised else 'lease-not-extended',
             asked=len(named),
             agreed=len(agreed),
-            last=questions[0].last,
+            last=last,
             left_s=round(self._registry.lease_until - self._clock.now(), 2),
         )
-
-
-def _agreed(asked: list[Witness], answers: list[bool]) -> list[Witness]:
-    return [
-        witness
-        for witness, is_agreed in zip(asked, answers, strict=True)
-        if is_agreed
-    ]
--- a/plantaingrade/holds/witnesses.py
+++ b/plantaingrade/holds/witnesses.py
@@ -1,5 +1,7 @@
 """How witnesses of leases are chosen and asked."""
 
+import asyncio
+from collections.abc import Mapping
 from typing import Protocol
 
 from plantaingrade.holds.entity import Question, Witness
@@ -13,3 +15,20 @@
 
     async def async_ask(self, witness: Witness, question: Question) -> bool:
         """Ask one; tell whether it agreed, also if it did not answer."""
+
+
+async def async_agreed(
+    witnesses: Witnesses, question_by_witness: Mapping[Witness, Question]
+) -> list[Witness]:
+    """Ask several at once; return those that agreed."""
+    answers = await asyncio.gather(
+        *(
+            witnesses.async_ask(witness, question)
+            for witness, question in question_by_witness.items()
+        )
+    )
+    return [
+        witness
+        for witness, is_agreed in zip(question_by_witness, answers, strict=True)
+        if is_agreed
+    ]
