--- a/plantaingrade/admission/gate.py
+++ b/plantaingrade/admission/gate.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from plantaingrade.admission.estimate import WorkEstimate
 from plantaingrade.admission.slots import (
     Refuse,
     SlotQueue,
@@ -40,6 +41,11 @@
         self._turn_by_ticket: dict[Ticket, asyncio.Future[Verdict]] = {}
         self._refill: asyncio.TimerHandle | None = None
 
+    @classmethod
+    def from_slots(cls, slots: int, clock: Clock) -> 'Gate':
+        """Return a gate to an idle server of which nothing else is known."""
+        return cls(SlotQueue(slots, WorkEstimate()), clock)
+
     @asynccontextmanager
     async def slot(self, ticket: Ticket) -> AsyncIterator[None]:
         """Hold a slot while the body of the ``async with`` runs.
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -5,10 +5,8 @@
 import os
 from types import TracebackType
 
-from plantaingrade.admission.estimate import WorkEstimate
 from plantaingrade.admission.gate import Gate
 from plantaingrade.admission.repeats import RepeatBudget
-from plantaingrade.admission.slots import SlotQueue
 from plantaingrade.backends.life import BackendLife
 from plantaingrade.balance.book import LoadBook
 from plantaingrade.balance.coordinator import BalanceCoordinator
@@ -53,6 +51,7 @@
     ReportFront,
     refuse_malformed,
 )
+from plantaingrade.sidecar.gauges import Watched, watch
 from plantaingrade.sidecar.leaving import Leaving
 from plantaingrade.sidecar.pools import Pools
 from plantaingrade.sidecar.retreat import Retreat
@@ -213,13 +212,12 @@
         self._config.listen_rows(self._evacuations.take)
 
     def _build_paths(self) -> None:
-        queue = SlotQueue(FIRST_SLOTS, WorkEstimate())
-        self._gate = Gate(queue, self._clock)
+        self._gate = Gate.from_slots(FIRST_SLOTS, self._clock)
         self._balance = BalanceCoordinator(
             self._own,
             self.holds,
             self._life,
-            queue,
+            self._gate.queue,
             Others(
                 self._own, self.holds.registry, self._directory, self._loads
             ),
@@ -345,7 +343,17 @@
             self._wire.decode_report, self._watch.on_report, self._log
         )
         self._metrics_front = MetricsFront(self._figures.to_text)
-        self._watch_figures()
+        watch(
+            self._figures,
+            Watched(
+                self._gate.queue,
+                self._balance,
+                self._config,
+                self.holds.registry,
+                self._server_path,
+                self._clock,
+            ),
+        )
         self._leaving = Leaving(
             self.holds,
             self._balance,
@@ -358,27 +366,6 @@
             self._log,
         )
 
-    def _watch_figures(self) -> None:
-        watch = self._figures.watch
-        queue = self._gate.queue
-        watch('slots_running', 'Requests at the server.', lambda: queue.running)
-        watch('slots_waiting', 'Requests in the queue.', lambda: queue.waiting)
-        watch(
-            'load_share',
-            'Work asked for, as a share of the slots.',
-            lambda: self._balance.load().share,
-        )
-        watch(
-            'config_version',
-            'Version of the configuration in force.',
-            lambda: self._config.version,
-        )
-        watch(
-            'lease_left_seconds',
-            'Time left of the own lease.',
-            lambda: self.holds.registry.lease_until - self._clock.now(),
-        )
-
     async def _async_listen(self) -> None:
         listeners = self._settings.listeners
         self._caller_server = await self._async_serve(
