--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -295,9 +295,9 @@
         )
         self._announcer.tell(message, names)
 
-    def tell_crash(self, prints: tuple[str, ...]) -> None:
+    def tell_crash(self, digests: tuple[str, ...]) -> None:
         """Tell every member what ran at the own server when it crashed."""
-        self._announcer.tell_all(ServerCrashed(prints))
+        self._announcer.tell_all(ServerCrashed(digests))
 
     def take_handed(self, body: bytes) -> Handed | None:
         """Take the word that keys have passed to this member.
@@ -328,8 +328,8 @@
                 self._log.write('member-left', member=name, boot=boot)
             case MapChanged():
                 self.map_follower.on_changed(message)
-            case ServerCrashed(prints):
-                self._hooks.on_crash(prints)
+            case ServerCrashed(digests):
+                self._hooks.on_crash(digests)
             case Passed(word):
                 self._on_passed(message, word)
             case LoadTold():
--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -140,9 +140,9 @@
 
 
 class ServerCrashed(Message):
-    """A member's server crashed; ``prints`` names what ran there."""
+    """A member's server crashed; ``digests`` names what ran there."""
 
-    prints: tuple[str, ...]
+    digests: tuple[str, ...]
 
 
 # What concerns all members.
--- a/plantaingrade/requests/crashes.py
+++ b/plantaingrade/requests/crashes.py
@@ -27,26 +27,26 @@
         self._broken: list[str] = []
         self._broken_at = 0.0
 
-    def on_sent(self, print_: str) -> None:
+    def on_sent(self, digest: str) -> None:
         """Note a request that the server has been sent."""
-        self._running.append(print_)
+        self._running.append(digest)
 
-    def on_answered(self, print_: str, now: float) -> None:
+    def on_answered(self, digest: str, now: float) -> None:
         """Note an answer: the server is up, whatever broke before."""
-        self._running.remove(print_)
+        self._running.remove(digest)
         self._broken.clear()
-        self.suspects.note_answered(print_, now)
+        self.suspects.note_answered(digest, now)
 
-    def on_ended(self, print_: str) -> None:
+    def on_ended(self, digest: str) -> None:
         """Note a request that tells nothing of the server."""
-        self._running.remove(print_)
+        self._running.remove(digest)
 
-    def on_broken(self, print_: str, now: float) -> None:
+    def on_broken(self, digest: str, now: float) -> None:
         """Note a request whose connection broke off."""
-        self._running.remove(print_)
+        self._running.remove(digest)
         if now - self._broken_at > TOGETHER_S:
             self._broken.clear()
-        self._broken.append(print_)
+        self._broken.append(digest)
         self._broken_at = now
 
     def on_down(self, now: float) -> tuple[str, ...]:
@@ -55,6 +55,6 @@
         What still runs shows that the server is there, and too busy.
         """
         is_recent = now - self._broken_at <= UNTIL_DOWN_S
-        prints = () if self._running or not is_recent else tuple(self._broken)
+        digests = () if self._running or not is_recent else tuple(self._broken)
         self._broken.clear()
-        return prints
+        return digests
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -128,9 +128,9 @@
         self._pool.forget(self._wire.address)
         self._note_down()
 
-    def suspect(self, prints: tuple[str, ...]) -> None:
+    def suspect(self, digests: tuple[str, ...]) -> None:
         """Take what ran at a server when it crashed, here or elsewhere."""
-        self._crashes.suspects.note_crash(prints, self._clock.now())
+        self._crashes.suspects.note_crash(digests, self._clock.now())
 
     async def async_serve(
         self, routed: RoutedRequest, map_version: int = 0
@@ -216,16 +216,16 @@
 
     def _refuse_suspect(self, routed: RoutedRequest) -> NotRun | None:
         """Refuse a request that one server after the other crashed with."""
-        print_ = fingerprint(routed)
-        left_s = self._crashes.suspects.left_s(print_, self._clock.now())
+        digest = fingerprint(routed)
+        left_s = self._crashes.suspects.left_s(digest, self._clock.now())
         return NotRun(NotRunReason.CRASHES, left_s) if left_s else None
 
     def _note_down(self) -> None:
-        prints = self._crashes.on_down(self._clock.now())
-        if prints:
-            self._log.write('server-crashed', ran=prints)
-            self.suspect(prints)
-            self._hooks.on_crash(prints)
+        digests = self._crashes.on_down(self._clock.now())
+        if digests:
+            self._log.write('server-crashed', ran=digests)
+            self.suspect(digests)
+            self._hooks.on_crash(digests)
 
     def _observe(self, routed: RoutedRequest, key: int) -> None:
         """Count what a request asks of the server, whatever comes of it."""
@@ -328,8 +328,8 @@
         self, routed: RoutedRequest, channel: Channel
     ) -> Outcome:
         """Read the answer, and note what it tells of the server's health."""
-        print_ = fingerprint(routed)
-        self._crashes.on_sent(print_)
+        digest = fingerprint(routed)
+        self._crashes.on_sent(digest)
         outcome = None
         try:
             outcome = await self._async_read(routed, channel)
@@ -337,11 +337,11 @@
             now = self._clock.now()
             match outcome:
                 case Answered():
-                    self._crashes.on_answered(print_, now)
+                    self._crashes.on_answered(digest, now)
                 case Unknown(reason=UnknownReason.BROKEN):
-                    self._crashes.on_broken(print_, now)
+                    self._crashes.on_broken(digest, now)
                 case _:
-                    self._crashes.on_ended(print_)
+                    self._crashes.on_ended(digest)
         return outcome
 
     async def _async_read(
--- a/plantaingrade/requests/suspects.py
+++ b/plantaingrade/requests/suspects.py
@@ -59,7 +59,7 @@
     the headers that tell its deadline.
     """
     caller = routed.caller
-    digest = blake2b(digest_size=FINGERPRINT_BYTES)
+    hashed = blake2b(digest_size=FINGERPRINT_BYTES)
     for part in (
         routed.service.encode(),
         routed.caller_service.encode(),
@@ -67,39 +67,39 @@
         caller.target,
         caller.body,
     ):
-        digest.update(len(part).to_bytes(LENGTH_BYTES, 'big'))
-        digest.update(part)
-    return digest.hexdigest()
+        hashed.update(len(part).to_bytes(LENGTH_BYTES, 'big'))
+        hashed.update(part)
+    return hashed.hexdigest()
 
 
 class Suspects:
     """Evidence by fingerprint, and what was answered lately."""
 
-    __slots__ = ('_answered_at', '_suspect_by_print')
+    __slots__ = ('_answered_at', '_suspect_by_digest')
 
     def __init__(self) -> None:
         """Suspect nothing."""
-        self._suspect_by_print: OrderedDict[str, Suspect] = OrderedDict()
+        self._suspect_by_digest: OrderedDict[str, Suspect] = OrderedDict()
         self._answered_at: OrderedDict[str, float] = OrderedDict()
 
-    def note_crash(self, prints: tuple[str, ...], now: float) -> None:
+    def note_crash(self, digests: tuple[str, ...], now: float) -> None:
         """Take what ran at a server when it crashed."""
-        evidence = max(LEAST_EVIDENCE, 1 / max(1, len(prints)))
-        for each in set(prints):
+        evidence = max(LEAST_EVIDENCE, 1 / max(1, len(digests)))
+        for each in set(digests):
             if not self._is_innocent(each, now):
                 self._accuse(each, evidence, now)
 
-    def note_answered(self, print_: str, now: float) -> None:
+    def note_answered(self, digest: str, now: float) -> None:
         """Take that a server has run a request to its end."""
-        self._suspect_by_print.pop(print_, None)
-        self._answered_at[print_] = now
-        self._answered_at.move_to_end(print_)
+        self._suspect_by_digest.pop(digest, None)
+        self._answered_at[digest] = now
+        self._answered_at.move_to_end(digest)
         if len(self._answered_at) > MAX_ANSWERED:
             self._answered_at.popitem(last=False)
 
-    def left_s(self, print_: str, now: float) -> float:
+    def left_s(self, digest: str, now: float) -> float:
         """Return for how long a request is still refused, 0 if it is not."""
-        suspect = self._suspect_by_print.get(print_)
+        suspect = self._suspect_by_digest.get(digest)
         if suspect is None:
             return 0.0
         if suspect.crashes < MIN_CRASHES:
@@ -108,17 +108,17 @@
             return 0.0
         return max(0.0, suspect.last_at + QUARANTINE_S - now)
 
-    def _is_innocent(self, print_: str, now: float) -> bool:
-        answered_at = self._answered_at.get(print_)
+    def _is_innocent(self, digest: str, now: float) -> bool:
+        answered_at = self._answered_at.get(digest)
         return answered_at is not None and now - answered_at < INNOCENT_S
 
-    def _accuse(self, print_: str, evidence: float, now: float) -> None:
-        suspect = self._suspect_by_print.pop(print_, None)
+    def _accuse(self, digest: str, evidence: float, now: float) -> None:
+        suspect = self._suspect_by_digest.pop(digest, None)
         if suspect is None or now - suspect.last_at > FORGET_S:
             suspect = Suspect(0.0, 0, now)
         suspect.evidence += evidence
         suspect.crashes += 1
         suspect.last_at = now
-        self._suspect_by_print[print_] = suspect
-        if len(self._suspect_by_print) > MAX_SUSPECTS:
-            self._suspect_by_print.popitem(last=False)
+        self._suspect_by_digest[digest] = suspect
+        if len(self._suspect_by_digest) > MAX_SUSPECTS:
+            self._suspect_by_digest.popitem(last=False)
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -186,7 +186,7 @@
             PeerHooks(
                 self._service_names,
                 lambda wish: self._retreat.on_wish(wish),
-                lambda prints: self._server_path.suspect(prints),
+                lambda digests: self._server_path.suspect(digests),
             ),
         )
         store = RelayedStore(
--- a/tests/requests/test_suspects.py
+++ b/tests/requests/test_suspects.py
@@ -95,11 +95,11 @@
         for _ in range(50):
             now += 0.01
             asked += 1
-            print_ = f'p{int(chance.paretovariate(1.1))}'
-            if suspects.left_s(print_, now):
+            digest = f'p{int(chance.paretovariate(1.1))}'
+            if suspects.left_s(digest, now):
                 refused += 1
             else:
-                suspects.note_answered(print_, now)
+                suspects.note_answered(digest, now)
         ran = tuple(f'p{int(chance.paretovariate(1.1))}' for _ in range(SLOTS))
         suspects.note_crash(ran, now)
     assert refused <= asked / 1000
@@ -111,7 +111,7 @@
         suspects.note_crash((f'p{each}',), 1.0)
     for each in range(2 * MAX_ANSWERED):
         suspects.note_answered(f'a{each}', 1.0)
-    assert len(suspects._suspect_by_print) == MAX_SUSPECTS
+    assert len(suspects._suspect_by_digest) == MAX_SUSPECTS
     assert len(suspects._answered_at) == MAX_ANSWERED
 
 
