Add a lab: the product's own decisions against made-up servers

Routing, placing, admission and balancing are the product's classes on the virtual-time loop; network, store, servers and callers are made up. The loop now lets a moment pass in each turn: a timer due within the clock's resolution fired at once, and whoever waited for the time looked again for ever (a play of the lab that never ended, ten minutes of one core).

--- /dev/null
+++ b/lab/keys.py
@@ -0,0 +1,184 @@
+"""Keys of one service in the lab: who owns them, and how they move.
+
+A move releases its keys, waits for the work that runs on them, and changes the
+one map of the service, whose changes wait for each other.
+"""
+
+import asyncio
+import random
+
+from plantaingrade.holds.turns import TurnPauses
+from plantaingrade.holds.transfer import CROWDED_LIMIT_S
+from plantaingrade.holds.unheld import UnheldRanges
+from plantaingrade.keyspace.assign import reassign, split_evenly
+from plantaingrade.keyspace.directory import KeyMaps
+from plantaingrade.keyspace.entity import Assignment, KeyRange
+from plantaingrade.peers.entity import Member
+
+# One way to the store, and the turn of one change in its part.
+STORE_WAY_S = 0.003
+CHANGE_S = 1 / 150
+# Time from the change until the new owner's server has its grant.
+GRANT_S = 0.004
+
+
+class SharedMap:
+    """The one map of a service, as the store keeps it."""
+
+    def __init__(self, service: str, maps: KeyMaps, names: list[str]) -> None:
+        """Give each member the same number of keys."""
+        self.service = service
+        self.maps = maps
+        self.free_at = 0.0
+        self.changes = 0
+        self.conflicts = 0
+        maps.offer(service, split_evenly(names).at_version(1))
+
+    async def async_change(self, owner_by_keys: dict[KeyRange, str]) -> bool:
+        """Take a turn; tell whether nobody else changed the map meanwhile."""
+        loop = asyncio.get_running_loop()
+        known = self.maps.find(self.service)
+        await asyncio.sleep(STORE_WAY_S)
+        self.free_at = max(self.free_at, loop.time()) + CHANGE_S
+        await asyncio.sleep(self.free_at - loop.time())
+        is_done = known.version == self.maps.find(self.service).version
+        if is_done:
+            self.changes += 1
+            changed = reassign(known, owner_by_keys)
+            self.maps.offer(
+                self.service, changed.at_version(known.version + 1)
+            )
+        else:
+            self.conflicts += 1
+        await asyncio.sleep(STORE_WAY_S)
+        return is_done
+
+
+class LabRegistry:
+    """What the balance reads of a member's rows."""
+
+    def __init__(self, shared: SharedMap, member: Member) -> None:
+        """Know one member of a service."""
+        self._shared = shared
+        self.member = member
+        self.is_joined = True
+        self.takes_keys = True
+        self.lease_until = float('inf')
+        self.turns = TurnPauses(random.Random(member.name))
+
+    @property
+    def key_map(self):
+        """Return the map of the member's service."""
+        return self._shared.maps.find(self._shared.service)
+
+
+class LabHolds:
+    """The keys of one member: moved as the product's transfers do."""
+
+    def __init__(self, shared: SharedMap, member: Member) -> None:
+        """Hold what the shared map says."""
+        self.registry = LabRegistry(shared, member)
+        self.moves_done = 0
+        self.moves_failed = 0
+        self._member = member
+        self._shared = shared
+        self._moving: set[KeyRange] = set()
+        self._granted_at: dict[KeyRange, float] = {}
+        self._unheld = UnheldRanges()
+        self._running: dict[int, int] = {}
+        self._ready: list[tuple[dict[KeyRange, str], asyncio.Future]] = []
+        self._writing = asyncio.Lock()
+
+    def begin(self, key: int) -> None:
+        """Count work on a key."""
+        self._running[key] = self._running.get(key, 0) + 1
+
+    def end(self, key: int) -> None:
+        """Count work on a key that has ended."""
+        self._running[key] -= 1
+        if not self._running[key]:
+            self._running.pop(key)
+
+    def find_own(self, key: int) -> Assignment | None:
+        """Return the assignment of a key if this member owns it."""
+        found = self.registry.key_map.find(key)
+        is_own = found is not None and found.owner == self._member.name
+        return found if is_own else None
+
+    def is_held(self, key: int) -> bool:
+        """Tell whether work on a key may begin now."""
+        if self.find_own(key) is None:
+            return False
+        return all(key not in keys for keys in self._moving)
+
+    def is_overdue(self, key: int) -> bool:
+        """Tell whether a key on the move is not worth waiting for."""
+        now = asyncio.get_running_loop().time()
+        for keys in self._moving:
+            if key in keys:
+                return self._unheld.is_overdue(keys, now)
+        return False
+
+    async def async_wait_change(self, limit_s: float) -> None:
+        """Look again soon."""
+        await asyncio.sleep(min(limit_s, 2 * GRANT_S))
+
+    async def async_is_store_there(self) -> bool:
+        """Tell that the store is there."""
+        return True
+
+    def on_hint(self, version: int) -> None:
+        """Know the newest map already."""
+
+    async def async_give(self, keys: list[KeyRange], target: str) -> bool:
+        """Release, change the map, and have the target hold the keys."""
+        if any(each.overlap(one) for each in keys for one in self._moving):
+            return False
+        pieces = [
+            part
+            for each in keys
+            for owned in self.registry.key_map.owned_by(self._member.name)
+            if (part := owned.keys.overlap(each)) is not None
+        ]
+        self._moving.update(keys)
+        try:
+            await self._async_wait_out(keys)
+            is_done = await self._async_commit(dict.fromkeys(pieces, target))
+            await asyncio.sleep(GRANT_S)
+        finally:
+            self._moving.difference_update(keys)
+        self.moves_done += is_done
+        self.moves_failed += not is_done
+        return is_done
+
+    async def _async_wait_out(self, keys: list[KeyRange]) -> None:
+        while any(key in each for key in self._running for each in keys):
+            await asyncio.sleep(GRANT_S)
+
+    async def _async_commit(self, owner_by_keys: dict[KeyRange, str]) -> bool:
+        """Change the map once for all moves that are ready then."""
+        move = asyncio.get_running_loop().create_future()
+        self._ready.append((owner_by_keys, move))
+        async with self._writing:
+            if not move.done():
+                joint, self._ready = self._ready, []
+                merged = {}
+                for each, _ in joint:
+                    merged.update(each)
+                is_done = await self._async_change(merged)
+                for _, waiting in joint:
+                    waiting.set_result(is_done)
+        return move.result()
+
+    async def _async_change(self, owner_by_keys: dict[KeyRange, str]) -> bool:
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + CROWDED_LIMIT_S
+        turns = self.registry.turns
+        while loop.time() <= ends:
+            sent_at = loop.time()
+            if await self._shared.async_change(owner_by_keys):
+                turns.on_done()
+                return True
+            pause_s = turns.on_late(loop.time() - sent_at)
+            await asyncio.sleep(max(0.0, min(pause_s, ends - loop.time())))
+        return False
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -9,6 +9,11 @@
 from typing import Any
 
 
+# Least that passes in a turn of the loop, in seconds. A timer that is due within
+# the clock's resolution fires at once, and who waits for it looks at the time.
+MIN_STEP_S = 1e-8
+
+
 class VirtualSelector(selectors.SelectSelector):
     """Let time pass instead of waiting."""
 
@@ -26,7 +31,7 @@
             raise RuntimeError(
                 'Everything waits for something that never comes'
             )
-        self.now += max(0.0, timeout)
+        self.now += max(MIN_STEP_S, timeout)
         return []
 
 
