Brief work first, no room where nothing runs, moves that yield

Changes: brief work goes before all classes; a server that was not reached tells no room for 0.5 s, and rooms tell how often the server failed lately; nobody evens out for 2 s while a member that leaves still owns keys; the time limit of a change counts from the release of its keys.

--- a/plantaingrade/admission/slots.py
+++ b/plantaingrade/admission/slots.py
@@ -38,6 +38,8 @@
 # fire a millisecond late, and one that fires early would find nothing.
 MIN_REFILL_S = 0.002
 NEVER = float('inf')
+# Rank of brief work; classes rank by their priorities, from 0 on.
+BRIEF_RANK = -1
 
 
 class Lane(IntEnum):
@@ -138,7 +140,8 @@
         if self._may_start(now) and not self.waiting:
             return self._start(ticket, now)
         wait_s = self._wait_in_time(ticket, now)
-        ends_by = ticket.until if self._is_brief(ticket) else ticket.due
+        is_brief = self._is_brief(ticket.kind)
+        ends_by = ticket.until if is_brief else ticket.due
         if now + wait_s + work_s <= ends_by:
             return self._line_up(ticket, Lane.IN_TIME, ends_by - work_s)
         late_wait_s = self._wait_late(ticket, now)
@@ -170,9 +173,10 @@
             return None
         return max(MIN_REFILL_S, self.cold.wait_s(now))
 
-    def expected_wait_s(self, priority: int, now: float) -> float:
+    def expected_wait_s(self, kind: str, priority: int, now: float) -> float:
         """Return when a slot is probably free for one more ticket."""
-        ahead_s = self._ahead_s(priority, NEVER)
+        rank = BRIEF_RANK if self._is_brief(kind) else priority
+        ahead_s = self._ahead_s(rank, NEVER)
         wait_s = first_free_s(self._rests_s(now), ahead_s, self.slots)
         return max(wait_s, self.cold.wait_s(now, len(ahead_s)))
 
@@ -222,7 +226,7 @@
         ticket.lane = lane
         ticket.is_waiting = True
         ends = ticket.due if lane is Lane.IN_TIME else ticket.until
-        place = (ticket.priority, ends, next(self._numbers), ticket)
+        place = (self._rank(ticket), ends, next(self._numbers), ticket)
         heapq.heappush(self._line_by_lane[lane], place)
         return Wait(ticket, give_up_at)
 
@@ -235,16 +239,20 @@
                     return ticket
         return None
 
-    def _is_brief(self, ticket: Ticket) -> bool:
-        """Tell whether a ticket holds others up for next to nothing.
+    def _rank(self, ticket: Ticket) -> int:
+        """Return the place of a ticket's class; the lowest goes first.
 
-        Failure: a short call between servers is refused since it will not be
-        in time behind long work, or gets a slot only when no long work that
-        can be in time wants one, which is never. It shows as requests that
-        are lost at the server that made the call. A brief ticket keeps its
-        place for as long as it may be answered.
+        Brief work goes before all classes. Most of it are calls of other
+        servers, which keep a slot taken while they wait for the answer.
         """
-        work_s = self.estimate.expected_s(ticket.kind)
+        return BRIEF_RANK if self._is_brief(ticket.kind) else ticket.priority
+
+    def _is_brief(self, kind: str) -> bool:
+        """Tell whether work of a kind holds others up for next to nothing.
+
+        It keeps its place for as long as it may be answered.
+        """
+        work_s = self.estimate.expected_s(kind)
         return work_s <= BRIEF_PART * self.estimate.longest_s()
 
     def _wait_in_time(self, ticket: Ticket, now: float) -> float:
@@ -254,20 +262,20 @@
         of all slots, which is half of a work's time more: counting on the next
         free slot holds callers up that are refused in the end.
         """
-        ahead_s = self._ahead_s(ticket.priority, ticket.due)
+        ahead_s = self._ahead_s(self._rank(ticket), ticket.due)
         rests_s = self._rests_s(now)
-        if self._is_brief(ticket):
+        if self._is_brief(ticket.kind):
             wait_s = first_free_s(rests_s, ahead_s, self.slots)
         else:
             wait_s = self._even_share_s([*rests_s, *ahead_s])
         return max(wait_s, self.cold.wait_s(now, len(ahead_s)))
 
-    def _ahead_s(self, priority: int, due: float) -> list[float]:
+    def _ahead_s(self, rank: int, due: float) -> list[float]:
         """Return the work that waits and goes before such a ticket."""
         return [
             self.estimate.expected_s(ticket.kind)
-            for *rank, _, ticket in self._line_by_lane[Lane.IN_TIME]
-            if ticket.is_waiting and rank <= [priority, due]
+            for *place, _, ticket in self._line_by_lane[Lane.IN_TIME]
+            if ticket.is_waiting and place <= [rank, due]
         ]
 
     def _wait_late(self, ticket: Ticket, now: float) -> float:
--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -171,7 +171,7 @@
         if own.share < IDLE_LOAD:
             self._tell(own, now)
             return
-        if now < self._rests_until:
+        if now < self._rests_until or self._others.must_yield(now):
             return
         loads = {
             name: load
--- a/plantaingrade/balance/entity.py
+++ b/plantaingrade/balance/entity.py
@@ -22,11 +22,12 @@
     """How soon a server could run one more request, in seconds.
 
     ``wait_s`` is the expected wait for a slot, ``work_s`` how long such a
-    request takes there.
+    request takes there, and ``failures`` the share that failed there lately.
     """
 
     wait_s: float
     work_s: float
+    failures: float = 0.0
 
     @property
     def ends_in_s(self) -> float:
--- a/plantaingrade/balance/others.py
+++ b/plantaingrade/balance/others.py
@@ -15,6 +15,8 @@
 # there are enough near: a zone as a whole may have too much.
 TELL_COUNT = 8
 TELL_FAR = 2
+# Time for which the others leave the map to a member that leaves, in seconds.
+YIELD_S = 2.0
 # Assumed of a member with a lease that has not told its load.
 NO_LOAD = Load(0.5, 0.0, 1)
 
@@ -22,7 +24,13 @@
 class Others:
     """Other members of the own service."""
 
-    __slots__ = ('_directory', '_own', '_registry', 'book')
+    __slots__ = (
+        '_directory',
+        '_leaving_since_by_name',
+        '_own',
+        '_registry',
+        'book',
+    )
 
     def __init__(
         self,
@@ -35,6 +43,7 @@
         self._own = own
         self._registry = registry
         self._directory = directory
+        self._leaving_since_by_name: dict[str, float] = {}
         self.book = book
 
     def names(self) -> list[str]:
@@ -61,6 +70,28 @@
         near_count = min(len(near), TELL_COUNT - far_count)
         return chance.sample(near, near_count) + chance.sample(far, far_count)
 
+    def must_yield(self, now: float) -> bool:
+        """Tell whether a member that leaves has keys to give away first.
+
+        Changes of one map wait for each other, and nobody serves the keys of
+        a member that leaves meanwhile.
+        """
+        owners = self._registry.key_map.owners()
+        known = self._leaving_since_by_name
+        self._leaving_since_by_name = {
+            name: known.get(name, now)
+            for name in self.names()
+            if name in owners and self._is_leaving(name, now)
+        }
+        return any(
+            now - since < YIELD_S
+            for since in self._leaving_since_by_name.values()
+        )
+
+    def _is_leaving(self, name: str, now: float) -> bool:
+        load = self.book.find(name, now)
+        return load is not None and load.share >= LEAVING_SHARE
+
     def takers(self, now: float) -> dict[str, Load]:
         """Return the members that may take keys."""
         rows = live_members(self._registry)
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -29,6 +29,7 @@
     """
 
     passage: Passage
+    released_at: float
     outcome: CommitResult | None = None
     before: KeyMap | None = None
     after: KeyMap | None = None
@@ -148,7 +149,7 @@
         next of them sends a change of its own, which makes an open one fail
         or finds that it was done.
         """
-        ready = Ready(passage)
+        ready = Ready(passage, self._clock.now())
         self._ready.append(ready)
         try:
             async with self._committing:
@@ -161,10 +162,11 @@
 
     async def _async_commit_all(self, joint: list[Ready]) -> None:
         passages = [each.passage for each in joint]
+        waited_s = self._clock.now() - min(each.released_at for each in joint)
         committed = await self._registry.async_commit(
             lambda registry: plan_passages(registry, passages),
             MOVE_LIMIT_S,
-            crowded_limit_s=self._crowded_limit_s(),
+            crowded_limit_s=max(0.0, self._crowded_limit_s() - waited_s),
         )
         before, after = self._registry.changed_from, self._registry.key_map
         for each in joint:
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -10,7 +10,7 @@
 from plantaingrade.balance.entity import Load, Room
 from plantaingrade.clock import Clock
 from plantaingrade.codec import Codec, MalformedMessageError
-from plantaingrade.const import MS_PER_S
+from plantaingrade.const import MS_PER_S, PERCENT
 from plantaingrade.datagrams import TypedEndpoint
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.lease import UnreadableLeaseError, decode_member_row
@@ -365,12 +365,13 @@
         if asked.service != self.own.service:
             return
         room = self._hooks.room_of(asked.kind, asked.priority)
-        told = RoomTold(asked.number, self.own.name, None, 0)
+        told = RoomTold(asked.number, self.own.name)
         if room is not None:
             told = replace(
                 told,
                 wait_ms=round(room.wait_s * MS_PER_S),
                 work_ms=round(room.work_s * MS_PER_S),
+                failed=round(room.failures * PERCENT),
             )
         self._announcer.endpoint.send(told, asked.address)
 
--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -149,13 +149,15 @@
 class RoomTold(Message):
     """Answer to the question: times in milliseconds.
 
-    There is no ``wait_ms`` where the server takes no work.
+    There is no ``wait_ms`` where the server takes no work. ``failed`` is the
+    part of its requests that failed lately, in hundredths.
     """
 
     number: int
     name: str
-    wait_ms: int | None
-    work_ms: int
+    wait_ms: int | None = None
+    work_ms: int = 0
+    failed: int = 0
 
 
 class Introduced(Message):
--- a/plantaingrade/peers/rooms.py
+++ b/plantaingrade/peers/rooms.py
@@ -6,7 +6,7 @@
 
 from plantaingrade.balance.entity import Room
 from plantaingrade.clock import Clock
-from plantaingrade.const import MS_PER_S
+from plantaingrade.const import MS_PER_S, PERCENT
 from plantaingrade.datagrams import TypedEndpoint
 from plantaingrade.peers.entity import Member, RoomAsked, RoomTold
 
@@ -91,7 +91,11 @@
             return
         room = None
         if told.wait_ms is not None:
-            room = Room(told.wait_ms / MS_PER_S, told.work_ms / MS_PER_S)
+            room = Room(
+                told.wait_ms / MS_PER_S,
+                told.work_ms / MS_PER_S,
+                told.failed / PERCENT,
+            )
         inquiry.on_told(told.name, room)
 
     def _own_room(
--- a/plantaingrade/requests/hop.py
+++ b/plantaingrade/requests/hop.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from plantaingrade.balance.entity import Load
-from plantaingrade.const import MS_PER_S
+from plantaingrade.const import MS_PER_S, PERCENT
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.http.messages import Request
 from plantaingrade.requests.entity import (
@@ -36,7 +36,6 @@
 NO_KEY = ''
 FACT_COUNT = 10
 LOAD_COUNT = 3
-PERCENT = 100
 STATUS_FAILED = 503
 OWN_NAMES = frozenset(
     (
--- a/plantaingrade/requests/placing.py
+++ b/plantaingrade/requests/placing.py
@@ -94,10 +94,16 @@
 
 
 def soonest(room_by_name: Mapping[str, Room]) -> str | None:
-    """Return the member at which a request would end first."""
+    """Return the sound member at which a request would end first."""
     if not room_by_name:
         return None
-    return min(room_by_name, key=lambda name: room_by_name[name].ends_in_s)
+    least = min(room.failures for room in room_by_name.values())
+    sound = [
+        name
+        for name, room in room_by_name.items()
+        if room.failures <= least + MAX_EXCESS_FAILURES
+    ]
+    return min(sound, key=lambda name: room_by_name[name].ends_in_s)
 
 
 def is_near_enough(room: Room, due_in_s: float) -> bool:
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -41,8 +41,12 @@
     Unknown,
     UnknownReason,
 )
+from plantaingrade.requests.failures import FailureRates
 from plantaingrade.requests.suspects import Suspects, fingerprint
 
+# A server that was not reached is offered no work without a key for this long,
+# in seconds. It runs nothing, and would look like the one with most room.
+UNREACHED_PAUSE_S = 0.5
 # Stands for no key where work is counted by key.
 NO_KEY = -1
 EncodeRequest = Callable[[RoutedRequest, str, float], list]
@@ -84,7 +88,9 @@
         '_hooks',
         '_life',
         '_log',
+        '_failures',
         '_pool',
+        '_unreached_until',
         '_wire',
         'is_closed',
         'is_drained',
@@ -110,6 +116,8 @@
         self.is_evacuated = False
         self._hooks = hooks
         self._crashes = CrashWatch(Suspects())
+        self._failures = FailureRates()
+        self._unreached_until = 0.0
         self._wire = wire
         self._life = life
         self._holds = holds
@@ -123,9 +131,15 @@
         is_closed = self.is_closed or self.is_evacuated or self.is_drained
         if is_closed or not self._life.takes_work:
             return None
+        now = self._clock.now()
+        if now < self._unreached_until:
+            return None
         queue = self._gate.queue
-        wait_s = queue.expected_wait_s(priority, self._clock.now())
-        return Room(wait_s, queue.estimate.expected_s(kind))
+        return Room(
+            queue.expected_wait_s(kind, priority, now),
+            queue.estimate.expected_s(kind),
+            self._failures.rate(self._life.instance, now),
+        )
 
     def on_new_life(self) -> None:
         """Keep no connection to the life before.
@@ -304,8 +318,10 @@
             # between may have forgotten the connections that are kept.
             self._pool.forget(self._wire.address)
             outcome = Unknown(UnknownReason.TIMEOUT)
+        now = self._clock.now()
+        self._failures.observe(self._life.instance, outcome, now)
         if not isinstance(outcome, NotRun):
-            took_s = self._clock.now() - began
+            took_s = now - began
             self._gate.queue.estimate.observe(routed.kind, took_s)
         return outcome
 
@@ -323,6 +339,7 @@
                 id=routed.caller.request_id.decode('ascii', 'replace'),
                 why=str(error.__cause__),
             )
+            self._unreached_until = self._clock.now() + UNREACHED_PAUSE_S
             self._note_down()
             return NotRun(NotRunReason.CONNECT_FAILED, DEFAULT_RETRY_AFTER_S)
         headers = tuple(self._wire.encode(routed, instance, left_s))
--- a/tests/balance/fleet.py
+++ b/tests/balance/fleet.py
@@ -121,6 +121,9 @@
     def names(self) -> list[str]:
         return [name for name in self.fleet.servers if name != self.name]
 
+    def must_yield(self, now: float) -> bool:
+        return False
+
     def listeners(self, chance: random.Random) -> list[str]:
         others = self.names()
         return chance.sample(others, min(TELL_COUNT, len(others)))
--- a/tests/balance/test_coordinator.py
+++ b/tests/balance/test_coordinator.py
@@ -66,6 +66,9 @@
     def names(self) -> list[str]:
         return list(self.load_by_name)
 
+    def must_yield(self, _: float) -> bool:
+        return False
+
     def listeners(self, _: random.Random) -> list[str]:
         return list(self.load_by_name)
 
