--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 plantaingrade standins demo soak tests bench tools
+	$(BIN)/flake8 plantaingrade standins demo soak tests bench tools lab
 	$(BIN)/lint-imports --no-logo
 
 format: $(VENV)/.installed
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -4,14 +4,15 @@
 import json
 import sys
 from concurrent.futures import ProcessPoolExecutor
+from itertools import product
 from pathlib import Path
 
 import click
 
 from lab.callers import Callers
-from lab.deployment import DeploymentError, load
+from lab.deployment import DeploymentError, read_deployment
 from lab.policies import POLICY_BY_NAME
-from lab.tally import Tally
+from lab.tally import Tally, shares_by_kind
 from lab.troubles import Troubles
 from lab.world import World
 from tests.virtual import run
@@ -22,7 +23,7 @@
 
 def play(path: str, policy: str, seed: int) -> dict:
     """Return the figures of one play."""
-    deployment = load(Path(path))
+    deployment = read_deployment(Path(path))
     tally = Tally()
 
     async def story() -> World:
@@ -39,14 +40,6 @@
         return world
 
     world = run(story())
-    kinds = {
-        name: {word: round(shares.get(word, 0.0), 4) for word in shares}
-        for name, shares in tally.rows()
-    }
-    calls = {
-        name: {word: count[word] / count['asked'] for word in count}
-        for name, count in tally.calls_by_kind.items()
-    }
     holds = [each.holds for each in world.instances]
     return {
         'policy': policy,
@@ -57,8 +50,8 @@
         'questions': world.questions,
         'moves': sum(each.moves_done for each in holds),
         'moves_failed': sum(each.moves_failed for each in holds),
-        'kinds': kinds,
-        'calls': calls,
+        'kinds': shares_by_kind(tally.count_by_kind),
+        'calls': shares_by_kind(tally.calls_by_kind),
     }
 
 
@@ -84,35 +77,37 @@
     """Compare policies on deployments, each with the same seeds."""
     try:
         for path in paths:
-            load(Path(path))
+            read_deployment(Path(path))
     except DeploymentError as error:
         click.echo(str(error), err=True)
         sys.exit(EXIT_BAD_INPUT)
-    plays = [
-        (path, policy, seed)
-        for path in paths
-        for policy in policies or POLICY_BY_NAME
-        for seed in range(1, seeds + 1)
-    ]
+    plays = list(
+        product(paths, policies or POLICY_BY_NAME, range(1, seeds + 1))
+    )
     with ProcessPoolExecutor(jobs) as pool:
-        results = list(pool.map(play, *zip(*plays, strict=True)))
+        told = list(pool.map(play, *zip(*plays, strict=True)))
     if as_json:
-        click.echo(json.dumps(results))
+        click.echo(json.dumps(told))
         return
-    for (path, policy, seed), found in zip(plays, results, strict=True):
-        click.echo(
-            f'{Path(path).stem} {policy} seed {seed}: worth '
-            f'{found["worth"]:.3f}, served {found["served"]:.3f}, nines '
-            f'{found["nines"]:.3f}, moves {found["moves"]} '
-            f'(failed {found["moves_failed"]})'
+    for (path, _, _), found in zip(plays, told, strict=True):
+        _show(Path(path).stem, found)
+
+
+def _show(name: str, found: dict) -> None:
+    """Print what callers got in one play."""
+    click.echo(
+        f'{name} {found["policy"]} seed {found["seed"]}: worth '
+        f'{found["worth"]:.3f}, served {found["served"]:.3f}, nines '
+        f'{found["nines"]:.3f}, moves {found["moves"]} '
+        f'(failed {found["moves_failed"]})'
+    )
+    for kind, shares in found['kinds'].items():
+        words = ', '.join(
+            f'{word} {shares.get(word, 0.0):.3f}' for word in WORDS
         )
-        for name, shares in found['kinds'].items():
-            told = ', '.join(
-                f'{word} {shares.get(word, 0.0):.3f}' for word in WORDS
-            )
-            click.echo(f'  {name}: {told}')
-        for name, shares in found['calls'].items():
-            click.echo(f'  {name} (calls): served {shares["served"]:.3f}')
+        click.echo(f'  {kind}: {words}')
+    for kind, shares in found['calls'].items():
+        click.echo(f'  {kind} (calls): served {shares.get("served", 0):.3f}')
 
 
 if __name__ == '__main__':
--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -117,7 +117,7 @@
     burst: list[Burst] = field(default_factory=list)
 
 
-def load(path: Path) -> Deployment:
+def read_deployment(path: Path) -> Deployment:
     """Return the deployment in a file.
 
     Raises:
--- a/lab/keys.py
+++ b/lab/keys.py
@@ -7,6 +7,8 @@
 import asyncio
 import random
 
+from msgspec import Struct
+
 from plantaingrade.holds.turns import TurnPauses
 from plantaingrade.holds.transfer import CROWDED_LIMIT_S
 from plantaingrade.holds.unheld import UnheldRanges
@@ -52,6 +54,13 @@
         return is_done
 
 
+class Released(Struct, frozen=True):
+    """Ranges that have been released, and whether they have passed."""
+
+    owner_by_keys: dict[KeyRange, str]
+    is_done: asyncio.Future[bool]
+
+
 class LabRegistry:
     """What the balance reads of a member's rows."""
 
@@ -84,7 +93,7 @@
         self._granted_at: dict[KeyRange, float] = {}
         self._unheld = UnheldRanges()
         self._running: dict[int, int] = {}
-        self._ready: list[tuple[dict[KeyRange, str], asyncio.Future]] = []
+        self._ready: list[Released] = []
         self._writing = asyncio.Lock()
 
     def begin(self, key: int) -> None:
@@ -156,16 +165,17 @@
     async def _async_commit(self, owner_by_keys: dict[KeyRange, str]) -> bool:
         """Change the map once for all moves that are ready then."""
         move = asyncio.get_running_loop().create_future()
-        self._ready.append((owner_by_keys, move))
+        self._ready.append(Released(owner_by_keys, move))
         async with self._writing:
             if not move.done():
-                joint, self._ready = self._ready, []
+                joint = self._ready
+                self._ready = []
                 merged = {}
-                for each, _ in joint:
-                    merged.update(each)
+                for each in joint:
+                    merged.update(each.owner_by_keys)
                 is_done = await self._async_change(merged)
-                for _, waiting in joint:
-                    waiting.set_result(is_done)
+                for each in joint:
+                    each.is_done.set_result(is_done)
         return move.result()
 
     async def _async_change(self, owner_by_keys: dict[KeyRange, str]) -> bool:
--- a/lab/tally.py
+++ b/lab/tally.py
@@ -11,6 +11,8 @@
 BEST_UNSERVED = 0.001
 SERVED_STATUS = 200
 
+Counts = dict[str, Counter]
+
 
 class Tally:
     """Counts of one play."""
@@ -19,10 +21,9 @@
         """Count nothing yet."""
         self.began = 0.0
         self.counts_from = 0.0
-        self.count_by_kind: dict[str, Counter] = defaultdict(Counter)
-        self.calls_by_kind: dict[str, Counter] = defaultdict(Counter)
+        self.count_by_kind: Counts = defaultdict(Counter)
+        self.calls_by_kind: Counts = defaultdict(Counter)
         self.kinds: dict[str, Kind] = {}
-        self.held_s = 0.0
 
     def note(
         self,
@@ -64,7 +65,8 @@
 
     def worth(self) -> float:
         """Return the part of all worth that was earned."""
-        owed = earned = 0.0
+        owed = 0.0
+        earned = 0.0
         for name, count in self.count_by_kind.items():
             kind = self.kinds[name]
             owed += count['asked'] * kind.worth
@@ -86,12 +88,10 @@
         unserved = max(BEST_UNSERVED, 1 - self.served())
         return math.log(unserved) / math.log(BEST_UNSERVED)
 
-    def rows(self) -> list[tuple[str, dict[str, float]]]:
-        """Return the shares of each kind."""
-        return [
-            (
-                name,
-                {word: value / count['asked'] for word, value in count.items()},
-            )
-            for name, count in sorted(self.count_by_kind.items())
-        ]
+
+def shares_by_kind(count_by_kind: Counts) -> dict[str, dict[str, float]]:
+    """Return what became of the requests of each kind, as shares."""
+    return {
+        name: {word: count[word] / count['asked'] for word in count}
+        for name, count in sorted(count_by_kind.items())
+    }
--- a/lab/world.py
+++ b/lab/world.py
@@ -256,14 +256,14 @@
     async def _async_call_all(
         self, call, count: int, routed: RoutedRequest
     ) -> bool:
-        calls = [
-            self._async_call(self.world.kind_by_name[call.kind], routed)
-            for _ in range(count)
-        ]
+        kind = self.world.kind_by_name[call.kind]
         if call.is_together:
+            calls = (self._async_call(kind, routed) for _ in range(count))
             return all(await asyncio.gather(*calls))
-        results = [await each for each in calls]
-        return all(results)
+        for _ in range(count):
+            if not await self._async_call(kind, routed):
+                return False
+        return True
 
     async def _async_call(self, kind: Kind, routed: RoutedRequest) -> bool:
         now = asyncio.get_running_loop().time()
--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -183,14 +183,12 @@
         )
         if not moves:
             return
-        results = await asyncio.gather(
+        passed = await asyncio.gather(
             *(self._async_move(own, move) for move in moves)
         )
         # Keys are served while it rests, but not while a change waits.
         rest_s = self._holds.registry.turns.rest_s()
-        pause_s = self._pauses.on_moves(
-            results.count(True), results.count(False)
-        )
+        pause_s = self._pauses.on_moves(passed.count(True), passed.count(False))
         self._rests_until = self._clock.now() + max(rest_s, pause_s)
 
     async def _async_move(self, own: Load, move: Move) -> bool | None:
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -10,7 +10,6 @@
 from plantaingrade.balance.entity import Load, Room
 from plantaingrade.clock import Clock
 from plantaingrade.codec import Codec, MalformedMessageError
-from plantaingrade.const import MS_PER_S, PERCENT
 from plantaingrade.datagrams import TypedEndpoint
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.lease import UnreadableLeaseError, decode_member_row
@@ -333,9 +332,8 @@
                 self._on_welcome(member)
             case Introduced(member):
                 self._meet(member)
-            case Goodbye(name, boot):
-                self._directory.remove(name, boot)
-                self._log.write('member-left', member=name, boot=boot)
+            case Goodbye():
+                self._on_goodbye(message)
             case MapChanged():
                 self.map_follower.on_changed(message)
             case ServerCrashed(digests):
@@ -344,10 +342,12 @@
                 self._on_passed(message, word)
             case LoadTold():
                 self._on_load(message)
-            case RoomAsked():
-                self._on_room_asked(message)
-            case RoomTold():
-                self.rooms.on_told(message)
+            case RoomAsked() | RoomTold():
+                self.rooms.on_datagram(message)
+
+    def _on_goodbye(self, left: Goodbye) -> None:
+        self._directory.remove(left.name, left.boot)
+        self._log.write('member-left', member=left.name, boot=left.boot)
 
     def _on_welcome(self, member: Member) -> None:
         self._meet(member)
@@ -357,24 +357,6 @@
         load = Load(told.share, told.work_s, told.slots)
         self._loads.note(told.name, load, self._clock.now())
 
-    def _on_room_asked(self, asked: RoomAsked) -> None:
-        """Tell how soon the own server could run a request.
-
-        A question may be meant for another service that had this address.
-        """
-        if asked.service != self.own.service:
-            return
-        room = self._hooks.room_of(asked.kind, asked.priority)
-        told = RoomTold(asked.number, self.own.name)
-        if room is not None:
-            told = replace(
-                told,
-                wait_ms=round(room.wait_s * MS_PER_S),
-                work_ms=round(room.work_s * MS_PER_S),
-                failed=round(room.failures * PERCENT),
-            )
-        self._announcer.endpoint.send(told, asked.address)
-
     def _on_passed(self, passed: Passed, word: Word) -> None:
         """Take a word that is meant for the whole zone."""
         self._announcer.pass_on(passed)
--- a/plantaingrade/peers/rooms.py
+++ b/plantaingrade/peers/rooms.py
@@ -1,9 +1,11 @@
-"""Ask other members how soon their servers could run a request."""
+"""Ask members how soon their servers could run a request, and answer."""
 
 import asyncio
 from collections.abc import Callable, Sequence
 from itertools import count
 
+from msgspec.structs import replace
+
 from plantaingrade.balance.entity import Room
 from plantaingrade.clock import Clock
 from plantaingrade.const import MS_PER_S, PERCENT
@@ -21,13 +23,13 @@
 class RoomInquiry:
     """One question to several members, and their answers so far."""
 
-    __slots__ = ('all_answered', 'open_names', 'room_by_name')
+    __slots__ = ('ended', 'open_names', 'room_by_name')
 
     def __init__(self, names: set[str]) -> None:
         """Wait for the answers of the members named."""
         self.open_names = names
         self.room_by_name: dict[str, Room] = {}
-        self.all_answered = asyncio.get_running_loop().create_future()
+        self.ended = asyncio.get_running_loop().create_future()
 
     def on_told(self, name: str, room: Room | None) -> None:
         """Take an answer."""
@@ -36,12 +38,17 @@
         self.open_names.discard(name)
         if room is not None:
             self.room_by_name[name] = room
-        if not self.open_names and not self.all_answered.done():
-            self.all_answered.set_result(None)
+        if not self.open_names:
+            self.end()
+
+    def end(self) -> None:
+        """Wait for no further answers."""
+        if not self.ended.done():
+            self.ended.set_result(None)
 
 
 class RoomInquiries:
-    """Questions on behalf of one member that still wait for answers."""
+    """Questions of one member that wait for answers, and its own answers."""
 
     __slots__ = (
         '_clock',
@@ -83,7 +90,33 @@
             room_by_name |= await self._async_ask(others, kind, priority)
         return room_by_name
 
-    def on_told(self, told: RoomTold) -> None:
+    def on_datagram(self, message: RoomAsked | RoomTold) -> None:
+        """Answer a question, or take an answer."""
+        match message:
+            case RoomAsked():
+                self._answer(message)
+            case RoomTold():
+                self._on_told(message)
+
+    def _answer(self, asked: RoomAsked) -> None:
+        """Tell how soon the own server could run a request.
+
+        A question may be meant for another service that had this address.
+        """
+        if asked.service != self._own.service:
+            return
+        room = self._room_of(asked.kind, asked.priority)
+        told = RoomTold(asked.number, self._own.name)
+        if room is not None:
+            told = replace(
+                told,
+                wait_ms=round(room.wait_s * MS_PER_S),
+                work_ms=round(room.work_s * MS_PER_S),
+                failed=round(room.failures * PERCENT),
+            )
+        self._endpoint.send(told, asked.address)
+
+    def _on_told(self, told: RoomTold) -> None:
         """Take an answer, unless it is too late."""
         self._silent_until.pop(told.name, None)
         inquiry = self._inquiry_by_number.get(told.number)
@@ -119,9 +152,12 @@
         self._endpoint.send_all(
             question, [member.address for member in members]
         )
+        loop = asyncio.get_running_loop()
+        limit = loop.call_later(ANSWER_LIMIT_S, inquiry.end)
         try:
-            await asyncio.wait((inquiry.all_answered,), timeout=ANSWER_LIMIT_S)
+            await inquiry.ended
         finally:
+            limit.cancel()
             self._inquiry_by_number.pop(number)
         self._note_silent(inquiry.open_names)
         return inquiry.room_by_name
--- a/tests/admission/test_short_calls.py
+++ b/tests/admission/test_short_calls.py
@@ -43,3 +43,17 @@
     room = (SLOTS - CALL.per_s * CALL.work_s) / (READ.per_s * READ.work_s)
     served = [1 - lost_share(seed)[1] for seed in SEEDS]
     assert min(served) > NEARLY_ALL * room
+
+
+SIGN = Class('sign', 0, 53.0, 0.15, 0.3, 0.35, 1.0, 3, 0.9)
+CHECK = Class('check', 1, 30.0, 0.022, 0.5, 0.1, 0.25, 0, 0)
+
+
+def test_short_calls_of_a_lower_class_are_not_starved() -> None:
+    """Each call that is turned away loses the request that waits for it."""
+    lost = []
+    for seed in SEEDS:
+        game = Play((SIGN, CHECK), make_queue(SLOTS), SECONDS, seed=seed)
+        told = game.run()['check']
+        lost.append(told.lost / told.asked)
+    assert max(lost) < HARDLY_ANY
--- a/tests/admission/test_slots.py
+++ b/tests/admission/test_slots.py
@@ -152,3 +152,23 @@
     refused = queue.offer(Ticket('k', 1, 0.3, 0.3), 0.0)
     assert isinstance(refused, Refuse)
     assert refused.outcome.retry_after_s == pytest.approx(0.2, abs=0.02)
+
+
+def test_no_slot_is_kept_for_urgent_requests_that_may_come() -> None:
+    """Less urgent requests were refused for those that took slots before."""
+    queue = make_queue(2)
+    for kind in ('urgent', 'other'):
+        queue.estimate.observe(kind, 0.1)
+    now = 0.0
+    for _ in range(10):
+        urgent = [Ticket('urgent', 0, now + 1, now + 0.3) for _ in range(2)]
+        for ticket in urgent:
+            assert isinstance(queue.offer(ticket, now), Start)
+        now += 0.1
+        for ticket in urgent:
+            queue.release(ticket, now)
+    for _ in range(2):
+        queue.offer(Ticket('urgent', 0, now + 1, now + 0.3), now)
+    other = Ticket('other', 1, now + 1, now + 0.25)
+    assert isinstance(queue.offer(other, now), Wait)
+    assert other.lane is Lane.IN_TIME
--- /dev/null
+++ b/tests/lab/test_lab.py
@@ -0,0 +1,63 @@
+"""What the lab shows, and what it says of files that are no deployments."""
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from lab.__main__ import EXIT_BAD_INPUT, compare, play
+from lab.deployment import DeploymentError, read_deployment
+
+DEPLOYMENTS = Path('lab/deployments')
+# Worth that placing by what servers answer must bring above placing by what
+# they told of their loads before.
+GAIN = 0.05
+
+MISTAKEN = """zones = ["a"]
+lenght_s = 3
+
+[[service]]
+name = "s"
+servers = "two"
+slots = 3
+
+[[kind]]
+name = "k"
+service = "t"
+work_ms = 10
+objective_ms = 100
+deadline_ms = 200
+"""
+
+
+def test_servers_that_are_asked_serve_more_than_those_that_told() -> None:
+    """An entry asks each of many small servers too rarely to know its load."""
+    path = str(DEPLOYMENTS / 'one-service.toml')
+    asked = play(path, 'present', 1)
+    told = play(path, 'loads', 1)
+    assert asked['worth'] > told['worth'] + GAIN
+    assert asked['served'] >= told['served']
+
+
+def test_all_mistakes_are_told_at_once_with_their_lines(tmp_path) -> None:
+    path = tmp_path / 'mistaken.toml'
+    path.write_text(MISTAKEN)
+    told = CliRunner().invoke(compare, [str(path)])
+    assert told.exit_code == EXIT_BAD_INPUT
+    lines = told.output.splitlines()
+    assert [line.split(':')[1] for line in lines] == ['4', '1', '9']
+    assert 'servers' in lines[0]
+    assert 'lenght_s' in lines[1]
+    assert "'t'" in lines[2]
+
+
+def test_a_file_that_is_no_toml_is_named(tmp_path) -> None:
+    path = tmp_path / 'broken.toml'
+    path.write_text('zones = [')
+    with pytest.raises(DeploymentError, match='broken.toml'):
+        read_deployment(path)
+
+
+@pytest.mark.parametrize('path', sorted(DEPLOYMENTS.glob('*.toml')), ids=str)
+def test_the_deployments_here_have_no_mistakes(path) -> None:
+    assert read_deployment(path).kind
--- a/tests/requests/test_placing.py
+++ b/tests/requests/test_placing.py
@@ -5,7 +5,7 @@
 
 from pytest import approx
 
-from plantaingrade.balance.entity import Load
+from plantaingrade.balance.entity import Load, Room
 from plantaingrade.peers.entity import Member
 from plantaingrade.requests.entity import (
     Answer,
@@ -22,6 +22,9 @@
     best_of_two,
     choose_after_refusal,
     choose_place,
+    is_near_enough,
+    is_worth_crossing,
+    soonest,
 )
 
 SLOTS = 6
@@ -165,3 +168,35 @@
             before = share_by_zone[zone]
             share_by_zone[zone] = (before + work / SLOTS) / 2
     return share_by_zone
+
+
+def test_the_server_that_ends_first_is_chosen_not_the_one_that_begins() -> None:
+    """A free server at half the speed was preferred to one free in a moment."""
+    rooms = {'slow': Room(0.0, 0.2), 'fast': Room(0.03, 0.08)}
+    assert soonest(rooms) == 'fast'
+
+
+def test_a_server_that_fails_fast_does_not_draw_all_requests() -> None:
+    """It has the most room of all, as it runs nothing for long."""
+    rooms = {
+        'failing': Room(0.0, 0.01, failures=0.5),
+        'sound': Room(0.1, 0.1, failures=0.02),
+    }
+    assert soonest(rooms) == 'sound'
+
+
+def test_what_all_servers_fail_alike_rules_none_out() -> None:
+    rooms = {
+        'one': Room(0.0, 0.1, failures=0.5),
+        'other': Room(0.2, 0.1, failures=0.45),
+    }
+    assert soonest(rooms) == 'one'
+    assert soonest({}) is None
+
+
+def test_a_request_leaves_its_zone_only_to_end_clearly_sooner() -> None:
+    near = Room(0.1, 0.1)
+    assert is_near_enough(near, due_in_s=0.3)
+    assert not is_near_enough(near, due_in_s=0.25)
+    assert is_worth_crossing(near, Room(0.0, 0.1))
+    assert not is_worth_crossing(near, Room(0.08, 0.1))
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 
-# Least that passes in a turn of the loop, in seconds. A timer that is due within
-# the clock's resolution fires at once, and who waits for it looks at the time.
+# Least time of a turn of the loop, in seconds: a timer that is due within
+# the clock's resolution fires at once, and whoever waits looks at the time.
 MIN_STEP_S = 1e-8
 
 
