--- a/lab/world.py
+++ b/lab/world.py
@@ -316,6 +316,14 @@
             way_ms = ways.in_zone_ms
         return (way_ms + ways.hop_ms) / MS_PER_S
 
+    def has_room(self, service: str) -> bool:
+        """Tell whether any server of a service has a free slot."""
+        return any(
+            each.gate.queue.running < each.service.slots
+            for each in self.instances
+            if each.service.name == service and each.life.takes_work
+        )
+
     def kind_of(self, caller: CallerRequest) -> Kind:
         """Return the kind of a request."""
         return self.kind_by_name[caller.target.decode().strip('/')]
