Take the stories of failures out of the platform path's code

60 of 94 comments and docstrings told a failure; a guard now says in one or two lines why it is there where that is not plain. The code without its docstrings is the same, compared tree by tree.

--- a/plantaingrade/admission/budget.py
+++ b/plantaingrade/admission/budget.py
@@ -9,8 +9,7 @@
 class RetryBudget:
     """Allow one retry for every ten requests, in the long run.
 
-    Failure: in an overload every request fails and is sent again, which
-    doubles the overload. Tokens that only first tries earn bound the extra.
+    Repeats would double an overload, so only first tries earn tokens.
     """
 
     __slots__ = ('_tokens',)
--- a/plantaingrade/admission/gate.py
+++ b/plantaingrade/admission/gate.py
@@ -95,9 +95,7 @@
     def _plan_refill(self) -> None:
         """Look again when a cold server may get one more request.
 
-        Failure: all that ran has ended, and the server was still too cold for
-        those who wait. It shows as slots that stay empty until another
-        request ends, which may be never.
+        Else slots stay empty until another request ends, which may be never.
         """
         if self._refill is not None:
             return
--- a/plantaingrade/admission/repeats.py
+++ b/plantaingrade/admission/repeats.py
@@ -19,10 +19,8 @@
 class RepeatBudget:
     """Allow repeats in proportion to requests.
 
-    Failure: in an overload every request fails and is sent again, which
-    doubles the overload. The platform bounds the repeats of all processes
-    together; each process keeps to its part by itself, so that no messages
-    are needed, and the sum then keeps to the bound too.
+    Repeats would double an overload. The platform bounds those of all processes
+    together; each keeps to its part by itself, without messages.
     """
 
     __slots__ = (
--- a/plantaingrade/admission/slots.py
+++ b/plantaingrade/admission/slots.py
@@ -318,11 +318,8 @@
     that waits and goes first, in its order. Each piece takes the slot that is
     free first.
 
-    Failure: the wait is taken for the time in which all work that runs would
-    end. It shows as calls of 22 ms between servers that are turned away from
-    a server whose nine slots run reads of 360 ms, though one of them ends each
-    40 ms. 92 % of such calls were lost, 0.1 to 0.3 % since (played, 60 s,
-    four seeds).
+    Short calls between servers depend on it: with nine slots that run reads of
+    360 ms one of them is free each 40 ms.
     """
     surplus = len(rests_s) - slots
     free_at = sorted(rests_s)[max(0, surplus) :]
--- a/plantaingrade/backends/coordinator.py
+++ b/plantaingrade/backends/coordinator.py
@@ -79,9 +79,8 @@
     def on_report(self, report: Report) -> None:
         """Take a report in.
 
-        Failure: a server that froze or died comes back and claims to be
-        ready. A single report is not trusted after it was down; it must
-        report ready ``READY_STREAK`` times in a row.
+        A single report is not trusted after the server was down: it must report
+        ready ``READY_STREAK`` times in a row.
         """
         self._misses = 0
         self.report = report
--- a/plantaingrade/backends/life.py
+++ b/plantaingrade/backends/life.py
@@ -77,20 +77,13 @@
       it is ready ``FAREWELL_DOUBT_S`` later, it was of an earlier life, and
       the server takes work again as a new one.
 
-    Failure: a heartbeat that was held up arrives after its sender has crashed
-    and another life has registered at the same address. It shows as grants
-    and requests for a life that is over, or as a server that is taken for
-    draining. The rule holds because a life says nothing more after its end,
-    and what is still on its way arrives together or between heartbeats of the
-    life that runs.
-
-    Failure: a server crashes, and its clock has stepped back when it starts
-    again under its id. It shows as a server that is passed over for good. The
-    present life is silent then and the new one is not, which the rule on doubt
-    tells. A late heartbeat that is believed by mistake costs new fences and
-    no more: the next heartbeat of the present life starts later and is taken
-    up. What such a server holds meanwhile does not depend on this belief: it
-    is granted keys anew whenever its connections were lost.
+    A life says nothing more after its end, and what is still on its way arrives
+    together or between heartbeats of the life that runs. So a heartbeat that
+    was held up is not taken for one of the server that runs now.
+
+    A server whose clock has stepped back is found by the rule on doubt: the
+    earlier life is silent. A late heartbeat that is believed by mistake costs
+    new fences and no more; what a server holds does not depend on this belief.
     """
 
     __slots__ = (
--- a/plantaingrade/config/coordinator.py
+++ b/plantaingrade/config/coordinator.py
@@ -128,10 +128,9 @@
     def on_hint(self, version: int) -> None:
         """Take the word of another process that a version is in force.
 
-        Failure: the connection on which this process waits for changes has
-        gone silent. It shows as an old configuration in use long after a new
-        one was acknowledged. Every request of another process brings its
-        version, so the wait ends soon after anybody knows more.
+        The connection on which this process waits may have gone silent. Every
+        request of another process brings its version, so the wait ends soon
+        after anybody knows more.
         """
         if version <= max(self.version, self._hinted_version):
             return
@@ -198,9 +197,8 @@
     async def _async_follow(self, after: int) -> int | None:
         """Wait for changes once; return the version to go on from.
 
-        Failure: a wait that was sent while the store was silent is lost, and
-        nothing tells so before it is over. It shows as an old configuration
-        in use seconds after a new one was acknowledged.
+        A wait that was sent while the store was silent is lost, and nothing
+        tells so before it is over.
         """
         wait_s = self._wait_s()
         outcome = await self._store.async_follow(self._table, after, wait_s)
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -275,9 +275,7 @@
     async def _async_fence_loop(self) -> None:
         """Take new fences when they are needed, beside the renewals.
 
-        Failure: the store is away, and grants wait for it that need nothing
-        of it. It shows as keys that are held by nobody though their server
-        and its fences are in order.
+        Grants under fences that are in order need nothing of the store.
         """
         plan = partial(plan_outrank, moving=self.granter.moving)
         while True:
--- a/plantaingrade/holds/granter.py
+++ b/plantaingrade/holds/granter.py
@@ -50,13 +50,10 @@
 class Granter:
     """Keep the server's grants in step with what this member owns.
 
-    Failure: a server crashes, and its next life starts before anything tells
-    of it. A renewal reaches it, and it takes keys under the fence under which
-    the life before had them. It shows as two lives that held the same keys
-    and cannot be told apart. So a fence is bound to the session in which it
-    was sent first, which reaches one life only, and after that session new
-    fences are taken. No word, sign or time is relied on: whatever started at
-    the server's address, an old fence has no way there.
+    A fence is bound to the session in which it was sent first, which reaches
+    one life of the server only; after that session new fences are taken. So two
+    lives never hold keys under one fence, whatever started at the server's
+    address.
     """
 
     __slots__ = (
@@ -110,9 +107,7 @@
     def is_unreachable(self) -> bool:
         """Tell whether the server was tried and not reached.
 
-        Failure: a process has just started and has not tried yet. It shows as
-        requests for its keys that are refused at once, though their grants
-        are some milliseconds away.
+        A process that has not tried yet has its grants in some milliseconds.
         """
         return not self._orders.session and self.opener.has_failed
 
@@ -164,9 +159,8 @@
     def start_grants(self) -> None:
         """Send a grant for each range owned, unless one is under way.
 
-        Failure: orders take long, and not all pass in a period. It shows as
-        ranges that are never granted, behind those that were granted just
-        now. So the hold that ends first is renewed first.
+        The hold that ends first is renewed first: not all orders may pass in a
+        period.
         """
         session = self._orders.session
         if not session:
@@ -269,9 +263,8 @@
     ) -> None:
         """Send a grant that is made now, when nothing stands before it.
 
-        Failure: an order waits for its turn, or for a connection, and holds
-        longer than was counted when it was made. It shows as a hold that
-        outlasts the lease, or a range that was thought free.
+        Made earlier, it could wait for its turn or a connection, and hold
+        longer than was counted.
         """
         hold_s = self._hold_s()
         if hold_s <= MIN_HOLD_LEFT_S:
--- a/plantaingrade/holds/lease.py
+++ b/plantaingrade/holds/lease.py
@@ -53,8 +53,8 @@
     def as_of(self, latest_end_s: float) -> 'MemberRow':
         """Return the row as it is to be used, given how long a lease can be.
 
-        Failure: another writer puts a lease there that ends in a far future.
-        It shows as keys that are given to a member that does not exist.
+        A lease of another writer may end in a far future, and nobody would take
+        its keys over.
         """
         if self.until_s <= latest_end_s:
             return self
--- a/plantaingrade/holds/opening.py
+++ b/plantaingrade/holds/opening.py
@@ -13,10 +13,7 @@
 class SessionOpener:
     """Open sessions, ever more rarely while none of them is of use.
 
-    Failure: nothing listens while a server starts again, or whatever listens
-    ends each connection at once. It shows as processor time, and as a change
-    of fences for each session. So attempts become rarer, until an order is
-    answered.
+    Each attempt costs processor time, and each session a change of fences.
     """
 
     __slots__ = (
--- a/plantaingrade/holds/passing.py
+++ b/plantaingrade/holds/passing.py
@@ -22,10 +22,8 @@
 ) -> Change | None:
     """Pass ranges on, if they stand as they did when they were released.
 
-    Failure: part of a range has passed on by another change since it was
-    released here. It shows as keys that are taken from their new owner.
-    Passages do not depend on each other: one that is no longer possible
-    leaves the others as they are.
+    Others may have changed the map since the release. Passages do not depend on
+    each other: one that is no longer possible leaves the others as they are.
     """
     own = registry.member.name
     owner_by_keys = {
--- a/plantaingrade/holds/plans.py
+++ b/plantaingrade/holds/plans.py
@@ -19,10 +19,8 @@
 ) -> Change | None:
     """Give the keys of this member a fence above every earlier one.
 
-    Failure: keys that are being given away get another fence than they were
-    released under, and their move is given up; so is the next one. It shows
-    as keys that stay with a server that is silent. Those that are ``moving``
-    keep theirs: they get a new one with their new owner.
+    Those that are ``moving`` keep their fences, under which they were released,
+    and get new ones with their new owner.
     """
     parts = [each.keys for each in registry.key_map.owned_by(_own(registry))]
     for moved in moving:
@@ -53,9 +51,8 @@
     ``given_up`` holds names and row versions of members whose witnesses have
     given them up.
 
-    Failure: a member whose row was removed comes back and joins between the
-    reading of the rows and this change. It shows as keys taken from a member
-    that holds them. So rows that were not there must still not be there.
+    A member may come back between the reading of the rows and this change, so
+    rows that were not there must still not be there.
     """
     over = [
         row
--- a/plantaingrade/holds/promises.py
+++ b/plantaingrade/holds/promises.py
@@ -6,10 +6,8 @@
 second end needs a majority that gives the member up. Of two majorities of the
 same witnesses one member is in both, and it does one of the two only.
 
-Failure: an instance is lost, and its keys wait for the whole lease, which is
-long so that it outlasts an outage of the store. It shows as 10 to 13 s in which
-nobody serves them. With two ends they wait for 3 to 6 s, and an outage in which
-the witnesses can be asked is outlasted as before.
+Keys of a lost instance wait for the first end only, and an outage in which the
+witnesses can be asked is outlasted until the second.
 """
 
 from collections.abc import Collection
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -178,12 +178,10 @@
         instead of ``limit_s`` while others' changes are all that is in the
         way.
 
-        Failure: a transaction whose answer was lost is applied seconds later,
-        when this member has taken its keys up again. It shows as two servers
-        that hold the same keys. So whatever was sent without an answer is
-        followed by further renewals, however long that takes, until the own
-        row has changed: either the lost one shows there by its write id, or
-        its condition can hold no more.
+        A transaction without an answer may be applied seconds later. It is
+        followed by renewals, however long that takes, until the own row has
+        changed: either it shows there by its write id, or its condition can
+        hold no more. Else two servers could hold the same keys.
         """
         async with self._writing:
             if not joins and not self.is_joined:
@@ -329,10 +327,8 @@
         self.own = replace(row, version=version)
         self.rows.by_name[self.member.name] = self.own
         if write.is_barrier and not self.is_joined:
-            # Failure: a run gives its joining up, and the renewal that makes
-            # sure of that would let it grant keys under the fences of the
-            # run before. It shows as a life that takes a key under a fence
-            # that another life had. Only the change itself joins.
+            # Only the change itself joins: a renewal would let this run grant
+            # keys under the fences of the run before.
             self.term.on_none_open()
             return
         self.term.on_standing(row)
@@ -369,8 +365,7 @@
     def _give_up(self) -> CommitResult:
         """End an attempt that what cannot be read would fail at once again.
 
-        Failure: another writer overwrites the map. It shows as transactions
-        that follow each other without a pause and fail, all for one row.
+        Else transactions that fail follow each other without a pause.
         """
         self._log.write('commit-blocked', map_version=self.key_map.version)
         return CommitResult.FAILED
--- a/plantaingrade/holds/rows.py
+++ b/plantaingrade/holds/rows.py
@@ -102,11 +102,9 @@
     ) -> None:
         """Keep that a member has a row, if that matters to somebody.
 
-        Failure: the row of a member is overwritten by another writer. It
-        shows as keys that nobody takes over, or, if the member passed for
-        absent, as takeovers of all others that fail with it. A member that
-        lives writes its row again within a renewal. So what stays as it was
-        for longer than any lease is over.
+        A member that lives writes its row again within a renewal, so one that
+        stays unreadable for longer than any lease is over. Its keys are taken
+        over, and it stands in the way of no other takeover.
         """
         if not row.name.key.startswith(KEY_MEMBER):
             return
--- a/plantaingrade/holds/term.py
+++ b/plantaingrade/holds/term.py
@@ -24,10 +24,8 @@
 class LeaseTerm:
     """The own lease, as far as it is proven.
 
-    Failure: a write without an answer stands in the store, and its end comes
-    before that of the write known to stand, or its witnesses were never
-    asked. It shows as keys that are taken over while this member grants them.
-    So whatever may stand there bounds the lease, but for what was promised.
+    Whatever may stand in the store bounds the lease, but for what was promised:
+    a write without an answer may stand there with an earlier end.
     """
 
     __slots__ = ('_clock', '_open_by_number', '_promised_to', '_standing')
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -77,10 +77,8 @@
     async def async_give(self, keys: list[KeyRange], target: str) -> bool:
         """Pass ranges to another member; tell whether they have passed.
 
-        Failure: who asked for it leaves while the change is under way, and
-        the ranges are granted here again before the change is applied. It
-        shows as two servers that hold the same keys. So a move that has
-        begun goes on without whoever asked for it.
+        A move that has begun goes on without whoever asked for it: its change
+        may be applied yet, and the ranges must not be granted here again.
         """
         loop = asyncio.get_running_loop()
         move = loop.create_task(self._async_give(keys, target))
@@ -98,9 +96,8 @@
 
         Ranges that are being passed on already are left to that transfer.
 
-        Failure: keys are released while the store is away, and their change
-        waits for it. It shows as keys that nobody serves for as long as that
-        takes, though their server could.
+        Nothing is released while the store is away: nobody would serve the keys
+        until it is back.
         """
         if not self._registry.is_store_answering:
             return False
@@ -145,9 +142,9 @@
     async def _async_commit(self, passage: Passage) -> Ready:
         """Change the map for a passage, and for all that are ready then.
 
-        Failure: who changes the map for several is cancelled on the way. The
-        next of them sends a change of its own, which makes an open one fail
-        or finds that it was done.
+        If who changes the map for several is cancelled, the next one sends a
+        change of its own, which makes an open one fail or finds that it was
+        done.
         """
         ready = Ready(passage, self._clock.now())
         self._ready.append(ready)
@@ -220,10 +217,8 @@
     ) -> None:
         """Wait until no grant on these keys can still be in force.
 
-        Failure: a grant without answer is carried out seconds later, or the
-        server does not answer the release, and the next owner's server works
-        on the same keys. After the end of every hold that may exist, no late
-        order brings one back.
+        An order without an answer may be carried out seconds later, but never
+        after the end of every hold that may exist.
         """
         ledger = self._granter.ledger
         if is_released:
--- a/plantaingrade/holds/unheld.py
+++ b/plantaingrade/holds/unheld.py
@@ -14,10 +14,9 @@
 class UnheldRanges:
     """Since when ranges have been found unheld.
 
-    Failure: keys were released to pass on, and then the store was lost, so
-    that nobody can tell whose they are until it is back. It shows as callers
-    that are all kept waiting until their time is up. A normal move takes a
-    fraction of ``MAX_UNHELD_WAIT_S``; after that, requests are refused at once.
+    A normal move takes a fraction of ``MAX_UNHELD_WAIT_S``. After that requests
+    are refused at once: the store is most likely away, and callers would wait
+    until their time is up.
     """
 
     __slots__ = ('_asked_at', '_since')
--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -105,9 +105,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Note that the connection is gone."""
-        # Failure: a reset in the middle of an answer that ends with the
-        # connection. It shows as a shortened answer taken for a whole one.
-        # Only an orderly end is passed on.
+        # Only an orderly end is passed on: after a reset an answer that ends
+        # with the connection would look whole.
         self._broken = exc is not None and not self.closed
         self._end()
         if self._writable is not None and not self._writable.done():
@@ -200,8 +199,8 @@
     def probe(self) -> None:
         """Have the system probe the connection while it is silent.
 
-        Failure: a connection on which an answer is awaited for long has been
-        forgotten between the two ends. It shows as a wait that never ends.
+        A connection that was forgotten between its ends would be waited on for
+        ever.
         """
         connected = self.transport.get_extra_info('socket')
         connected.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
@@ -239,9 +238,8 @@
     def abort(self) -> None:
         """Break the connection off, so that no half answer looks whole.
 
-        Failure: the end of a connection is the end of an answer of unknown
-        length to a caller of HTTP/1.0. It shows as a fragment taken for the
-        whole. With no linger time the system sends a reset, not an end.
+        With no linger time the system sends a reset: an orderly end would make
+        a fragment of unknown length look whole to a caller of HTTP/1.0.
         """
         self.closed = True
         if self.transport is None:
--- a/plantaingrade/http/exchange.py
+++ b/plantaingrade/http/exchange.py
@@ -49,9 +49,8 @@
 ) -> WholeAnswer | None:
     """Return the answer that belongs to the request.
 
-    Failure: a server sends a second answer to an earlier request, and it
-    arrives where the answer to this one is due. It shows as one caller
-    getting another's answer. Answers that ``accept`` turns down are skipped.
+    A second answer to an earlier request may arrive where the answer to this
+    one is due. Answers that ``accept`` turns down are skipped.
 
     Raises:
         ChannelClosedError: the connection ended before the whole answer.
--- a/plantaingrade/http/pool.py
+++ b/plantaingrade/http/pool.py
@@ -92,10 +92,8 @@
 
         One that idled for longer than ``max_idle_s`` is passed over.
 
-        Failure: a device between the ends has forgotten an idle connection.
-        It shows as a request that is never answered, and nobody can tell
-        whether it ran. A connection that was silent for longer than the pool
-        trusts one is left behind; a new one costs about 1 ms.
+        A connection that was silent for longer than the pool trusts one may be
+        forgotten by a device between the ends; a new one costs about 1 ms.
 
         Raises:
             ConnectFailedError: no connection could be made.
--- a/plantaingrade/http/reader.py
+++ b/plantaingrade/http/reader.py
@@ -158,8 +158,7 @@
     def _check_framing(self) -> None:
         """Refuse a message of which two ends could be read.
 
-        Failure: this process and the next reader find different ends for one
-        message. It shows as the rest of a body that is run as a request.
+        Else the next reader may take the rest of a body for a request.
         """
         codings = self._texts(b'transfer-encoding')
         if not codings:
--- a/plantaingrade/http/server.py
+++ b/plantaingrade/http/server.py
@@ -77,10 +77,8 @@
     def end_connections(self) -> None:
         """End each connection after its next answer; still take new ones.
 
-        Failure: a planned stop closes a connection, or a listening socket
-        with connections waiting in it, while a request is on its way. It
-        shows as a request without answer. So callers are told
-        ``Connection: close`` with an answer, and the socket closes last.
+        Callers are told ``Connection: close`` with an answer, and the socket
+        closes last, so that no request on its way meets a closed connection.
         """
         self.leaving = True
 
--- a/plantaingrade/http/session.py
+++ b/plantaingrade/http/session.py
@@ -25,21 +25,18 @@
 class Session:
     """Some connections to one address that end at the same process.
 
-    Failure: a server crashes, and another process starts at its address. Who
-    then connects anew, or takes any connection from a pool, speaks to the
-    new process as if it were the old one. It shows as words for the old one
-    (an order, a fence) that the new one takes. A connection never outlasts
-    the process that accepted it, so within one connection this cannot
-    happen. A further connection joins once a connection of the session has
-    answered what was sent after the further one was made: the process was
-    there all the while, and so nobody else listened at its address.
+    A connection never outlasts the process that accepted it. A further
+    connection joins once a connection of the session has answered what was sent
+    after the further one was made: the process was there all the while, and so
+    nobody else listened at its address. A process that has started there since
+    is never spoken to as if it were the old one.
 
     This takes for granted that one process listens at the address until it
     ends, and that its listening socket ends with it.
 
-    Failure: a server ends a connection after its answer, or each one. The
-    session would end with it. So nothing is sent without another connection
-    at hand, idle or made just before, which the answer lets join.
+    A server may end a connection after each answer. So nothing is sent without
+    another connection at hand, idle or made just before, which the answer lets
+    join.
     """
 
     __slots__ = (
--- a/plantaingrade/http/writer.py
+++ b/plantaingrade/http/writer.py
@@ -135,9 +135,8 @@
 def _head(line: bytes, headers: Pairs) -> bytes:
     """Return the bytes of a head.
 
-    Failure: a name or text with a line's end in it would be read as another
-    header, or as the end of the head. It shows as a caller that writes an
-    answer, or another's request, itself. So the ends are counted.
+    A line's end in a name or text would begin another header, or end the head.
+    So the ends are counted.
     """
     lines = [line]
     lines.extend(b'%b: %b' % pair for pair in headers)
--- a/plantaingrade/peers/announcer.py
+++ b/plantaingrade/peers/announcer.py
@@ -88,9 +88,7 @@
     def introduce(self) -> None:
         """Tell every member of this one, once all have had time to join.
 
-        Failure: members start together, and a relay passes a greeting on
-        before it knows all its neighbours, or that is lost. It shows as keys
-        that some members find no owner for.
+        A relay may pass a greeting on before it knows all its neighbours.
         """
         self.tell_all(Introduced(self._own))
 
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -187,10 +187,9 @@
     def look_up(self, name: str) -> None:
         """Read the members for one that owns keys and that nobody introduced.
 
-        Failure: the words that introduce a member to another are lost. It
-        shows as keys that are refused on one instance until the next repair.
-        A name is looked up once between two repairs: a member may have left
-        while the map still names it.
+        The datagrams that introduce a member may be lost. A name is looked up
+        once between two repairs: a member may have left while the map still
+        names it.
         """
         is_looking = self._looking is not None and not self._looking.done()
         if is_looking or name in self._looked_up:
--- a/plantaingrade/peers/directory.py
+++ b/plantaingrade/peers/directory.py
@@ -87,11 +87,9 @@
     def may_ask(self, name: str, now: float) -> bool:
         """Tell whether a request may be sent to a member.
 
-        Failure: an instance is cut off or dark, and each request for its keys
-        waits for a connection until its caller's time is up. It shows as
-        callers that are kept waiting for nothing and cannot go elsewhere.
-        While a member is unreachable one request tries it now and then; the
-        others can be refused at once.
+        While a member is unreachable one request tries it now and then. The
+        others are refused at once; each would wait for a connection until its
+        time is up.
         """
         if self._failures_by_name.get(name, 0) < UNREACHABLE_AFTER:
             return True
--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -34,8 +34,7 @@
     def is_addressed(self) -> bool:
         """Tell whether the address is one that can be sent to.
 
-        Failure: a row or a datagram of another writer names a member without
-        a usable address. It shows as a loop over all members that ends there.
+        Another writer may name a member without one.
         """
         host, _, port = self.address.rpartition(':')
         try:
--- a/plantaingrade/peers/own_row.py
+++ b/plantaingrade/peers/own_row.py
@@ -46,8 +46,7 @@
     async def async_remove(self) -> None:
         """Remove the row, if it was written.
 
-        Failure: the row outlives its instance. It shows as requests that
-        others send to an address where nobody answers, after each restart.
+        Others would send requests to an address where nobody answers.
         """
         if not self._version:
             return
--- a/plantaingrade/platform/store.py
+++ b/plantaingrade/platform/store.py
@@ -238,10 +238,10 @@
 def decode_row(raw: Any) -> Row | None:
     """Return a row as the store writes it, or nothing if it has no name.
 
-    Failure: one row holds what cannot be decoded. It shows as a part of which
-    nothing can be read any more. Such a row has no bytes, which whoever uses
-    it finds unreadable; it still has its name and its version, so that it is
-    not taken for one that is not there.
+    A row that cannot be decoded has no bytes, which whoever uses it finds
+    unreadable. It keeps
+    its name and its version, so that it is not taken for one that is not there,
+    and the other rows can be read.
     """
     try:
         fields = Fields(raw)
--- a/plantaingrade/requests/bodies.py
+++ b/plantaingrade/requests/bodies.py
@@ -25,9 +25,8 @@
     ) -> AsyncIterator[bytes]:
         """Yield a whole body, and give its room back in the end.
 
-        Failure: many long bodies at once take more memory than the instance
-        has, and the platform kills the process with all its requests. Room
-        is taken as bytes arrive, and who finds none is refused.
+        Room is taken as bytes arrive; who finds none is refused, before the
+        platform ends the process for its memory.
 
         Raises:
             BodyTooLongError: the body is above the limit for one.
--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -172,10 +172,8 @@
             if isinstance(outcome, Unknown):
                 progress.unknown = outcome
             if not await self._async_may_try_again(progress, outcome):
-                # Failure: an idempotent request may have run at a server whose
-                # answer was lost, and its repeat is refused. It shows as a
-                # caller who is told that nothing ran. One open try leaves
-                # the whole request open.
+                # One open try leaves the whole request open: it may have run
+                # there, whatever came of its repeat.
                 return progress.unknown or outcome
             if isinstance(outcome, NotRun) and outcome.owner:
                 progress.hint = outcome.owner
--- a/plantaingrade/requests/peer_path.py
+++ b/plantaingrade/requests/peer_path.py
@@ -124,9 +124,7 @@
     def _note_unreachable(self, member: Member, why: str) -> None:
         """Pass a member over, and trust none of its connections.
 
-        Failure: what lies between two instances has forgotten their
-        connections. It shows as requests that are never answered, one for
-        each connection that was kept.
+        What lies between may have forgotten all connections that were kept.
         """
         self._pool.forget(member.address)
         if self._directory.on_unreachable(member.name, self._clock.now()):
--- a/plantaingrade/requests/placing.py
+++ b/plantaingrade/requests/placing.py
@@ -145,10 +145,9 @@
 def assumed_share(places: Sequence[Place]) -> float:
     """Return what is assumed of those that have not told their load.
 
-    Failure: a server joins others that have little to do, is taken for half
-    loaded, and gets nothing, so that it never tells its load. Taken for an
-    average one it gets half of what it is drawn for, and is not overrun by
-    many processes that do not know its load either.
+    A server that joins and has told nothing is taken for an average one: taken
+    for half loaded among idle ones it would get nothing, and never tell its
+    load.
     """
     known = [place.share for place in places if place.load is not None]
     if not known:
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -144,10 +144,7 @@
     def on_new_life(self) -> None:
         """Keep no connection to the life before.
 
-        Failure: a machine loses power and is back, and its server starts
-        again; nobody has closed the connections of before. It shows as work
-        that goes out on one of them and is lost, of which nobody can tell
-        whether it ran.
+        Nobody has closed them, and work sent on one of them may be lost.
         """
         self._pool.forget(self._wire.address)
         self._note_down()
@@ -174,9 +171,8 @@
     async def _async_catch_up(self, map_version: int) -> None:
         """Wait for the map by which a request was sent here.
 
-        Failure: keys were given to this member, and the giver was killed
-        before it could tell. It shows as requests that are sent to and fro
-        between the two until their tries are spent.
+        Else a request goes to and fro between giver and receiver until its
+        tries are spent.
         """
         if map_version <= self._holds.registry.key_map.version:
             return
--- a/plantaingrade/schema.py
+++ b/plantaingrade/schema.py
@@ -1,11 +1,9 @@
 """Read the fields of JSON objects that others wrote, by type and bounds.
 
-Failure: another writer, or another version of one, leaves a field out or puts
-something else in its place: a number as text, ``true`` for a number, ``NaN``,
-nothing at all. It shows as tasks that end with an exception far from where the
-bytes came in, or as figures that compare with nothing. So each field is
-checked where it is read, and a field that does not fit makes its whole object
-unreadable.
+Another writer, or another version of one, may leave a field out or put
+something else in its place: a number as text, ``true`` for a number, ``NaN``.
+Each field is checked where it is read, and one that does not fit makes its
+whole object unreadable.
 """
 
 import json
--- a/plantaingrade/sidecar/fronts.py
+++ b/plantaingrade/sidecar/fronts.py
@@ -234,9 +234,7 @@
     ) -> Outcome:
         """Serve a request that was meant for the service here.
 
-        Failure: an address passes to a process of another service, and
-        others send there by what they knew before. It shows as requests run
-        by a service that no route names.
+        An address may have passed here from a process of another service.
         """
         if routed.service != self._service:
             return NotRun(NotRunReason.OTHER_SERVICE)
--- a/plantaingrade/sidecar/leaving.py
+++ b/plantaingrade/sidecar/leaving.py
@@ -22,10 +22,8 @@
 class Leaving:
     """Hand everything over, then refuse, then wait for what runs.
 
-    Failure: the store is away, so keys cannot be handed over, and work comes
-    in until the platform ends this process in the middle of it. It shows as
-    connections closed without an answer. So each step has its time, whatever
-    became of the one before.
+    Each step has its time, whatever became of the one before: the platform ends
+    the process when the grace is over, in the middle of what it still serves.
     """
 
     __slots__ = (
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -452,8 +452,7 @@
     def _on_new_life(self) -> None:
         """Forget the life before; take keys again unless told to stop.
 
-        Failure: a server starts again while its process stops. It shows as
-        keys that others give to a process that is about to end.
+        A process that is about to end takes no keys for it.
         """
         self._server_path.on_new_life()
         self.holds.on_new_life()
--- a/plantaingrade/sidecar/retreat.py
+++ b/plantaingrade/sidecar/retreat.py
@@ -23,10 +23,8 @@
     it goes elsewhere, and the keys given away, which are served meanwhile. An
     evacuation has an end by which nothing may go to the server.
 
-    Failure: the servers of a zone have lost what they kept in memory when the
-    evacuation is taken back, and get their share of the load at once. It
-    shows as servers that crash together. So the server is asked for its state
-    first.
+    A server may have lost what it kept in memory when the evacuation is taken
+    back, and is asked for its state before it gets its share of the load.
     """
 
     __slots__ = (
--- a/plantaingrade/sidecar/server_watch.py
+++ b/plantaingrade/sidecar/server_watch.py
@@ -23,9 +23,8 @@
     def is_named_by(self, heartbeat: Heartbeat) -> bool:
         """Tell whether a heartbeat is of this server.
 
-        Failure: another writer sends heartbeats here, or a server of another
-        service was started at another address. It shows as grants under an id
-        that this server does not have.
+        Another writer may send them, or a server that was started at another
+        address.
         """
         return (
             heartbeat.service == self.service
--- a/plantaingrade/store/relay.py
+++ b/plantaingrade/store/relay.py
@@ -55,10 +55,8 @@
 class RelayedStore:
     """A store that is called directly, or through others while that fails.
 
-    Failure: the store turns some instances away and serves the others. It
-    shows as leases that end although their holders work and reach everybody
-    else. Another process makes the call in this one's name; conditions and
-    versions are the same on either way.
+    The store may turn some instances away and serve the others. Another process
+    makes the call in this one's name; conditions and versions are the same.
     """
 
     __slots__ = (
@@ -186,9 +184,7 @@
     def _relays(self) -> list[Member]:
         """Return whom to ask: who helped last, then who has not refused.
 
-        Failure: the pause begins anew with each call that finds it running.
-        It shows as a lease that ends although others reach the store. So the
-        pause begins only where somebody is asked, and is over in time.
+        The pause begins only where somebody is asked, and so is over in time.
         """
         now = self._clock.now()
         if now < self._relay_bad_until:
