--- a/plantaingrade/balance/const.py
+++ b/plantaingrade/balance/const.py
@@ -1,23 +1,16 @@
 """Figures of load balancing; times in seconds, loads in shares of slots."""
 
-# Demand is measured over this long. On the busiest server measured some 100
-# requests a second come in, so the window holds enough to cut a range by, and
-# a new hot spot shows in half of it.
+# Demand is counted over this long: enough requests to cut a range by, and a new
+# hot spot shows in half of it.
 WINDOW_S = 1.5
-# Demand is counted over this long at least: some dozens of requests.
+# Demand is counted over this long at least.
 MIN_SPAN_S = 0.5
-# Moves made at once, each to another member: a server with several times its
-# share would else need seconds to pass it on.
+# Moves made at once, each to another member.
 MAX_MOVES = 4
-# A difference in load below this is left alone: a window's demand is a sample
-# of about 100 requests and strays by a tenth. At 0.2 a heavy day moved keys
-# seven times a second and served no better.
+# A difference in load below this is left alone: a window's demand is a sample.
 MIN_DIFFERENCE = 0.35
-# Below this load hardly anything waits at a server with six slots, so a move
-# would win nothing. The least loaded of many others always seems far below:
-# measured loads stray by a tenth, and of 67 servers with the same load some
-# pair differs by 0.5 at any time. From 0.35 on, one that was asked for half of
-# what it can do moved keys without end.
+# Below this load hardly anything waits, so a move would win nothing. The least
+# loaded of many others always seems far below.
 MIN_LOAD_TO_MOVE = 0.7
 # Part of what would even out two loads that is moved at once. More would
 # overshoot, since a window's demand is a sample.
@@ -34,8 +27,8 @@
 IDLE_TELL_S = 1.0
 # Load below which a range counts as nothing: one request in two windows.
 MIN_MOVED_LOAD = 0.01
-# A move takes a turn of the one map of the service, and its keys are served by
-# nobody for a moment. Less than this part of the slots is left where it is.
+# Less than this part of the slots stays where it is: a move takes a turn of the
+# one map of the service, and its keys are served by nobody for a moment.
 MIN_MOVED_SHARE = 0.05
 # Keys that were moved are not moved again for this long, unless the server
 # leaves: each move stops their service for about the length of a request.
--- a/plantaingrade/balance/others.py
+++ b/plantaingrade/balance/others.py
@@ -57,8 +57,8 @@
     def listeners(self, chance: random.Random) -> list[str]:
         """Return some members to tell of the own load, most of them near.
 
-        Who has too much looks in its own zone first. Drawn from all zones,
-        four in five words of 195 members crossed zones.
+        Who has too much looks in its own zone first, and datagrams between
+        zones are dear.
         """
         own_zone = self._own.zone
         near, far = [], []
--- a/plantaingrade/codec.py
+++ b/plantaingrade/codec.py
@@ -1,10 +1,4 @@
-"""JSON codec for typed messages, built on msgspec.
-
-msgspec takes the place of cattrs and data classes: with it, a command line and
-a YAML library that are imported on use, and no site module, a process starts
-in 0.14 s of processor time, and took 0.27 s before (median of eleven starts of
-each by turns, one core).
-"""
+"""JSON codec for typed messages, built on msgspec."""
 
 from typing import Any
 
--- a/plantaingrade/config/coordinator.py
+++ b/plantaingrade/config/coordinator.py
@@ -20,8 +20,7 @@
 # Length of one wait for changes; the platform allows 30 s. A wait that hears
 # nothing is ended by the word of another process. The more there are, the
 # sooner one of them hears of a change, and the more of them speak to each: so
-# the waits grow with their number, and 195 processes make 8 calls a second for
-# them in place of 20.
+# the waits grow with their number.
 WAIT_S = 10.0
 WAIT_S_PER_MEMBER = 0.1
 MAX_WAIT_S = 25.0
@@ -31,10 +30,9 @@
 # and a change must be in force 2 s after the platform counts the store as back,
 # which is 3 s after its return.
 DOUBTFUL_WAIT_S = 0.5
-# Pause after a call that the store refused, doubled up to the second figure: 31
-# processes that were turned away asked 140 times a second, and each call has
-# its price. A change must be in force 2 s after it was made, and any process
-# that knows it tells the others with each request.
+# Pause after a call that the store refused, doubled up to the second figure:
+# each call has its price. A change must be in force 2 s after it was made, and
+# any process that knows it tells the others with each request.
 RETRY_S = 0.2
 MAX_RETRY_S = 0.8
 # Pause after a change: several changes in quick succession then cost one call.
--- a/plantaingrade/datagrams.py
+++ b/plantaingrade/datagrams.py
@@ -64,11 +64,7 @@
         self.send_all(message, (address,))
 
     def send_all(self, message: Any, addresses: Collection[str]) -> None:
-        """Send a message to several addresses; it is encoded once.
-
-        To encode a change of a map takes 15 us, to send it 5 us (thread time,
-        one core).
-        """
+        """Send a message to several addresses; it is encoded once."""
         if self._transport is None or not addresses:
             return
         raw = self._codec.encode(message)
--- a/plantaingrade/eventlog.py
+++ b/plantaingrade/eventlog.py
@@ -18,7 +18,7 @@
 from plantaingrade.clock import Clock
 
 # Lines of one kind in one second. A process serves some 100 requests a second
-# on the heaviest day measured, so each request's line fits.
+# under heavy load, so each request's line fits.
 LINES_PER_KIND = 150
 # Bytes kept for a reader that does not read: ten seconds at the full rate of
 # one kind, at 150 bytes a line.
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -96,9 +96,8 @@
     def on_map(self, service: str) -> None:
         """Act on a changed map at once.
 
-        Grants are looked at only if own ranges have changed. With ten changes
-        a second of other members' keys they were renewed as often: 141.1 s of
-        processor time over 20 s of 88 processes, 135.5 s without.
+        Grants are looked at only if own ranges have changed: the keys of other
+        members may change ten times a second.
         """
         if service != self._member.service:
             return
@@ -301,8 +300,7 @@
         """Read the map when others go by a newer one.
 
         A request often arrives before the datagram that tells of the change
-        by which it was sent. Reading at once made 50 members that move keys
-        read 200 times a second; the datagram is there within milliseconds.
+        by which it was sent, which is there within milliseconds.
         """
         while True:
             await self._hinted.wait()
--- a/plantaingrade/peers/announcer.py
+++ b/plantaingrade/peers/announcer.py
@@ -24,12 +24,7 @@
 
 
 class Announcer:
-    """Send words to members, over relays in other availability zones.
-
-    Of 195 members in five zones each word takes 8 datagrams between zones, and
-    all of them together 4,920 (0.63 MB) to get to know each other when they
-    start. Told to each by its sender, that were 156 and 60,840 (played).
-    """
+    """Send words to members, over relays in other availability zones."""
 
     __slots__ = ('_chance', '_directory', '_own', '_welcomed', 'endpoint')
 
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -60,8 +60,7 @@
 # does not repair is repaired by this.
 REFRESH_S = 20.0
 # The same for each member, where that is longer: an owner that is not known is
-# looked up, so that this only mends what nobody asks for. 195 members read the
-# store 20 times a second for it, and 6 times with this.
+# looked up, so that this only mends what nobody asks for.
 REFRESH_S_PER_MEMBER = 0.3
 # Pause after the members were read for one that is not known.
 LOOK_UP_PAUSE_S = 1.0
--- a/plantaingrade/platform/store.py
+++ b/plantaingrade/platform/store.py
@@ -239,9 +239,8 @@
     """Return a row as the store writes it, or nothing if it has no name.
 
     A row that cannot be decoded has no bytes, which whoever uses it finds
-    unreadable. It keeps
-    its name and its version, so that it is not taken for one that is not there,
-    and the other rows can be read.
+    unreadable. It keeps its name and its version, so that it is not taken for
+    one that is not there, and the other rows can be read.
     """
     try:
         fields = Fields(raw)
--- a/plantaingrade/requests/patience.py
+++ b/plantaingrade/requests/patience.py
@@ -33,9 +33,7 @@
         count = counts.get(deadline_ms, 0) + 1
         counts[deadline_ms] = count
         # Only a deadline that has become as frequent as the usual one can take
-        # its place. With 60 deadlines in use, 40 % of requests with the usual
-        # one, this takes 4 us a request, and to look through all of them each
-        # time 8 us (thread time, one core).
+        # its place, so the others need not be looked through.
         usual_ms = self._usual_by_route.get(route)
         if usual_ms is None or count >= counts[usual_ms]:
             usual_ms = max(counts, key=counts.__getitem__)
--- a/plantaingrade/requests/placing.py
+++ b/plantaingrade/requests/placing.py
@@ -15,22 +15,19 @@
 from plantaingrade.balance.entity import Load, Room
 from plantaingrade.peers.entity import Member
 
-# Load from which part of the requests leave the zone. Below it a server with
-# six slots lets hardly anything wait. Crossing is dear for long answers: 6.5 KB
-# there and back cost about a third of what the most urgent requests are worth,
-# the calls of servers to each other, without bodies, hardly anything.
+# Load from which part of the requests leave the zone. Below it hardly anything
+# waits, and bytes between zones are dear.
 SPILL_FROM = 0.7
-# A server elsewhere must have this much less load: a window's demand strays by
-# a tenth, and crossing costs bytes.
+# A server elsewhere must have this much less load: a window's demand is a
+# sample, and crossing costs bytes.
 MIN_GAIN = 0.1
 # Load from which another server is not asked after one has refused.
 FULL_FROM = 0.95
-# Most that is assumed of a server that has not told its load lately: among
-# servers with more to do it is tried, and its answers tell the rest.
+# Most that is assumed of a server that has not told its load lately: it is
+# tried, and its answers tell the rest.
 UNKNOWN_SHARE = 0.5
-# Failures above those of the soundest server, as a share of requests, that are
-# put up with: rates of a dozen requests stray by a tenth. What all servers
-# fail alike has its cause elsewhere.
+# Tolerated share of failed requests above that of the soundest server: rates
+# are samples, and what all servers fail alike has its cause elsewhere.
 MAX_EXCESS_FAILURES = 0.2
 
 
@@ -125,7 +122,7 @@
 
 
 def most_failures(places: Sequence[Place]) -> float:
-    """Return the failures of the soundest place, and what is put up with."""
+    """Return the share of failures up to which a place counts as sound."""
     least = min((place.failures for place in places), default=0.0)
     return least + MAX_EXCESS_FAILURES
 
--- a/plantaingrade/sidecar/const.py
+++ b/plantaingrade/sidecar/const.py
@@ -23,9 +23,7 @@
 FINISH_PART = 0.7
 # Time for handing keys over before a stop; a release waits for running work.
 EVACUATE_LIMIT_S = 2.0
-# Connections to other processes are kept for this long. Of 88 processes each
-# pair has a request in 1.5 s or so, and when connections were trusted for 2 s
-# more than half of all requests opened one: 345 for 615 requests over 10 s of
-# one process, each 0.3 to 0.5 ms of processor time at either end. One that has
-# gone silent is found by its probes within 3 s; the other end keeps them 60 s.
+# Connections to other processes are kept for this long: among many processes a
+# pair has a request now and then only, and each new connection costs processor
+# time at both ends. One that has gone silent is found by its probes.
 PEER_TRUSTED_S = 20.0
