--- a/plantaingrade/journal/coordinator.py
+++ b/plantaingrade/journal/coordinator.py
@@ -221,9 +221,8 @@
         try:
             return await self._table.async_put_new(row)
         except PlatformOutcomeUnknownError as error:
-            # Failure: the write took effect and its answer was lost. It
-            # shows as a record appended twice. The row is read back and
-            # compared by its write id, and never written blindly again.
+            # The write may have taken effect though its answer was lost, so the
+            # row is read back and compared by its write id.
             stored = await self._table.async_get(row.partition, row.sort)
             if stored is None:
                 raise PlatformUnavailableError('Write not seen.') from error
--- a/plantaingrade/journal/rules.py
+++ b/plantaingrade/journal/rules.py
@@ -78,9 +78,8 @@
         for other in state.members.values()
         if other.server == row.server and other.state is not MemberState.OVER
     ]
-    # Failure: two processes with one server id, as after a mistyped setting.
-    # It shows as one member displacing the other in turn. A listening port
-    # belongs to one process at a time, so only a newcomer at the very same
+    # Two processes may have one server id by a mistyped setting. A listening
+    # port belongs to one process at a time, so only a newcomer at the very same
     # address proves that its predecessor is gone.
     if any(other.http != row.http for other in earlier):
         return Rejected(RejectReason.SERVER_IN_USE)
@@ -108,8 +107,7 @@
             row.epoch = epoch
             row.epoch_at = state.generation
         case Ended(proof=proof, epoch=epoch):
-            # Failure: testimony of former witnesses arrives late and ends a
-            # member that renews at others by now. It counts for its epoch.
+            # Testimony counts for its epoch: former witnesses may tell late.
             if proof is Proof.TESTIMONY and epoch != row.epoch:
                 return STALE
             _end(state, row, proof)
@@ -209,9 +207,8 @@
 
 
 def _conflicting(state: MapState, change: Commanded) -> str | None:
-    # Failure: two operators command one target at the same moment, each
-    # from a view without the other. The journal orders them; the second one
-    # was made from a generation older than the first, and loses.
+    # The journal orders commands of two operators; one made from an older
+    # generation than the last loses.
     for known in reversed(state.commands.values()):
         if known.target == change.target:
             newer = known.generation > change.based_on
--- a/plantaingrade/journal/slice_rules.py
+++ b/plantaingrade/journal/slice_rules.py
@@ -147,8 +147,8 @@
 ) -> ChangeOutcome:
     if part.successor != change.member:
         return Rejected(RejectReason.NOT_SUCCESSOR)
-    # Failure: a renunciation written late cancels a newer naming, under which
-    # the member has taken the slice over by now. It shows as two owners.
+    # A renunciation written late must not cancel a newer naming, under which
+    # the member may have taken the slice over.
     if part.successor_fence != change.fence:
         return STALE
     wanted = part.next_successor
@@ -188,9 +188,8 @@
     if not is_hot(part.slice_id):
         return Rejected(RejectReason.UNKNOWN_SLICE)
     parent = state.slices[parent_slice_id(state, part.slice_id)]
-    # Failure: after the merge, the successor of the slice takes over with a
-    # fence below one the key has been served under, and a checking server
-    # refuses it. The fence reserved for the successor must be the newest.
+    # The fence reserved for the successor must be the newest: a checking server
+    # refuses one below what the key was served under.
     fits = (
         parent.owner == part.owner
         and parent.successor == part.successor
--- a/plantaingrade/leases/coordinator.py
+++ b/plantaingrade/leases/coordinator.py
@@ -154,10 +154,9 @@
     def replacement(self) -> Witnessed | None:
         """Return the change of witnesses to append now, if there is one.
 
-        Failure: successors read of new witnesses in the journal before the
-        holder relies on them. The new ones know of no lease and testify to
-        its end. It shows as two owners. So the holder first renews at the new
-        witnesses, then requires them, and only then writes them down.
+        The holder first renews at the new witnesses, then requires them, and
+        only then writes them down: successors may ask them as soon as they are
+        named.
         """
         now = self._clock.now()
         candidate = self._candidate
@@ -228,9 +227,9 @@
         wanted = choose_witnesses(state, self._row, tuple(kept))
         if set(wanted) == set(current):
             return None
-        # Failure: this member is the one that is cut off, and blames its
-        # witnesses. Replacing them would only delay its successors, so it
-        # waits until they have had time to take over.
+        # This member may be the one that is cut off. Replacing its witnesses
+        # would only delay its successors, so it waits until they have had time
+        # to take over.
         cut_off = not kept and current != (self._row.member,)
         if cut_off and now < self._renewed_at(epochs[-1]) + ORPHAN_AFTER_S:
             return None
@@ -251,10 +250,9 @@
             return
         lease = (notice.member, notice.epoch)
         since = self._lapsed_since.setdefault(lease, now)
-        # Failure: a member replaces its witnesses and is lost, or is cut off,
-        # before it has renewed at the new ones. They have no lease to miss,
-        # so nobody would suspect it. The former witnesses still tell for a
-        # while; the new ones are asked, and decide.
+        # The new witnesses have no lease to miss before the member has renewed
+        # at them. The former ones still tell for a while; the new ones are
+        # asked, and decide.
         outdated = row.epoch != notice.epoch
         if outdated and now - since > FORMER_NOTICE_FOR_S:
             self.witness.forget(*lease)
@@ -281,9 +279,8 @@
         row = self._state().members.get(check.member)
         if row is None or row.epoch < check.epoch:
             return
-        # Failure: a successor that has already proven the holder's end under
-        # the old witnesses agrees to new ones, and the holder goes on with
-        # those. It shows as two owners. Once proven, it never agrees.
+        # A successor that has proven the holder's end under the old witnesses
+        # never agrees to new ones.
         if self.polls.accept_epoch(check.member, check.epoch):
             ack = EpochAck(check.member, check.epoch, self._row.member)
             self._send(ack, check.reply_to)
--- a/plantaingrade/leases/polls.py
+++ b/plantaingrade/leases/polls.py
@@ -66,9 +66,8 @@
         poll = self._poll_by_member.get(testimony.member)
         if poll is None or poll.proven_at is not None or not testimony.over:
             return False
-        # Failure: a witness that restarted knows nothing of the lease and
-        # would testify to its end. Only the incarnations that the journal
-        # names for this epoch count.
+        # Only the incarnations that the journal names for this epoch count: a
+        # witness that restarted knows nothing of the lease.
         named = testimony.witness in poll.witnesses
         if not named or testimony.epoch != poll.epoch:
             return False
@@ -81,9 +80,8 @@
     def outdate(self, member: str, epoch: int) -> None:
         """Drop what is not proven yet about an older epoch.
 
-        Failure: a poll goes on under witnesses that a member has left. They
-        see no renewals any more and testify to the end of a lease that is
-        renewed elsewhere. It shows as two owners.
+        Witnesses that a member has left see no renewals any more, and would
+        testify to the end of a lease that is renewed elsewhere.
         """
         poll = self._poll_by_member.get(member)
         if poll is not None and poll.proven_at is None and poll.epoch < epoch:
--- a/plantaingrade/leases/witness.py
+++ b/plantaingrade/leases/witness.py
@@ -47,9 +47,8 @@
     def on_renew(self, renew: Renew, now: float) -> RenewAck | RenewRefused:
         """Renew a lease unless its end has been promised."""
         lease = (renew.member, renew.epoch)
-        # Failure: a holder that was paused past its lease renews after a
-        # successor took over. It shows as two owners. The promise made to
-        # the successor is kept for the life of this incarnation.
+        # The promise made to the successor is kept for the life of this
+        # incarnation: a holder that was paused may renew after it.
         if lease in self._ended:
             return RenewRefused(renew.member, renew.epoch, self.member)
         self._grant_by_lease[lease] = Grant(now + LEASE_S * (1 + DRIFT))
@@ -61,9 +60,8 @@
         grant = self._grant_by_lease.get(lease)
         over = lease in self._ended or grant is None or grant.ends_at <= now
         if over:
-            # Failure: the one who asked is lost before it writes the end
-            # down, and nobody else ever hears of it. The witness goes on
-            # telling until the journal shows the end.
+            # The one who asked may be lost before it writes the end down, so
+            # the witness goes on telling until the journal shows it.
             self._ended.add(lease)
             self._grant_by_lease.setdefault(lease, Grant(now))
         return Testimony(ask.member, ask.epoch, self.member, over)
--- a/plantaingrade/node/loops.py
+++ b/plantaingrade/node/loops.py
@@ -97,9 +97,8 @@
             self._parts.ownership.handover.stay()
         elif gone:
             self._parts.ownership.handover.leave()
-        # Failure: a process that reaches the table service but no witness
-        # announces itself as ready and is given slices that it cannot serve.
-        # Only a process that holds a lease is ready.
+        # Only a process that holds a lease is ready: one that reaches no
+        # witness cannot serve slices.
         leases = self._parts.leases
         if row.state is MemberState.STARTING and serving and leases.is_held():
             await self._set_state(MemberState.READY, row.state)
@@ -132,9 +131,8 @@
 
 
 def _report_crash(task: asyncio.Task[Any]) -> None:
-    # Failure: a loop dies and the process lives on half: it serves while its
-    # lease or its view of the map no longer moves. The whole process ends
-    # instead; its lease runs out, and its successors take over.
+    # The whole process ends with one of its loops: half alive it would serve
+    # while its lease or its view of the map no longer moves.
     if not task.cancelled() and task.exception() is not None:
         logging.error('A loop failed', exc_info=task.exception())
         os._exit(1)  # noqa: SLF001
--- a/plantaingrade/ownership/coordinator.py
+++ b/plantaingrade/ownership/coordinator.py
@@ -113,10 +113,9 @@
         slice_id = part.slice_id
         fence = self.table.fence(self._state(), part)
         if fence is not None:
-            # Failure: the process was paused and the lease is past, but it
-            # still takes itself for the owner. The clock is read at every
-            # request, and the same end goes along as the work's deadline,
-            # for a pause that comes after this check.
+            # The process may have been paused past its lease. The clock is read
+            # at every request, and the same end goes along as the work's
+            # deadline, for a pause that comes after this check.
             until = self._lease_until()
             if until <= self._clock.now():
                 return LeaseLapsed(slice_id, part.successor)
@@ -247,9 +246,8 @@
         return (*self._to_append, *named)
 
     def _find_without_successor(self, state: MapState) -> None:
-        # Failure: a successor is lost while nobody decides, and then the
-        # owner; the slice is unserved until a decider is there. So owners
-        # name new successors themselves; the decider only helps.
+        # Owners name new successors themselves, also while nobody decides; the
+        # decider only helps.
         self._without_successor = [
             part.slice_id
             for part in state.slices.values()
@@ -292,9 +290,8 @@
                 self._takeover_by_owner.pop(owner)
 
     def _schedule_end(self, row: MemberRow) -> None:
-        # Failure: this member once proved the end under an epoch that the
-        # owner outlived. Its plan lies in the past, and would leave no grace
-        # for work that the owner ordered since.
+        # A plan from an earlier proof would leave no grace for work that the
+        # owner, which outlived that epoch, has ordered since.
         known = self._takeover_by_owner.get(row.member)
         if known is not None and known.epoch != row.epoch:
             self._takeover_by_owner.pop(row.member)
@@ -337,11 +334,10 @@
     def _is_proven(self, takeover: Takeover, part: SliceRow) -> bool:
         """Tell whether a proof still speaks for a slice.
 
-        Failure: the end of a lease was proven under witnesses that its holder
-        has replaced since. It shows as two owners: the holder only waited for
-        those who were its successors at that time. So an older proof holds
-        for a slice only if this member was its successor before the change,
-        and has been ever since; then the holder still waits for its consent.
+        The holder may have replaced the witnesses that the proof rests on. So
+        an older proof holds for a slice only if this member was its successor
+        before the change, and has been ever since; then the holder still waits
+        for its consent.
         """
         row = self._state().members.get(takeover.owner)
         if row is None or row.state is MemberState.OVER:
--- a/plantaingrade/ownership/handover.py
+++ b/plantaingrade/ownership/handover.py
@@ -16,10 +16,8 @@
 class HandoverSystem:
     """Stop work on a slice, wait until it has ended, tell the successor.
 
-    Failure: the successor is cut off or has lost its lease, and the owner
-    lets go all the same. It shows as a key that nobody serves. So the
-    successor is asked first, and the owner goes on until it has accepted.
-    A release is repeated until the journal shows that the successor took the
+    The successor is asked first, and the owner goes on until it has accepted. A
+    release is repeated until the journal shows that the successor took the
     slice; a datagram may be lost. What is released is never taken back, since
     the successor may have taken it.
     """
--- a/plantaingrade/ownership/table.py
+++ b/plantaingrade/ownership/table.py
@@ -56,9 +56,8 @@
     def take(self, part: SliceRow) -> bool:
         """Become the owner as the named successor of an ended ownership."""
         place = (part.slice_id, part.successor_fence)
-        # Failure: after this process stood back for another, its own old
-        # view lets it take the slice over as well. It shows as two owners.
-        # What was renounced is remembered until the journal shows it.
+        # What was renounced is remembered until the journal shows it: by its
+        # old view this process could take the slice over as well.
         if part.successor != self.member or place in self._renounced:
             return False
         self._taken[part.slice_id] = part.successor_fence
@@ -95,8 +94,7 @@
             return True
         if not is_hot(part.slice_id):
             return False
-        # Failure: the owner releases a range while the journal carves a hot
-        # key out of it; owner and successor would both serve that key. The
-        # key goes the way of its range as long as the fences are the same.
+        # A hot key that the journal carves out meanwhile goes the way of its
+        # range as long as the fences are the same.
         parent = parent_slice_id(state, part.slice_id)
         return self._released.get(parent) == part.fence
--- a/plantaingrade/ownership/work.py
+++ b/plantaingrade/ownership/work.py
@@ -6,9 +6,9 @@
 class WorkTable:
     """Know when a slice has no work left that could still run.
 
-    Failure: a request whose answer never came may still be running in the
-    backend server after the slice was handed over. It shows as two owners
-    acting on one key. The deadline it was sent with bounds how long it can.
+    A request whose answer never came may still run in the backend server after
+    the slice was handed over. The deadline it was sent with bounds how long it
+    can.
     """
 
     __slots__ = ('_busy_until', '_in_flight')
--- a/plantaingrade/placement/policy.py
+++ b/plantaingrade/placement/policy.py
@@ -102,8 +102,7 @@
     def _crowded(self, owner: str) -> set[str]:
         """Return the servers that back more of an owner than their part.
 
-        Failure: one server is named for most slices of another. It shows as
-        an overload when the other is lost.
+        Else one server is overloaded when the other is lost.
         """
         backers = self.backers_by_owner[owner]
         part = backers.total() // max(1, len(self.eligible) - 1)
@@ -133,9 +132,8 @@
 ) -> list[Change]:
     """Return successors for slices that a member is taking over.
 
-    Failure: a takeover is followed by an outage of the table service, or by
-    the loss of the decider, before a successor is named; the next loss then
-    leaves the slice unserved. So the taker names one in the same record.
+    The taker names a successor in the same record: an outage of the table
+    service may follow, and then another loss.
     """
     changes: list[Change] = []
     view_by_service: dict[str, ServiceView] = {}
--- a/plantaingrade/routing/attempt.py
+++ b/plantaingrade/routing/attempt.py
@@ -65,10 +65,9 @@
     ) -> AttemptOutcome:
         """Try once; try again if the connection keeps silent.
 
-        Failure: a connection went silent for good while new ones work. It
-        shows as a request without answer. Idempotent work goes again on a
-        fresh connection, while half of its time is left at least; other work
-        never takes a connection that idled.
+        A connection may be silent for good while new ones work. Idempotent work
+        goes again on a fresh one, while half of its time is left at least;
+        other work never takes a connection that idled.
         """
         if not request.is_idempotent:
             return await attempt(self.pool, upstream, request, body)
@@ -191,9 +190,7 @@
     channel: Channel,
 ) -> AttemptOutcome:
     headers = dict(response.headers)
-    # Failure: an upstream mixes up its answers. It shows as one caller
-    # getting another's answer. Servers that name the request they answer are
-    # held to it.
+    # Servers that name the request they answer are held to it.
     echoed = headers.get(HEADER_REQUEST_ID, request.request_id)
     if echoed != request.request_id:
         channel.abort()
--- a/plantaingrade/routing/local_path.py
+++ b/plantaingrade/routing/local_path.py
@@ -157,10 +157,9 @@
     ) -> float:
         """Return until when the backend server may work on the request.
 
-        Failure: the process pauses between its check of the lease and the
-        sending. It shows as a write by a server that is owner no more. Work
-        that changes state ends with the lease, on the clock that process and
-        server share; the successor waits out the declared grace.
+        The process may pause between its check of the lease and the sending.
+        Work that changes state ends with the lease, on the clock that process
+        and server share; the successor waits out the declared grace.
         """
         if owned is None or request.is_safe or self._row.checks_fence:
             return request.deadline
--- a/plantaingrade/routing/relay.py
+++ b/plantaingrade/routing/relay.py
@@ -31,9 +31,8 @@
         )
         await _relay_body(head.channel, caller)
     except BaseException:
-        # Failure: the upstream breaks off in the middle. It shows as a
-        # fragment that looks whole. Without the final chunk or the full
-        # length, the caller's library knows the answer for broken.
+        # Without the final chunk or the full length the caller's library knows
+        # the answer for broken.
         caller.abort()
         head.channel.abort()
         raise
--- a/plantaingrade/routing/retry.py
+++ b/plantaingrade/routing/retry.py
@@ -36,8 +36,7 @@
 ) -> NextStep:
     """Repeat what certainly did not run or is idempotent, in time.
 
-    Failure: a request whose answer was lost is sent again and runs twice. An
-    unknown outcome of non-idempotent work is final.
+    An unknown outcome of non-idempotent work is final.
     """
     request = exchange.request
     tries = exchange.tries
--- a/plantaingrade/routing/targets.py
+++ b/plantaingrade/routing/targets.py
@@ -129,9 +129,9 @@
         return NotRun(NotRunReason.NO_OWNER)
 
     def _may_ask(self, row: MemberRow, tries: Tries) -> bool:
-        # Failure: the owner froze, its end is proven, its successor waits out
-        # the grace. Who still asks the owner waits until its deadline; the
-        # successor refuses at once, and the caller can come back.
+        # The successor refuses at once while it waits out the grace, and the
+        # caller can come back; who asks the frozen owner waits until its
+        # deadline.
         if row.state is MemberState.OVER:
             return False
         return row.member not in tries.avoided | {self._row.member}
--- a/plantaingrade/routing/waits.py
+++ b/plantaingrade/routing/waits.py
@@ -11,9 +11,8 @@
 class WaitTable:
     """End the waiting for members that the journal shows to be over.
 
-    Failure: a request was sent to a process that then froze. It shows as a
-    caller that waits until its deadline although the key is served elsewhere.
-    Once the process's lease is proven over, its answer is given up on.
+    Once the lease of a process is proven over, its answer is given up on: it
+    may be frozen, and the key served elsewhere.
     """
 
     __slots__ = ('_limits_by_member',)
