Answer questions for room only at addresses that can be sent to

A datagram of another writer may name anything as its address; splitting it raised in the receiver of datagrams. Found by reading, test red before.

--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -32,17 +32,22 @@
     boot: str
 
     def is_addressed(self) -> bool:
-        """Tell whether the address is one that can be sent to.
+        """Tell whether the address is one that can be sent to."""
+        return is_address(self.address)
 
-        Another writer may name a member without one.
-        """
-        host, _, port = self.address.rpartition(':')
-        try:
-            ipaddress.ip_address(host)
-        except ValueError:
-            return False
-        is_number = port.isascii() and port.isdigit()
-        return is_number and 0 < int(port[:MAX_PORT_DIGITS]) <= MAX_PORT
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is an address that can be sent to.
+
+    Another writer may put anything in its place.
+    """
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit()
+    return is_number and 0 < int(port[:MAX_PORT_DIGITS]) <= MAX_PORT
 
 
 class Hello(Message):
--- a/plantaingrade/peers/rooms.py
+++ b/plantaingrade/peers/rooms.py
@@ -10,7 +10,12 @@
 from plantaingrade.clock import Clock
 from plantaingrade.const import MS_PER_S, PERCENT
 from plantaingrade.datagrams import TypedEndpoint
-from plantaingrade.peers.entity import Member, RoomAsked, RoomTold
+from plantaingrade.peers.entity import (
+    Member,
+    RoomAsked,
+    RoomTold,
+    is_address,
+)
 
 RoomOf = Callable[[str, int], Room | None]
 # Longest wait for answers, in seconds: the way there and back between
@@ -103,7 +108,8 @@
 
         A question may be meant for another service that had this address.
         """
-        if asked.service != self._own.service:
+        is_own = asked.service == self._own.service
+        if not is_own or not is_address(asked.address):
             return
         room = self._room_of(asked.kind, asked.priority)
         told = RoomTold(asked.number, self._own.name)
--- a/tests/peers/test_rooms.py
+++ b/tests/peers/test_rooms.py
@@ -11,9 +11,9 @@
 )
 from tests.virtual import LoopClock, run
 
-OWN = Member('s@1', 's', 'a', '1:1', 'b1')
-NEAR = Member('s@2', 's', 'a', '2:1', 'b2')
-FAR = Member('s@3', 's', 'b', '3:1', 'b3')
+OWN = Member('s@1', 's', 'a', '10.0.0.1:1', 'b1')
+NEAR = Member('s@2', 's', 'a', '10.0.0.2:1', 'b2')
+FAR = Member('s@3', 's', 'b', '10.0.0.3:1', 'b3')
 OWN_ROOM = Room(0.0, 0.05)
 WAY_S = 0.002
 
@@ -58,7 +58,10 @@
 
 def test_members_that_answer_are_known_as_soon_as_all_have() -> None:
     endpoint = FakeEndpoint(
-        {'2:1': RoomTold(0, 's@2', 30, 60), '3:1': RoomTold(0, 's@3')}
+        {
+            '10.0.0.2:1': RoomTold(0, 's@2', 30, 60),
+            '10.0.0.3:1': RoomTold(0, 's@3'),
+        }
     )
 
     async def story() -> None:
@@ -69,14 +72,14 @@
         # The third takes no work; the own server is asked without a datagram.
         assert rooms == {'s@1': OWN_ROOM, 's@2': Room(0.03, 0.06)}
         assert loop.time() - began < ANSWER_LIMIT_S
-        assert endpoint.asked == ['2:1', '3:1']
+        assert endpoint.asked == ['10.0.0.2:1', '10.0.0.3:1']
 
     run(story())
 
 
 def test_a_lost_member_delays_one_request_and_not_the_next_ones() -> None:
     """An instance without power is asked for its room by every request."""
-    endpoint = FakeEndpoint({'2:1': RoomTold(0, 's@2', 0, 60)})
+    endpoint = FakeEndpoint({'10.0.0.2:1': RoomTold(0, 's@2', 0, 60)})
 
     async def story() -> None:
         inquiries = inquire(endpoint)
@@ -88,17 +91,17 @@
         began = loop.time()
         assert set(await inquiries.async_ask([NEAR, FAR], '1o', 1)) == {'s@2'}
         assert loop.time() - began < ANSWER_LIMIT_S
-        assert endpoint.asked == ['2:1']
+        assert endpoint.asked == ['10.0.0.2:1']
         await asyncio.sleep(SILENT_PAUSE_S)
         endpoint.asked.clear()
         await inquiries.async_ask([NEAR, FAR], '1o', 1)
-        assert endpoint.asked == ['2:1', '3:1']
+        assert endpoint.asked == ['10.0.0.2:1', '10.0.0.3:1']
 
     run(story())
 
 
 def test_an_answer_that_comes_late_ends_the_silence_only() -> None:
-    endpoint = FakeEndpoint({'2:1': RoomTold(0, 's@2', 0, 60)})
+    endpoint = FakeEndpoint({'10.0.0.2:1': RoomTold(0, 's@2', 0, 60)})
     endpoint.way_s = 2 * ANSWER_LIMIT_S
 
     async def story() -> None:
@@ -124,7 +127,15 @@
 def test_a_question_for_a_service_that_had_this_address_is_left() -> None:
     endpoint = Sent()
     desk = RoomInquiries(OWN, endpoint, LoopClock(), lambda *_: OWN_ROOM)
-    desk.on_datagram(RoomAsked(4, '2:1', 'other', '1o', 1))
+    desk.on_datagram(RoomAsked(4, '10.0.0.2:1', 'other', '1o', 1))
     assert not endpoint.told
-    desk.on_datagram(RoomAsked(5, '2:1', 's', '1o', 1))
+    desk.on_datagram(RoomAsked(5, '10.0.0.2:1', 's', '1o', 1))
     assert endpoint.told == [RoomTold(5, 's@1', 0, 50)]
+
+
+def test_a_question_of_another_writer_is_answered_nowhere() -> None:
+    endpoint = Sent()
+    desk = RoomInquiries(OWN, endpoint, LoopClock(), lambda *_: OWN_ROOM)
+    for address in ('', '10.0.0.2', 'x:1', '10.0.0.2:0', '10.0.0.2:99999'):
+        desk.on_datagram(RoomAsked(4, address, 's', '1o', 1))
+    assert not endpoint.told
