Lab: zones get servers of all speeds, and callers of an empty zone go elsewhere

With as many speeds as zones each zone had servers of one speed only, and with two zones of an even count one had none, which ended the play.

--- a/lab/callers.py
+++ b/lab/callers.py
@@ -92,8 +92,9 @@
     ) -> Outcome:
         loop = asyncio.get_running_loop()
         way_s = self._world.deployment.ways.caller_ms / MS_PER_S
-        near = [each for each in self._world.instances if each.zone == zone]
-        entry = self._random.choice(near)
+        instances = self._world.instances
+        near = [each for each in instances if each.zone == zone]
+        entry = self._random.choice(near or instances)
         await asyncio.sleep(way_s)
         now = loop.time()
         request = self._world.request(kind, now, deadline - way_s, key)
--- a/lab/world.py
+++ b/lab/world.py
@@ -355,12 +355,13 @@
         return RoutingConfig(1, routes, {}, LIMITS)
 
     def _instances(self) -> list[Instance]:
+        """Return the instances; zones get servers of all speeds in turn."""
         zones = self.deployment.zones
         instances = []
         for service in self.deployment.service:
-            places = list(range(service.servers))
-            for place in places:
-                zone = zones[(place + len(instances)) % len(zones)]
+            for place in range(service.servers):
+                turn = place + place // len(service.speeds)
+                zone = zones[turn % len(zones)]
                 instances.append(Instance(self, service, zone, place))
         return instances
 
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -59,6 +59,17 @@
         read_deployment(path)
 
 
+def test_callers_of_a_zone_without_instances_ask_those_of_others(
+    tmp_path,
+) -> None:
+    path = tmp_path / 'two-zones.toml'
+    lone = (DEPLOYMENTS / 'lone.toml').read_text()
+    path.write_text(
+        lone.replace('["a"]', '["a", "b", "c"]').replace('= 15.0', '= 0.5')
+    )
+    assert play(str(path), 'present', 1)['served']
+
+
 @pytest.mark.parametrize('path', sorted(DEPLOYMENTS.glob('*.toml')), ids=str)
 def test_the_deployments_here_have_no_mistakes(path) -> None:
     assert read_deployment(path).kind
