--- a/plantaingrade/requests/placing.py
+++ b/plantaingrade/requests/placing.py
@@ -1,10 +1,12 @@
 """Place requests that any server of a service may run. Pure.
 
 Load that answers: servers of one service differ in speed by a factor of two
-and more, and availability zones bring different numbers of requests. Chosen at
-random within the zone, slow servers refuse what a fast one next to them or in
-another zone has room for. So the less loaded of two is chosen, and what a
-zone's servers have no room for spills over to other zones.
+and more, are full or free within the time of one request, and availability
+zones bring different numbers of requests. So some servers are asked for their
+room, and the one at which the request would end first is chosen, in the own
+zone as long as that is in time. Where none answers, the less loaded of two is
+chosen by what they told before, and what a zone's servers have no room for
+spills over to other zones.
 """
 
 import random
@@ -29,8 +31,6 @@
 # Tolerated share of failed requests above that of the soundest server: rates
 # are samples, and what all servers fail alike has its cause elsewhere.
 MAX_EXCESS_FAILURES = 0.2
-
-
 # Members of a zone that are asked for their room at a time.
 ASKED_COUNT = 3
 # Part of the time left to the end of the latency objective in which a request
