--- a/lab/world.py
+++ b/lab/world.py
@@ -242,7 +242,6 @@
     async def _async_work(self, kind: Kind, routed: RoutedRequest) -> Outcome:
         scale = self.random.lognormvariate(-(kind.spread**2) / 2, kind.spread)
         work_s = kind.work_ms / MS_PER_S * scale * self.slow_times / self.speed
-        self.world.worked_s[self.service.name] += work_s
         await asyncio.sleep(work_s / 2)
         for call in kind.calls:
             count = sum(
@@ -298,7 +297,6 @@
         self.maps = KeyMaps()
         self.directory = Directory()
         self.questions = 0
-        self.worked_s = {each.name: 0.0 for each in deployment.service}
         self.kind_by_name = {each.name: each for each in deployment.kind}
         self.routes = RouteTable(self._config())
         self.no_map = SharedMap('', KeyMaps(), [])
--- a/plantaingrade/admission/slots.py
+++ b/plantaingrade/admission/slots.py
@@ -175,8 +175,7 @@
 
     def expected_wait_s(self, kind: str, priority: int, now: float) -> float:
         """Return when a slot is probably free for one more ticket."""
-        rank = BRIEF_RANK if self._is_brief(kind) else priority
-        ahead_s = self._ahead_s(rank, NEVER)
+        ahead_s = self._ahead_s(self._rank(kind, priority), NEVER)
         wait_s = first_free_s(self._rests_s(now), ahead_s, self.slots)
         return max(wait_s, self.cold.wait_s(now, len(ahead_s)))
 
@@ -226,7 +225,8 @@
         ticket.lane = lane
         ticket.is_waiting = True
         ends = ticket.due if lane is Lane.IN_TIME else ticket.until
-        place = (self._rank(ticket), ends, next(self._numbers), ticket)
+        rank = self._rank(ticket.kind, ticket.priority)
+        place = (rank, ends, next(self._numbers), ticket)
         heapq.heappush(self._line_by_lane[lane], place)
         return Wait(ticket, give_up_at)
 
@@ -239,13 +239,13 @@
                     return ticket
         return None
 
-    def _rank(self, ticket: Ticket) -> int:
-        """Return the place of a ticket's class; the lowest goes first.
+    def _rank(self, kind: str, priority: int) -> int:
+        """Return the rank of work of a kind; the lowest goes first.
 
         Brief work goes before all classes. Most of it are calls of other
         servers, which keep a slot taken while they wait for the answer.
         """
-        return BRIEF_RANK if self._is_brief(ticket.kind) else ticket.priority
+        return BRIEF_RANK if self._is_brief(kind) else priority
 
     def _is_brief(self, kind: str) -> bool:
         """Tell whether work of a kind holds others up for next to nothing.
@@ -262,7 +262,8 @@
         of all slots, which is half of a work's time more: counting on the next
         free slot holds callers up that are refused in the end.
         """
-        ahead_s = self._ahead_s(self._rank(ticket), ticket.due)
+        rank = self._rank(ticket.kind, ticket.priority)
+        ahead_s = self._ahead_s(rank, ticket.due)
         rests_s = self._rests_s(now)
         if self._is_brief(ticket.kind):
             wait_s = first_free_s(rests_s, ahead_s, self.slots)
