Tell in the log when the store comes back from a copy, and when its map is older

The logs of the incident cannot tell a takeover by rows of a copy from a fence that was counted twice: nothing says that the store went back, nor that the map it holds is older than the one in memory. No decision depends on them.

--- a/plantaingrade/holds/rows.py
+++ b/plantaingrade/holds/rows.py
@@ -34,12 +34,20 @@
 class MemberRows:
     """Rows of members by name; the map goes to the maps of all services."""
 
-    __slots__ = ('_maps', '_member', 'by_name', 'read_now_s', 'unreadable')
+    __slots__ = (
+        '_log',
+        '_maps',
+        '_member',
+        'by_name',
+        'read_now_s',
+        'unreadable',
+    )
 
     def __init__(self, member: Member, maps: KeyMaps, log: EventLog) -> None:
         """Read on behalf of a member; know no rows yet."""
         self._member = member
         self._maps = maps
+        self._log = log
         self.unreadable = UnreadableRows(log)
         self.by_name: dict[str, MemberRow] = {}
         # The store's clock at the last read: a moment that has passed.
@@ -94,8 +102,16 @@
         To decode one of 1,200 ranges takes 6 ms (thread time, one core).
         """
         service = self._member.service
-        if row.version > self._maps.find(service).version:
+        known = self._maps.find(service)
+        if row.version > known.version:
             self._maps.offer(service, decode_map(row.body, row.version))
+        elif row.version < known.version:
+            self._log.write(
+                'map-older',
+                version=row.version,
+                known=known.version,
+                fence=known.fence,
+            )
 
     def _keep_unreadable(
         self, row: Row, known: dict[str, MemberRow], now_s: float
--- a/plantaingrade/platform/const.py
+++ b/plantaingrade/platform/const.py
@@ -12,6 +12,7 @@
 HEADER_COLD = b'cold-ms'
 HEADER_HANDOVER = b'handover'
 HEADER_ENCODING = b'content-encoding'
+HEADER_EPOCH = b'store-era'
 
 PATH_GRANT = '/v1/grant'
 PATH_RELEASE = '/v1/release'
--- a/plantaingrade/platform/store.py
+++ b/plantaingrade/platform/store.py
@@ -11,6 +11,7 @@
 from plantaingrade.http.client import Call, Reply, fetch
 from plantaingrade.http.pool import ConnectFailedError, Pool
 from plantaingrade.platform.const import (
+    HEADER_EPOCH,
     PATH_FEED,
     PATH_RANGE,
     PATH_TRANSACTION,
@@ -39,6 +40,7 @@
     Transaction,
     TransactionOutcome,
 )
+from plantaingrade.store.epochs import StoreEpochs
 
 # An answer takes 4 ms and a transaction 8 ms on a calm day and up to 77 times
 # as long on a slow one, 0.6 s; beyond a second the answer counts as lost.
@@ -46,6 +48,9 @@
 # Time allowed to a feed beyond the wait it was asked for.
 FEED_SLACK_S = 1.0
 
+# Each epoch is one return from a copy, so there are few.
+MAX_EPOCH_DIGITS = 3
+
 STATUS_OK = 200
 STATUS_GONE = 410
 STATUS_CONFLICT = 412
@@ -68,7 +73,7 @@
 class StoreClient:
     """Call the store, and keep its clock."""
 
-    __slots__ = ('_address', '_clock', '_pool', 'calls', 'clock')
+    __slots__ = ('_address', '_clock', '_pool', 'calls', 'clock', 'epochs')
 
     def __init__(self, pool: Pool, address: str, clock: Clock) -> None:
         """Use the store at one address."""
@@ -76,6 +81,7 @@
         self._address = address
         self._clock = clock
         self.clock = StoreClock()
+        self.epochs = StoreEpochs()
         self.calls = 0
 
     async def async_commit(
@@ -164,7 +170,11 @@
     async def _call(self, call: Call, timeout_s: float) -> Reply:
         self.calls += 1
         async with asyncio.timeout(timeout_s):
-            return await fetch(self._pool, call)
+            reply = await fetch(self._pool, call)
+        epoch = _epoch_of(reply)
+        if epoch is not None:
+            self.epochs.note(epoch)
+        return reply
 
     def _decode_commit(
         self, reply: Reply, sent_at: float
@@ -198,6 +208,13 @@
         return now_s
 
 
+def _epoch_of(reply: Reply) -> int | None:
+    """Return the epoch that an answer tells, if it can be read."""
+    told = reply.headers.get(HEADER_EPOCH, b'')
+    is_number = told.isdigit() and len(told) <= MAX_EPOCH_DIGITS
+    return int(told) if is_number else None
+
+
 def _failure(status: int) -> StoreFailure:
     return FAILURE_BY_STATUS.get(status, StoreFailure.REFUSED)
 
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -151,6 +151,7 @@
         source = settings.ip if self._options.binds_source else None
         self._pools = Pools(self._clock, source)
         self._direct_store = self._wire.make_store(self._pools.store)
+        self._direct_store.epochs.listen(self._on_store_epoch)
         self._orders = self._wire.make_orders(self._pools.orders)
         self._maps = KeyMaps()
         self._directory = Directory()
@@ -459,5 +460,8 @@
         if not self._is_leaving:
             self._balance.stay()
 
+    def _on_store_epoch(self, epoch: int, before: int | None) -> None:
+        self._log.write('store-epoch', epoch=epoch, before=before)
+
     def _on_joined(self) -> None:
         self._start(self._peers.async_refresh())
--- a/plantaingrade/store/interface.py
+++ b/plantaingrade/store/interface.py
@@ -9,12 +9,14 @@
     Transaction,
     TransactionOutcome,
 )
+from plantaingrade.store.epochs import StoreEpochs
 
 
 class Store(Protocol):
     """Rows with versions, changed by transactions."""
 
     clock: StoreClock
+    epochs: StoreEpochs
 
     async def async_commit(
         self, transaction: Transaction
