--- a/tests/guards.py
+++ b/tests/guards.py
@@ -275,6 +275,56 @@
         'if False:',
         'tests/config',
     ),
+    Guard(
+        'leases of an earlier epoch are waited out',
+        'plantaingrade/holds/plans.py',
+        'if not registry.epochs.are_earlier_leases_over():\n        return []',
+        'if False:\n        return []',
+        'tests/holds/test_store_copy.py',
+    ),
+    Guard(
+        'a new run waits in a new epoch',
+        'plantaingrade/holds/epochs.py',
+        'return name in self._rows.by_name or self.are_earlier_leases_over()',
+        'return True',
+        'tests/holds/test_store_copy.py',
+    ),
+    Guard(
+        'a new run grants under no fence of an earlier epoch',
+        'plantaingrade/holds/epochs.py',
+        'return self._joined * FENCES_PER_EPOCH',
+        'return 0',
+        'tests/holds/test_store_copy.py',
+    ),
+    Guard(
+        'fences of an epoch are above those of lost maps',
+        'plantaingrade/keyspace/assign.py',
+        'max(key_map.fence + 1, epoch * FENCES_PER_EPOCH + FIRST_FENCE)',
+        'key_map.fence + 1',
+        'tests/holds/test_store_copy.py',
+    ),
+    Guard(
+        'what may have been given away in a lost epoch rests',
+        'plantaingrade/holds/registry.py',
+        'if given:\n            fence',
+        'if False:\n            fence',
+        'tests/holds/test_store_copy.py',
+    ),
+    Guard(
+        'what is known of lost seconds is kept',
+        'plantaingrade/keyspace/directory.py',
+        'if lacks_nothing and key_map.epoch == known.epoch:',
+        'if True:',
+        'tests/holds/test_store_copy.py tests/keyspace',
+    ),
+    Guard(
+        'a change made from lost rows does not count',
+        'plantaingrade/platform/store.py',
+        'if transaction.epoch < self.epochs.newest:\n'
+        '            return EpochEnded(self.epochs.newest)\n        try:',
+        'try:',
+        'tests/platform/test_store.py',
+    ),
 )
 
 
--- a/tests/holds/test_store_copy.py
+++ b/tests/holds/test_store_copy.py
@@ -6,12 +6,14 @@
 
 from plantaingrade.holds.const import LEASE_S
 from plantaingrade.keyspace.entity import KEY_COUNT, KeyRange
-from tests.holds.fakes import World
+from tests.holds.fakes import Fault, World
 from tests.holds.test_coordinator import calm, disturb, settled, watch
+from tests.holds.test_promises import unheld_for
 from tests.virtual import run
 
 NAMES = ('m1', 'm2', 'm3', 'm4')
 AWAY_S = 2.6
+SHORT_AWAY_S = 0.3
 # Shares of the steps of a mix in which a copy is made, or comes back.
 COPY_SHARE = 0.3
 RETURN_SHARE = 0.15
@@ -54,6 +56,66 @@
     run(story())
 
 
+@pytest.mark.parametrize('away_s', [0.3, AWAY_S, 6.0])
+def test_keys_stay_held_while_leases_are_carried_over(away_s) -> None:
+    """Resting keys would be refused everywhere for a whole lease."""
+
+    async def story() -> None:
+        world = await start()
+        await lose_last(world, 4.0, away_s)
+        assert not await unheld_for(world, REST_S)
+        await world.async_stop()
+
+    run(story())
+
+
+def test_keys_given_by_a_change_without_answer_go_to_one_owner() -> None:
+    """It was done, and read by its receiver, before the rows were lost."""
+
+    async def story() -> None:
+        world = await start()
+        copy = world.rows.copy()
+        giver, target = world.places[:2]
+        key = giver.maps.find('cases').owned_by(giver.name)[0].keys.first
+        giver.store.faults.append(Fault.LOST)
+        world.move(giver, KeyRange(key, key), target.name)
+        await watch(world, 0.3)
+        await target.holds.registry.async_read()
+        world.rows.come_back(copy)
+        await watch(world, REST_S)
+        assert target.holds.is_held(key)
+        assert not giver.holds.is_held(key)
+        assert world.held_keys() == KEY_COUNT
+        await world.async_stop()
+
+    run(story())
+
+
+def test_a_run_that_starts_in_a_new_epoch_waits_for_leases() -> None:
+    """Its last run was killed in the lost seconds, after it gave keys away."""
+
+    async def story() -> None:
+        world = await start()
+        copy = world.rows.copy()
+        giver, target = world.places[:2]
+        given = giver.maps.find('cases').owned_by(giver.name)[0].keys
+        world.move(giver, given, target.name)
+        await watch(world, 1.0)
+        world.kill(giver)
+        target.store.is_away = True
+        world.rows.come_back(copy)
+        world.restart(giver)
+        await watch(world, 3.0)
+        assert target.holds.is_held(given.first)
+        target.store.is_away = False
+        await watch(world, REST_S)
+        assert world.held_keys() == KEY_COUNT
+        assert not world.fences_not_above()
+        await world.async_stop()
+
+    run(story())
+
+
 def test_a_fence_of_the_lost_seconds_is_not_given_out_again() -> None:
     """Keys moved in the lost seconds, and all processes start anew later."""
 
@@ -105,19 +167,23 @@
     run(story())
 
 
-def test_members_that_the_store_turns_away_keep_what_they_hold() -> None:
-    """A third of the members reaches the store only 6 s after the others."""
+@pytest.mark.parametrize('turned_away_s', [6.0, 10.0, 30.0])
+@pytest.mark.parametrize('since_renewal_s', [0.2, 0.7, 1.2, 1.7, 2.2, 2.7])
+def test_a_member_that_the_store_turns_away_owns_alone(
+    turned_away_s, since_renewal_s
+) -> None:
+    """It reaches the store long after the others, who know of the epoch."""
 
     async def story() -> None:
         world = await start()
         copy = world.rows.copy()
-        await watch(world, 2.0)
+        await watch(world, 2.0 + since_renewal_s)
         world.set_store_away(True)
-        await watch(world, AWAY_S)
+        await watch(world, SHORT_AWAY_S)
         world.rows.come_back(copy)
         for place in world.places[1:]:
             place.store.is_away = False
-        await watch(world, 6.0)
+        await watch(world, turned_away_s)
         world.places[0].store.is_away = False
         await watch(world, REST_S)
         assert world.held_keys() == KEY_COUNT
--- a/tests/keyspace/test_assign.py
+++ b/tests/keyspace/test_assign.py
@@ -8,6 +8,7 @@
 from plantaingrade.keyspace.assign import (
     cut,
     is_complete,
+    merge,
     reassign,
     split_evenly,
 )
@@ -24,6 +25,7 @@
     KeyMap,
     KeyRange,
 )
+from plantaingrade.store.epochs import make_version
 
 OWNERS = ('a', 'b', 'c', 'd')
 keys = st.integers(0, KEY_COUNT - 1)
@@ -178,3 +180,50 @@
         except UnreadableMapError:
             continue
         raise AssertionError(body)
+
+
+@st.composite
+def histories(draw) -> list[KeyMap]:
+    """Draw a map and those that came of it, one change each."""
+    maps = [split_evenly(OWNERS)]
+    for _ in range(draw(st.integers(1, 6))):
+        first = draw(st.integers(0, KEY_COUNT - 1))
+        keys = KeyRange(first, draw(st.integers(first, KEY_COUNT - 1)))
+        maps.append(reassign(maps[-1], {keys: draw(st.sampled_from(OWNERS))}))
+    return maps
+
+
+@given(histories(), st.data())
+def test_of_two_maps_of_one_history_the_later_one_is_the_merged_one(
+    maps, data
+) -> None:
+    one = data.draw(st.sampled_from(maps))
+    other = data.draw(st.sampled_from(maps))
+    later = max(one, other, key=lambda key_map: key_map.fence)
+    assert merge(one, other).assignments == later.assignments
+    assert merge(other, one).assignments == later.assignments
+
+
+def test_what_a_copy_lacks_is_kept_until_the_store_has_it() -> None:
+    maps = KeyMaps()
+    first = split_evenly(OWNERS)
+    lost = reassign(first, {KeyRange(0, 9): 'b'})
+    maps.offer('s', lost.at_version(7))
+    maps.offer('s', first.at_version(make_version(1, 5)))
+    assert maps.find('s').find(0).owner == 'b'
+    assert maps.find_stored('s').find(0).owner == first.find(0).owner
+    other = reassign(first, {KeyRange(20, 29): 'c'}, epoch=1)
+    maps.offer('s', other.at_version(make_version(1, 6)))
+    assert maps.find('s').find(0).owner == 'b'
+    assert maps.find('s').find(20).owner == 'c'
+    complete = reassign(maps.find('s'), {KeyRange(40, 49): 'a'}, epoch=1)
+    maps.offer('s', complete.at_version(make_version(1, 7)))
+    assert maps.find_stored('s') is maps.find('s')
+
+
+def test_fences_of_a_later_epoch_are_above_those_of_lost_maps() -> None:
+    lost = split_evenly(OWNERS)
+    for _ in range(5):
+        lost = reassign(lost, {KeyRange(0, 9): 'b'})
+    after = reassign(split_evenly(OWNERS), {KeyRange(0, 9): 'c'}, epoch=1)
+    assert after.fence > lost.fence
