Lab: name a deployment that cannot be read, with exit code 2

A user who misspelled a file's name got a traceback; so did one who named a folder, or a file that is no UTF-8. The test failed before. Stories of the store's epochs share how the store goes away and what must hold in the end.

--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -123,10 +123,12 @@
     Raises:
         DeploymentError: what is wrong, one mistake a line with its place.
     """
-    text = path.read_text()
     try:
+        text = path.read_text(encoding='utf-8')
         tables = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except OSError as error:
+        raise DeploymentError(f'{path}: {error.strerror}') from error
+    except ValueError as error:
         raise DeploymentError(f'{path}: {error}') from error
     mistakes = [
         f'{path}:{_line(text, table, place)}: {what}'
--- a/tests/holds/test_store_copy.py
+++ b/tests/holds/test_store_copy.py
@@ -6,7 +6,7 @@
 
 from plantaingrade.holds.const import LEASE_S
 from plantaingrade.keyspace.entity import KEY_COUNT, KeyRange
-from tests.holds.fakes import Fault, World
+from tests.holds.fakes import Fault, RowsCopy, World
 from tests.holds.test_coordinator import calm, disturb, settled, watch
 from tests.holds.test_promises import unheld_for
 from tests.virtual import run
@@ -30,16 +30,31 @@
     return world
 
 
-async def lose_last(world: World, lost_s: float, away_s: float) -> None:
-    """Have the store go away and come back without the last seconds."""
-    copy = world.rows.copy()
-    await watch(world, lost_s)
+async def come_back(
+    world: World, copy: RowsCopy, away_s: float = AWAY_S
+) -> None:
+    """Have the store go away, and come back from a copy."""
     world.set_store_away(True)
     await watch(world, away_s)
     world.rows.come_back(copy)
     world.set_store_away(False)
 
 
+async def lose_last(world: World, lost_s: float, away_s: float) -> None:
+    """Have the store come back without the last seconds."""
+    copy = world.rows.copy()
+    await watch(world, lost_s)
+    await come_back(world, copy, away_s)
+
+
+async def assert_whole(world: World) -> None:
+    """Let all earlier leases end; then every key has one rightful owner."""
+    await watch(world, REST_S)
+    assert world.held_keys() == KEY_COUNT
+    assert not world.fences_not_above()
+    await world.async_stop()
+
+
 @pytest.mark.parametrize('lost_s', [0.5, 1.0, 2.0, 3.0, 4.0, 6.0, 8.0])
 @pytest.mark.parametrize('away_s', [0.0, 0.3, 1.0, AWAY_S])
 def test_no_takeover_goes_by_leases_of_a_copy(lost_s, away_s) -> None:
@@ -48,10 +63,7 @@
     async def story() -> None:
         world = await start()
         await lose_last(world, lost_s, away_s)
-        await watch(world, REST_S)
-        assert world.held_keys() == KEY_COUNT
-        assert not world.fences_not_above()
-        await world.async_stop()
+        await assert_whole(world)
 
     run(story())
 
@@ -85,8 +97,7 @@
         await watch(world, REST_S)
         assert target.holds.is_held(key)
         assert not giver.holds.is_held(key)
-        assert world.held_keys() == KEY_COUNT
-        await world.async_stop()
+        await assert_whole(world)
 
     run(story())
 
@@ -108,10 +119,7 @@
         await watch(world, 3.0)
         assert target.holds.is_held(given.first)
         target.store.is_away = False
-        await watch(world, REST_S)
-        assert world.held_keys() == KEY_COUNT
-        assert not world.fences_not_above()
-        await world.async_stop()
+        await assert_whole(world)
 
     run(story())
 
@@ -129,19 +137,13 @@
             await watch(world, 0.5)
             world.move(target, KeyRange(key, key), giver.name)
             await watch(world, 0.5)
-        world.set_store_away(True)
-        await watch(world, AWAY_S)
-        world.rows.come_back(copy)
-        world.set_store_away(False)
+        await come_back(world, copy)
         await watch(world, REST_S)
         for place in list(world.places):
             world.kill(place)
             world.replace_server(place)
             world.restart(place)
-        await watch(world, REST_S)
-        assert not world.fences_not_above()
-        assert world.held_keys() == KEY_COUNT
-        await world.async_stop()
+        await assert_whole(world)
 
     run(story())
 
@@ -156,13 +158,8 @@
         world.kill(world.places[0])
         world.places[0].server.is_up = False
         await watch(world, 1.0)
-        world.set_store_away(True)
-        await watch(world, AWAY_S)
-        world.rows.come_back(copy)
-        world.set_store_away(False)
-        await watch(world, REST_S)
-        assert world.held_keys() == KEY_COUNT
-        await world.async_stop()
+        await come_back(world, copy)
+        await assert_whole(world)
 
     run(story())
 
@@ -185,10 +182,7 @@
             place.store.is_away = False
         await watch(world, turned_away_s)
         world.places[0].store.is_away = False
-        await watch(world, REST_S)
-        assert world.held_keys() == KEY_COUNT
-        assert not world.fences_not_above()
-        await world.async_stop()
+        await assert_whole(world)
 
     run(story())
 
@@ -202,14 +196,8 @@
         for name in NAMES:
             world.add(name)
         await watch(world, 5.0)
-        world.set_store_away(True)
-        await watch(world, AWAY_S)
-        world.rows.come_back(copy)
-        world.set_store_away(False)
-        await watch(world, REST_S)
-        assert world.held_keys() == KEY_COUNT
-        assert not world.fences_not_above()
-        await world.async_stop()
+        await come_back(world, copy)
+        await assert_whole(world)
 
     run(story())
 
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -73,3 +73,15 @@
 @pytest.mark.parametrize('path', sorted(DEPLOYMENTS.glob('*.toml')), ids=str)
 def test_the_deployments_here_have_no_mistakes(path) -> None:
     assert read_deployment(path).kind
+
+
+def test_a_file_that_cannot_be_read_is_named_without_a_traceback(
+    tmp_path,
+) -> None:
+    garbage = tmp_path / 'garbage.toml'
+    garbage.write_bytes(b'\xff\xfe')
+    for path in (tmp_path / 'missing.toml', tmp_path, garbage):
+        found = CliRunner().invoke(compare, [str(path)])
+        assert found.exit_code == EXIT_BAD_INPUT
+        assert str(path) in found.output
+        assert isinstance(found.exception, SystemExit)
