Let unclaimed keys rest no longer than a run without a lease must

Callers: where every process was killed just as the store came back from a copy, all keys were refused for 20 s and more. Cause: a run without a lease reckoned with the longest lease of the largest service, left the start of the epoch to others for 2 s, and looked for a first map as rarely as for lost members. Now it reckons by twice the members that the copy shows, all that wait join at the same moment, and a first map is looked for each second.

The soak has a fault that ends all processes and servers at once.

--- a/plantaingrade/holds/const.py
+++ b/plantaingrade/holds/const.py
@@ -55,8 +55,10 @@
 ESTIMATE_SLACK_S = 2.0
 # Longest pause between two renewals, however large the service.
 MAX_RENEW_S = 8.0
+# Longest lease, in the largest services.
+LONGEST_LEASE_S = MAX_RENEW_S + OUTAGE_S
 # No lease ends later than this after it was written.
-UNREADABLE_S = MAX_RENEW_S + OUTAGE_S + ESTIMATE_SLACK_S
+UNREADABLE_S = LONGEST_LEASE_S + ESTIMATE_SLACK_S
 # After an outage of the store, members renew within one pause and one call;
 # whoever has not renewed after this time is gone.
 RETURN_GRACE_S = 2.0
@@ -78,7 +80,9 @@
 FIRST_ANSWER_S = BOOTSTRAP_WAIT_S - 0.5
 # Time to join: a renewal as any other, or a change of the map.
 JOIN_LIMIT_S = 1.0
-# Pause before a process that may not join yet looks again.
+# Longest pause before a process that may not join yet looks again.
 JOIN_WAIT_S = 1.0
-# Time for a member with a lease to reach a store that has come back.
-START_WAIT_S = 2.0
+# Shortest such pause: the store's clock is known by its answers only.
+MIN_JOIN_WAIT_S = 0.05
+# Times as many members as a copy of the store shows that there may have been.
+LOST_GROWTH = 2
--- a/plantaingrade/holds/epochs.py
+++ b/plantaingrade/holds/epochs.py
@@ -1,11 +1,7 @@
 """The epoch of the store by which a member goes, and what went before. Pure."""
 
 from plantaingrade.clock import Clock
-from plantaingrade.holds.const import (
-    ESTIMATE_SLACK_S,
-    FIRST_ANSWER_S,
-    UNREADABLE_S,
-)
+from plantaingrade.holds.const import ESTIMATE_SLACK_S, FIRST_ANSWER_S
 from plantaingrade.holds.epoch_start import EpochStart
 from plantaingrade.holds.rows import MemberRows
 from plantaingrade.keyspace.assign import FENCES_PER_EPOCH
@@ -97,10 +93,10 @@
         """
         return name in self._rows.by_name or self.are_earlier_leases_over()
 
-    def missing_start(self, *, is_carrying: bool) -> EpochStart | None:
+    def missing_start(self, lease_s: float | None = None) -> EpochStart | None:
         """Return what to write about the start of this epoch, if anything.
 
-        Only a member that carries a lease knows how long leases were.
+        ``lease_s`` is how long leases were, if not as they were here.
         """
         found = self._rows.epoch_start
         is_readable = found is not None and found.is_readable
@@ -109,10 +105,9 @@
         version = 0 if found is None else found.version
         if self.is_base:
             return EpochStart(0.0, version)
-        rest_s = UNREADABLE_S
-        if is_carrying:
-            rest_s = self._longest_lease_s + ESTIMATE_SLACK_S
-        return EpochStart(self._rows.read_now_s + rest_s, version)
+        rest_s = lease_s or self._longest_lease_s
+        ends_s = self._rows.read_now_s + rest_s + ESTIMATE_SLACK_S
+        return EpochStart(ends_s, version)
 
     def _on_epoch(self, epoch: int, before: int | None) -> None:
         """Learn by the first answer whether anybody held keys before it."""
--- a/plantaingrade/holds/joining.py
+++ b/plantaingrade/holds/joining.py
@@ -8,10 +8,9 @@
 from plantaingrade.holds.const import (
     JOIN_LIMIT_S,
     JOIN_WAIT_S,
+    MIN_JOIN_WAIT_S,
     RETRY_S,
-    START_WAIT_S,
 )
-from plantaingrade.holds.epochs import NO_EPOCH
 from plantaingrade.holds.plans import plan_carry_over, plan_outrank
 from plantaingrade.holds.registry import Planner, Registry
 
@@ -22,15 +21,7 @@
 class Joining:
     """Join with a member's row; each step returns the pause until the next."""
 
-    __slots__ = (
-        '_clock',
-        '_commit',
-        '_log',
-        '_on_joined',
-        '_registry',
-        '_waited_epoch',
-        '_waited_from',
-    )
+    __slots__ = ('_clock', '_commit', '_log', '_on_joined', '_registry')
 
     def __init__(
         self,
@@ -46,9 +37,6 @@
         self._on_joined = on_joined
         self._clock = clock
         self._log = log
-        # The epoch whose start was found missing, and since when.
-        self._waited_epoch = NO_EPOCH
-        self._waited_from = 0.0
 
     async def async_join(self) -> float:
         """Take up what an earlier run owned, under new fences.
@@ -59,7 +47,7 @@
         registry = self._registry
         if not await self._async_may_join():
             self._log.write('join-waits', epoch=registry.epochs.present)
-            return JOIN_WAIT_S
+            return self._pause_s()
         committed = await self._commit(plan_outrank, JOIN_LIMIT_S)
         if committed is CommitResult.NOT_WANTED:
             committed = await self._commit(_plan_renewal, JOIN_LIMIT_S)
@@ -92,25 +80,21 @@
         name = registry.member.name
         if registry.epochs.may_join(name):
             return True
-        if self._is_left_to_others():
-            return False
         await registry.async_start_epoch()
         await registry.async_read()
         return registry.epochs.may_join(name)
 
-    def _is_left_to_others(self) -> bool:
-        """Leave the start of an epoch to members with a lease for a while.
+    def _pause_s(self) -> float:
+        """Return the time until this run may join, or until another look.
 
-        They know how long leases were, so that everybody waits for less.
+        All that wait then join at the same moment, and divide the keys.
         """
-        epochs = self._registry.epochs
-        if epochs.is_base or self._registry.rows.epoch_start is not None:
-            return False
-        now = self._clock.now()
-        if self._waited_epoch != epochs.present:
-            self._waited_epoch = epochs.present
-            self._waited_from = now
-        return now - self._waited_from < START_WAIT_S
+        start = self._registry.rows.epoch_start
+        now_s = self._registry.store_now()
+        if start is None or now_s is None:
+            return RETRY_S
+        left_s = start.leases_over_s - now_s
+        return min(JOIN_WAIT_S, max(MIN_JOIN_WAIT_S, left_s))
 
     def _pause_after(self, committed: CommitResult) -> float:
         if committed is not CommitResult.DONE:
--- a/plantaingrade/holds/plans.py
+++ b/plantaingrade/holds/plans.py
@@ -44,7 +44,7 @@
     """Join a new epoch of the store with a lease of an earlier one."""
     stored = registry.stored_map
     change = plan_carry(registry.key_map, stored, registry.epochs.present)
-    start = registry.epochs.missing_start(is_carrying=True)
+    start = registry.epochs.missing_start()
     return replace(change, epoch_start=start)
 
 
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -24,7 +24,11 @@
     CommitResult,
     SentWrite,
 )
-from plantaingrade.holds.const import RETRY_S
+from plantaingrade.holds.const import (
+    LONGEST_LEASE_S,
+    LOST_GROWTH,
+    RETRY_S,
+)
 from plantaingrade.holds.epochs import MemberEpochs
 from plantaingrade.holds.lease import (
     MemberRow,
@@ -35,6 +39,7 @@
 from plantaingrade.holds.own_rows import OwnRows
 from plantaingrade.holds.rows import (
     KEY_MAP,
+    KEY_MEMBER,
     TABLE,
     MemberRows,
     part_of,
@@ -194,7 +199,9 @@
 
     async def async_start_epoch(self) -> None:
         """Write from when on members without a lease may join this epoch."""
-        start = self.epochs.missing_start(is_carrying=self.is_carrying)
+        if self.epochs.missing_start() is None:
+            return
+        start = self.epochs.missing_start(await self._async_earlier_lease_s())
         if start is not None:
             transaction = make_start(self._names(), start)
             await self._store.async_commit(transaction)
@@ -380,6 +387,19 @@
     def _names(self) -> RowNames:
         return RowNames(self.member.service, self.epochs.present)
 
+    async def _async_earlier_lease_s(self) -> float:
+        """Return how long leases of the epoch before were at most.
+
+        Its rows show how many members there were when they were copied.
+        """
+        earlier = RowNames(self.member.service, self.epochs.present - 1)
+        outcome = await self._store.async_read(TABLE, earlier.part)
+        rows = outcome.rows if isinstance(outcome, RangeRead) else ()
+        members = sum(row.name.key.startswith(KEY_MEMBER) for row in rows)
+        if not members:
+            return LONGEST_LEASE_S
+        return lease_times(LOST_GROWTH * members).full_s
+
     async def _async_read_rows(self) -> ReadOutcome:
         """Read the rows of the newest epoch, as the answer itself tells it."""
         while True:
--- a/plantaingrade/holds/takeovers.py
+++ b/plantaingrade/holds/takeovers.py
@@ -56,9 +56,15 @@
         while True:
             if self._registry.is_joined:
                 await self._async_scan()
-            members = max(1, len(self._registry.rows.by_name))
-            spread = self._random.uniform(*SCAN_SPREAD)
-            await asyncio.sleep(SCAN_PERIOD_S * members * spread)
+            await asyncio.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        """Return the time until the next look; a first map is needed soon."""
+        registry = self._registry
+        has_map = bool(registry.key_map.version)
+        members = len(registry.rows.by_name) if has_map else 1
+        spread = self._random.uniform(*SCAN_SPREAD)
+        return SCAN_PERIOD_S * max(1, members) * spread
 
     async def _async_scan(self) -> None:
         is_read = await self._registry.async_read()
--- a/plantaingrade/holds/transactions.py
+++ b/plantaingrade/holds/transactions.py
@@ -5,7 +5,12 @@
 from plantaingrade.holds.changes import SentWrite
 from plantaingrade.holds.epoch_start import EpochStart, encode_epoch_start
 from plantaingrade.holds.lease import encode_member_row
-from plantaingrade.holds.rows import epoch_start_row, map_row, member_row
+from plantaingrade.holds.rows import (
+    epoch_start_row,
+    map_row,
+    member_row,
+    part_of,
+)
 from plantaingrade.keyspace.codec import encode_map
 from plantaingrade.store.entity import Expected, Put, RowName, Transaction
 
@@ -16,6 +21,11 @@
     service: str
     epoch: int
 
+    @property
+    def part(self) -> str:
+        """Return the part of the table in which they are."""
+        return part_of(self.service, self.epoch)
+
     def member(self, name: str) -> RowName:
         """Return the name of a member's row."""
         return member_row(self.service, name, self.epoch)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -39,6 +39,8 @@
     STRANGE_ROW = 'strange-row'
     # The store comes back from a copy that lacks the last seconds.
     STORE_GOES_BACK = 'store-goes-back'
+    # All instances lose power, with their processes and servers.
+    POWER_OFF = 'power-off'
 
 
 @dataclass(slots=True, frozen=True)
--- a/soak/trouble.py
+++ b/soak/trouble.py
@@ -4,6 +4,7 @@
 import random
 import signal
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
 from soak.schedule import Step, Trouble
@@ -95,6 +96,8 @@
                 return async_put_row(self._world, spot, random.Random(step.at))
             case Trouble.STORE_GOES_BACK:
                 return self._async_lose_rows(step)
+            case Trouble.POWER_OFF:
+                return self._async_power_off(step)
         return self._async_harm_store(spot, step)
 
     async def _async_restart(
@@ -111,6 +114,22 @@
         start()
         self._busy.discard(name)
 
+    async def _async_power_off(self, step: Step) -> None:
+        """End every process and server that is not down already."""
+        start_by_name: dict[str, Callable[[], None]] = {}
+        for spot in self._world.spots:
+            routers = partial(self._world.start_router, spot)
+            servers = partial(self._world.start_server, spot)
+            start_by_name[router_name(spot)] = routers
+            start_by_name[server_name(spot)] = servers
+        taken = [name for name in start_by_name if self._take(name)]
+        for name in taken:
+            self._world.signal(name, signal.SIGKILL)
+        await asyncio.sleep(RESTART_S + step.for_s * DOWN_SHARE)
+        for name in taken:
+            start_by_name[name]()
+            self._busy.discard(name)
+
     async def _async_pause(self, spot: Spot, step: Step) -> None:
         is_router = step.trouble is Trouble.PAUSE_ROUTER
         name = router_name(spot) if is_router else server_name(spot)
--- a/tests/holds/test_store_copy.py
+++ b/tests/holds/test_store_copy.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from plantaingrade.holds.const import LEASE_S
+from plantaingrade.holds.const import ESTIMATE_SLACK_S, LEASE_S
 from plantaingrade.keyspace.entity import KEY_COUNT, KeyRange
 from tests.holds.fakes import Fault, RowsCopy, World
 from tests.holds.test_coordinator import calm, disturb, settled, watch
@@ -14,6 +14,8 @@
 NAMES = ('m1', 'm2', 'm3', 'm4')
 AWAY_S = 2.6
 SHORT_AWAY_S = 0.3
+# Time for runs that waited to join, and for one of them to divide the keys.
+FIRST_MAP_S = 3.0
 # Shares of the steps of a mix in which a copy is made, or comes back.
 COPY_SHARE = 0.3
 RETURN_SHARE = 0.15
@@ -187,6 +189,31 @@
     run(story())
 
 
+def test_keys_are_divided_anew_if_nobody_carried_a_lease_over() -> None:
+    """All instances lose power while the store is away."""
+
+    async def story() -> None:
+        world = await start()
+        copy = world.rows.copy()
+        await watch(world, 2.0)
+        world.set_store_away(True)
+        for place in world.places:
+            world.kill(place)
+            world.replace_server(place)
+        await watch(world, AWAY_S)
+        world.rows.come_back(copy)
+        for place in list(world.places):
+            world.restart(place)
+        world.set_store_away(False)
+        unheld_s = await unheld_for(world, REST_S)
+        assert unheld_s < LEASE_S + ESTIMATE_SLACK_S + FIRST_MAP_S
+        owners = {place.server.instance for place in world.places}
+        assert {each.instance for each in world.servers if each.holds} == owners
+        await assert_whole(world)
+
+    run(story())
+
+
 def test_a_copy_from_before_the_first_map_divides_no_keys_twice() -> None:
     """The store loses the start of all: rows, leases and the first map."""
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,7 +17,7 @@
 TROUBLES_BEFORE_COPIES = tuple(
     trouble
     for trouble in ALL_TROUBLES
-    if trouble is not Trouble.STORE_GOES_BACK
+    if trouble not in {Trouble.STORE_GOES_BACK, Trouble.POWER_OFF}
 )
 TROUBLES_THEN = tuple(
     trouble
