Nothing joins an epoch whose rows were not read

Found by reading. What callers would see: two servers hold the same keys, or keys that should rest are granted. A member looks at the rows of an epoch, decides to carry its lease over or to join, and waits for its turn to write. If the store goes back once more meanwhile, the write goes to the next epoch, of which nothing is known: a run without a lease takes its keys at once, and a member with one writes that earlier leases are over 15 s after the zero of the store's clock, long past.

Now both are decided again in the turn, and neither is done before the rows of the epoch have been read. A wish is written again only under the version and epoch in which its row was found.

--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -201,8 +201,9 @@
         """Write from when on members without a lease may join this epoch."""
         if self.epochs.missing_start() is None:
             return
-        start = self.epochs.missing_start(await self._async_earlier_lease_s())
-        if start is not None:
+        lease_s = await self._async_earlier_lease_s()
+        start = self.epochs.missing_start(lease_s)
+        if start is not None and self.rows.are_read:
             transaction = make_start(self._names(), start)
             await self._store.async_commit(transaction)
 
@@ -252,6 +253,10 @@
             self.follow_epoch()
             if self.is_carrying != carries:
                 return CommitResult.FAILED
+            if (joins or carries) and not self.rows.are_read:
+                return CommitResult.FAILED
+            if joins and not self.epochs.may_join(self.member.name):
+                return CommitResult.FAILED
             now = self._clock.now()
             crowded_s = limit_s if crowded_limit_s is None else crowded_limit_s
             attempt = Attempt(
@@ -392,6 +397,8 @@
 
         Its rows show how many members there were when they were copied.
         """
+        if self.epochs.is_base:
+            return 0.0
         earlier = RowNames(self.member.service, self.epochs.present - 1)
         outcome = await self._store.async_read(TABLE, earlier.part)
         rows = outcome.rows if isinstance(outcome, RangeRead) else ()
--- a/plantaingrade/holds/rows.py
+++ b/plantaingrade/holds/rows.py
@@ -84,6 +84,11 @@
         for row in rows:
             self._take(row, known, now_s)
 
+    @property
+    def are_read(self) -> bool:
+        """Tell whether the rows of the present epoch have been read."""
+        return self.read_now_s > 0
+
     def forget(self) -> None:
         """Drop all rows: they are of an epoch that is over."""
         self.by_name = {}
--- a/plantaingrade/operators/desk.py
+++ b/plantaingrade/operators/desk.py
@@ -230,11 +230,14 @@
     ) -> TransactionOutcome:
         """Write a wish in place of the one found."""
         name = wish_row(member.service, member.name)
+        # A row that is not there has no version, and may be absent anew.
+        newest = self._store.epochs.newest
+        epoch = found.row_epoch if found.version else newest
         return await self._store.async_commit(
             Transaction(
                 (Expected(name, found.version),),
                 (Put(name, encode_wish(wish)),),
-                epoch=self._store.epochs.newest,
+                epoch=epoch,
             )
         )
 
--- a/plantaingrade/operators/wishes.py
+++ b/plantaingrade/operators/wishes.py
@@ -13,7 +13,7 @@
 from plantaingrade.holds.rows import TABLE
 from plantaingrade.schema import SchemaError, parse_object
 from plantaingrade.store.entity import Row, RowName
-from plantaingrade.store.epochs import MAX_EPOCH, number_of
+from plantaingrade.store.epochs import MAX_EPOCH, epoch_of, number_of
 
 KEY_WISH = 'wish/'
 # Names of commands and operators come from headers, which may be long.
@@ -46,6 +46,11 @@
     version: int = 0
     epoch: int = 0
 
+    @property
+    def row_epoch(self) -> int:
+        """Return the epoch of the store in which the row was read."""
+        return epoch_of(self.version)
+
     def is_older_than(self, other: 'Wish') -> bool:
         """Tell whether another wish came later.
 
--- a/tests/holds/test_store_copy.py
+++ b/tests/holds/test_store_copy.py
@@ -1,13 +1,22 @@
 """The store comes back from a copy that lacks the last seconds."""
 
+import asyncio
 import random
 
 import pytest
 
+from plantaingrade.holds.changes import CommitResult
 from plantaingrade.holds.const import ESTIMATE_SLACK_S, LEASE_S
+from plantaingrade.holds.plans import plan_carry_over, plan_outrank
 from plantaingrade.keyspace.entity import KEY_COUNT, KeyRange
 from tests.holds.fakes import Fault, RowsCopy, World
-from tests.holds.test_coordinator import calm, disturb, settled, watch
+from tests.holds.test_coordinator import (
+    LOOK_S,
+    calm,
+    disturb,
+    settled,
+    watch,
+)
 from tests.holds.test_promises import unheld_for
 from tests.virtual import run
 
@@ -189,6 +198,30 @@
     run(story())
 
 
+@pytest.mark.parametrize('gap_s', [0.005, 0.015, 0.025, 0.035, 0.1, 0.5, 2.0])
+@pytest.mark.parametrize('is_killed', [False, True])
+def test_copies_that_follow_each_other_give_keys_one_owner(
+    gap_s, is_killed
+) -> None:
+    """The store goes back again while leases are carried over or runs join."""
+
+    async def story() -> None:
+        world = await start()
+        copy = world.rows.copy()
+        await watch(world, 3.0)
+        for _ in range(5):
+            world.rows.come_back(copy)
+            if is_killed:
+                world.kill(world.places[0])
+                world.restart(world.places[0])
+            await watch(world, LOOK_S * round(gap_s / LOOK_S))
+            await asyncio.sleep(gap_s % LOOK_S)
+        await watch(world, 2 * REST_S)
+        await assert_whole(world)
+
+    run(story())
+
+
 def test_keys_are_divided_anew_if_nobody_carried_a_lease_over() -> None:
     """All instances lose power while the store is away."""
 
@@ -258,3 +291,32 @@
         await world.async_stop()
 
     run(story())
+
+
+def test_nothing_joins_an_epoch_whose_rows_were_not_read() -> None:
+    """The store goes back once more while a member waits to write its row."""
+
+    async def story() -> list[CommitResult]:
+        world = await start()
+        copy = world.rows.copy()
+        holder, starter = world.places[:2]
+        world.kill(holder)
+        world.kill(starter)
+        again = world.restart(starter)
+        world.kill(again)
+        world.rows.come_back(copy)
+        for place in (holder, again):
+            place.store.epochs.note(world.rows.epoch)
+        holder.holds.registry.follow_epoch()
+        outcomes = [
+            await holder.holds.registry.async_commit(
+                plan_carry_over, LEASE_S, carries=True
+            ),
+            await again.holds.registry.async_commit(
+                plan_outrank, LEASE_S, joins=True
+            ),
+        ]
+        await world.async_stop()
+        return outcomes
+
+    assert run(story()) == [CommitResult.FAILED, CommitResult.FAILED]
