--- a/plantaingrade/holds/rows.py
+++ b/plantaingrade/holds/rows.py
@@ -55,7 +55,6 @@
     """Rows of members by name; the map goes to the maps of all services."""
 
     __slots__ = (
-        '_log',
         '_maps',
         '_member',
         'by_name',
@@ -68,7 +67,6 @@
         """Read on behalf of a member; know no rows yet."""
         self._member = member
         self._maps = maps
-        self._log = log
         self.unreadable = UnreadableRows(log)
         self.by_name: dict[str, MemberRow] = {}
         self.epoch_start: EpochStart | None = None
@@ -139,16 +137,8 @@
         To decode one of 1,200 ranges takes 6 ms (thread time, one core).
         """
         service = self._member.service
-        known = self._maps.find(service)
-        if row.version > known.version:
+        if row.version > self._maps.find(service).version:
             self._maps.offer(service, decode_map(row.body, row.version))
-        elif row.version < known.version:
-            self._log.write(
-                'map-older',
-                version=row.version,
-                known=known.version,
-                fence=known.fence,
-            )
 
     def _keep_unreadable(
         self, row: Row, known: dict[str, MemberRow], now_s: float
