Learn no epoch from a relayed answer of a store that tells none

Found by reading. Callers, where the store turns some instances away and tells no epochs: keys of a lost owner would rest for good at those that reach the store through others, and a process that starts would wait 15 s. Cause: each relayed reading counted as one that tells an epoch, the number 0. Now only a newer one is learned. The test failed before; another plays a store that tells no epochs from the start.

--- a/plantaingrade/store/relay.py
+++ b/plantaingrade/store/relay.py
@@ -132,7 +132,8 @@
         outcome = await self._async_relay_read(body)
         if isinstance(outcome, NotDone):
             return outcome
-        self.epochs.note(outcome.epoch)
+        if outcome.epoch > self.epochs.newest:
+            self.epochs.note(outcome.epoch)
         if outcome.epoch < self.epochs.newest:
             return NotDone(StoreFailure.OUTDATED)
         return outcome
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -94,6 +94,8 @@
         self.row_by_name: dict[RowName, Row] = {}
         self.version = 0
         self.epoch = 0
+        # A store that never goes back may tell no epochs at all.
+        self.tells_epochs = True
         # How long the part works on one transaction, before the next.
         self.turn_s = 0.0
         self._free_at = 0.0
@@ -204,7 +206,7 @@
         else:
             outcome = Conflict(self.rows.expected_rows(transaction), now_s)
         await asyncio.sleep(CALL_S)
-        self.epochs.note(epoch)
+        self._note(epoch)
         if transaction.epoch < self.epochs.newest:
             return EpochEnded(self.epochs.newest)
         self.clock.observe(sent_at, _now(), now_s)
@@ -226,7 +228,7 @@
         told = self.rows.told(rows)
         outcome = RangeRead(told, self.rows.told_version, _store_now())
         await asyncio.sleep(CALL_S)
-        self.epochs.note(outcome.epoch)
+        self._note(outcome.epoch)
         if outcome.epoch < self.epochs.newest:
             return NotDone(StoreFailure.OUTDATED)
         self.clock.observe(sent_at, _now(), outcome.now_s)
@@ -239,6 +241,10 @@
         await asyncio.sleep(wait_s)
         return Changes((), after, _store_now())
 
+    def _note(self, epoch: int) -> None:
+        if self.rows.tells_epochs:
+            self.epochs.note(epoch)
+
     def _fault_of(self, transaction: Transaction) -> Fault:
         if self.is_away:
             return Fault.SILENT
--- a/tests/holds/test_store_copy.py
+++ b/tests/holds/test_store_copy.py
@@ -320,3 +320,25 @@
         return outcomes
 
     assert run(story()) == [CommitResult.FAILED, CommitResult.FAILED]
+
+
+def test_nobody_waits_for_leases_of_a_store_that_tells_no_epochs() -> None:
+    """Processes start at any time, and lost members are replaced as ever."""
+
+    async def story() -> None:
+        world = World()
+        world.rows.tells_epochs = False
+        await watch(world, 1.0)
+        places = [world.add(name) for name in NAMES]
+        await settled(world)
+        world.kill(places[0])
+        world.restart(places[0])
+        await watch(world, 1.0)
+        assert world.held_keys() == KEY_COUNT
+        world.kill(places[1])
+        places[1].server.is_up = False
+        assert await unheld_for(world, LEASE_S) < LEASE_S - 1.0
+        assert world.held_keys() == KEY_COUNT
+        await world.async_stop()
+
+    run(story())
--- a/tests/store/test_relay.py
+++ b/tests/store/test_relay.py
@@ -9,13 +9,15 @@
 from plantaingrade.store.clock import StoreClock
 from plantaingrade.store.entity import (
     Committed,
+    EpochEnded,
     NotDone,
     OutcomeUnknown,
     RangeRead,
     StoreFailure,
     Transaction,
+    TransactionOutcome,
 )
-from plantaingrade.store.epochs import StoreEpochs
+from plantaingrade.store.epochs import StoreEpochs, make_version
 from plantaingrade.store.relay import (
     COMMIT_CODEC,
     READ_CODEC,
@@ -53,6 +55,8 @@
     def __init__(self, *cut_off: int) -> None:
         self.cut_off = {MEMBERS[number].name for number in cut_off}
         self.asked: list[str] = []
+        self.answer: RangeRead = READ
+        self.commit_answer: TransactionOutcome = DONE
         self.silent: set[str] = set()
 
     async def async_relay(
@@ -64,8 +68,9 @@
             return None
         is_cut = member.name in self.cut_off
         if path.endswith('commit'):
-            return COMMIT_CODEC.encode(CUT_OFF if is_cut else DONE)
-        return READ_CODEC.encode(CUT_OFF if is_cut else READ)
+            done = self.commit_answer
+            return COMMIT_CODEC.encode(CUT_OFF if is_cut else done)
+        return READ_CODEC.encode(CUT_OFF if is_cut else self.answer)
 
 
 def store_through(relays: Relays) -> RelayedStore:
@@ -141,3 +146,31 @@
 
     run(story())
     assert len(relays.asked) <= 2 * 40 * DIRECT_S / RELAY_PAUSE_S + 2
+
+
+def test_a_relayed_answer_of_a_store_without_epochs_tells_none() -> None:
+    """Else leases of epochs that never were would be waited for."""
+
+    async def story() -> None:
+        store = store_through(Relays())
+        assert await store.async_read('t', 'p') == READ
+        assert not store.epochs.are_told
+
+    run(story())
+
+
+def test_a_new_epoch_is_heard_of_through_a_relay() -> None:
+    relays = Relays()
+    relays.answer = RangeRead((), make_version(2, 7), 100.0)
+    relays.commit_answer = EpochEnded(3)
+
+    async def story() -> None:
+        store = store_through(relays)
+        assert await store.async_read('t', 'p') == relays.answer
+        assert store.epochs.newest == 2
+        change = Transaction((), epoch=2)
+        assert await store.async_commit(change) == EpochEnded(3)
+        outdated = NotDone(StoreFailure.OUTDATED)
+        assert await store.async_read('t', 'p') == outdated
+
+    run(story())
