Give no keys to a run that waits for earlier leases

Found by reading. Callers, where a process starts again just as the store comes back from a copy: keys that served are moved to it and refused for up to 15 s. A run that waits to join answers requests with a load of nothing, and accepted offers, while it can grant no key. It now tells the load of a member that leaves and declines. The test failed before.

--- a/lab/keys.py
+++ b/lab/keys.py
@@ -70,6 +70,7 @@
         self.member = member
         self.is_joined = True
         self.takes_keys = True
+        self.is_waiting = False
         self.lease_until = float('inf')
         self.turns = TurnPauses(random.Random(member.name))
 
--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -74,6 +74,11 @@
         self.is_leaving = False
         self.is_drained = False
 
+    @property
+    def _takes_nothing(self) -> bool:
+        """Tell whether keys given to this member now would be served late."""
+        return self.is_leaving or self._holds.registry.is_waiting
+
     def observe(self, key: int, work_s: float) -> None:
         """Count the demand of one request."""
         self._meter.observe(key, work_s, self._clock.now())
@@ -84,7 +89,7 @@
         self._reserved = [each for each in self._reserved if each[0] > now]
         work = self._meter.demand(now) + sum(each[1] for each in self._reserved)
         slots = max(1, round(self._queue.usable_slots(now)))
-        share = LEAVING_SHARE if self.is_leaving else work / slots
+        share = LEAVING_SHARE if self._takes_nothing else work / slots
         return Load(share, self._queue.estimate.mean_s(), slots)
 
     def on_offer(self, offer: Offer) -> OfferReply:
@@ -99,7 +104,7 @@
         after = own.share + work / own.slots
         is_accepted = (
             offer.service == self._own.service
-            and not self.is_leaving
+            and not self._takes_nothing
             and self._life.takes_work
             and after < offer.share
         )
--- a/plantaingrade/holds/joining.py
+++ b/plantaingrade/holds/joining.py
@@ -45,7 +45,8 @@
         a new fence, which the server sees first, those are refused.
         """
         registry = self._registry
-        if not await self._async_may_join():
+        registry.is_waiting = not await self._async_may_join()
+        if registry.is_waiting:
             self._log.write('join-waits', epoch=registry.epochs.present)
             return self._pause_s()
         committed = await self._commit(plan_outrank, JOIN_LIMIT_S)
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -101,6 +101,7 @@
         'epochs',
         'is_carrying',
         'is_joined',
+        'is_waiting',
         'member',
         'own',
         'rows',
@@ -149,6 +150,8 @@
         self.takes_keys = True
         self.own: MemberRow | None = None
         self.is_joined = False
+        # Whether leases of an earlier epoch keep this run from joining.
+        self.is_waiting = False
 
     @property
     def key_map(self) -> KeyMap:
--- a/tests/balance/fleet.py
+++ b/tests/balance/fleet.py
@@ -95,7 +95,11 @@
         self.ready: list[asyncio.Future[bool]] = []
         self.turns = TurnPauses(random.Random(name))
         self.registry = SimpleNamespace(
-            is_joined=True, takes_keys=True, key_map=self, turns=self.turns
+            is_joined=True,
+            takes_keys=True,
+            is_waiting=False,
+            key_map=self,
+            turns=self.turns,
         )
         self.book = LoadBook()
         clock = LoopClock()
--- a/tests/balance/test_coordinator.py
+++ b/tests/balance/test_coordinator.py
@@ -5,6 +5,8 @@
 import random
 from types import SimpleNamespace
 
+import pytest
+
 from plantaingrade.admission.estimate import WorkEstimate
 from plantaingrade.admission.slots import SlotQueue
 from plantaingrade.backends.life import BackendLife
@@ -12,6 +14,7 @@
 from plantaingrade.balance.const import LOOK_S, SETTLE_S
 from plantaingrade.balance.coordinator import BalanceCoordinator
 from plantaingrade.balance.entity import Load
+from plantaingrade.balance.others import LEAVING_SHARE
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.turns import TurnPauses
 from plantaingrade.keyspace.entity import Assignment, KeyRange
@@ -37,6 +40,7 @@
         self.registry = SimpleNamespace(
             is_joined=True,
             takes_keys=True,
+            is_waiting=False,
             key_map=self,
             turns=TurnPauses(random.Random(1)),
         )
@@ -82,6 +86,22 @@
         """Reach nobody."""
 
 
+def make(holds: FakeHolds, life: BackendLife) -> BalanceCoordinator:
+    clock = LoopClock()
+    others = FakeOthers()
+    return BalanceCoordinator(
+        OWN,
+        holds,
+        life,
+        SlotQueue(SLOTS, WorkEstimate()),
+        others,
+        others,
+        others,
+        clock,
+        EventLog('t', clock, os.open(os.devnull, os.O_WRONLY)),
+    )
+
+
 def play(
     seconds_idle: float,
     seconds_hot: float,
@@ -94,18 +114,7 @@
 
     async def story() -> float:
         clock = LoopClock()
-        others = FakeOthers()
-        balance = BalanceCoordinator(
-            OWN,
-            holds,
-            BackendLife(),
-            SlotQueue(SLOTS, WorkEstimate()),
-            others,
-            others,
-            others,
-            clock,
-            EventLog('t', clock, os.open(os.devnull, os.O_WRONLY)),
-        )
+        balance = make(holds, BackendLife())
         task = asyncio.create_task(balance.async_run())
         while clock.now() < START_S + seconds_idle:
             if calm_share:
@@ -159,3 +168,20 @@
         turns.on_late(1.0)
     given_at = play(5.0, 1.0, turns, calm_share=0.5)
     assert given_at[0] <= LOOK_S + 0.1
+
+
+@pytest.mark.parametrize('is_waiting', [False, True])
+def test_a_run_that_waits_to_join_is_given_no_keys(is_waiting) -> None:
+    """Nobody would serve them until leases of an earlier epoch are over."""
+    holds = FakeHolds()
+    holds.registry.is_waiting = is_waiting
+
+    async def story() -> tuple[bool, bool]:
+        life = BackendLife()
+        life.on_named('i-1', START_S)
+        balance = make(holds, life)
+        offer = Offer('s@2', OWN.service, 2 * LEAVING_SHARE, 1.0, WORK_S)
+        is_accepted = balance.on_offer(offer).is_accepted
+        return is_accepted, balance.load().share < LEAVING_SHARE
+
+    assert run(story()) == (not is_waiting, not is_waiting)
