--- a/tests/sidecar/test_reused_address.py
+++ b/tests/sidecar/test_reused_address.py
@@ -45,7 +45,7 @@
     life.on_named('i-1', clock.now())
     balance = BalanceCoordinator(
         OWN,
-        SimpleNamespace(),
+        SimpleNamespace(registry=SimpleNamespace(is_waiting=False)),
         life,
         SlotQueue(SLOTS, WorkEstimate()),
         SimpleNamespace(),
