Registry: name the part of its rows at one place

Found on the last reading: the part was put together beside RowNames, which knows it, and a highest fence was taken in two steps.

--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -42,7 +42,6 @@
     KEY_MEMBER,
     TABLE,
     MemberRows,
-    part_of,
 )
 from plantaingrade.holds.term import LeaseTerm
 from plantaingrade.holds.times import LeaseTimes, lease_times
@@ -386,8 +385,7 @@
         """
         given = given_away(self.key_map, self.member.name, sent_by_id.values())
         if given:
-            fence = max(each.fence for each in given)
-            fence = max(fence, self.key_map.fence)
+            fence = max(self.key_map.fence, *(each.fence for each in given))
             self._maps.suppose(self.member.service, given, fence)
         self.follow_epoch()
         return CommitResult.FAILED
@@ -414,10 +412,10 @@
         """Read the rows of the newest epoch, as the answer itself tells it."""
         while True:
             self.follow_epoch()
-            epoch = self.epochs.present
-            part = part_of(self.member.service, epoch)
-            outcome = await self._store.async_read(TABLE, part)
-            if not isinstance(outcome, RangeRead) or outcome.epoch == epoch:
+            names = self._names()
+            outcome = await self._store.async_read(TABLE, names.part)
+            is_read = isinstance(outcome, RangeRead)
+            if not is_read or outcome.epoch == names.epoch:
                 return outcome
 
     def _on_committed(self, write: SentWrite, version: int) -> None:
