Observability: log the limit that a server names, when it changes and by which answer

Answers to requests, orders and health checks are now decoded for Server-Limit and Server-Leaving, and one line is written when a limit is learned, changes or ends: incarnation, values, the answer that said so and its age; one line for a value that cannot be read. Order of answers: only one whose request was sent after the present limit had been learned raises or ends it; a lower one applies at once.

--- a/lab/simulation.py
+++ b/lab/simulation.py
@@ -210,6 +210,7 @@
                 _ignore,
                 self.balance.observe,
                 _ignore,
+                _ignore,
             ),
         )
         self.requests = RequestCoordinator(
--- a/plantaingrade/backends/report.py
+++ b/plantaingrade/backends/report.py
@@ -48,6 +48,55 @@
     sequence: int
 
 
+class NoLimit(Struct, frozen=True):
+    """The answer names no rate limit."""
+
+
+class NamedLimit(Struct, frozen=True):
+    """The server accepts so many requests per second from all callers."""
+
+    per_s: float
+
+
+class UnreadableLimit(Struct, frozen=True):
+    """The answer names a rate limit that is not a number of requests."""
+
+    text: str
+
+
+LimitNotice = NoLimit | NamedLimit | UnreadableLimit
+
+
+class ServerNotice(Struct, frozen=True):
+    """What a server says of itself in one of its answers.
+
+    ``instance`` is empty if the answer does not name the server's id.
+    """
+
+    instance: str = ''
+    limit: LimitNotice = NoLimit()
+    is_leaving: bool = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether it names neither a limit nor that it leaves."""
+        return not self.is_leaving and isinstance(self.limit, NoLimit)
+
+
+class ResponseNotice(Struct, frozen=True):
+    """What a server says of itself in the response to a request.
+
+    The request was sent to the incarnation ``sent_to`` at ``sent_at``.
+    ``has_run`` is unset if the server refused it.
+    """
+
+    sent_to: str
+    request_id: bytes
+    sent_at: float
+    has_run: bool
+    notice: ServerNotice
+
+
 class ServerPresence(Struct, frozen=True):
     """Answer of a server that was asked for its id.
 
@@ -57,6 +106,7 @@
 
     instance: str
     cold_s: float | None = None
+    notice: ServerNotice = ServerNotice()
 
 
 class Farewell(Struct, frozen=True):
--- a/plantaingrade/holds/orders.py
+++ b/plantaingrade/holds/orders.py
@@ -4,7 +4,7 @@
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
-from plantaingrade.backends.report import ServerPresence
+from plantaingrade.backends.report import ServerNotice, ServerPresence
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.holds.entity import Grant, OrderOutcome, Release
 
@@ -36,6 +36,11 @@
     def listen(self, on_over: Callable[[], None]) -> None:
         """Call ``on_over`` whenever a session ends."""
 
+    def listen_to_notices(
+        self, on_notice: Callable[[ServerNotice], None]
+    ) -> None:
+        """Call ``on_notice`` with what the server says in each answer."""
+
     async def async_open(self) -> bool:
         """Open a session unless there is one; return whether there is one."""
 
--- a/plantaingrade/http/client.py
+++ b/plantaingrade/http/client.py
@@ -3,16 +3,26 @@
 from msgspec import Struct
 
 from plantaingrade.http.channel import Channel
-from plantaingrade.http.messages import Data, EndOfMessage, Request, Response
+from plantaingrade.http.messages import (
+    Data,
+    EndOfMessage,
+    Pairs,
+    Request,
+    Response,
+)
 from plantaingrade.http.pool import Pool
 
 
 class Reply(Struct, frozen=True):
-    """Complete response to a small request."""
+    """Complete response to a small request.
+
+    ``pairs`` are the headers as sent, including those of the same name.
+    """
 
     status: int
     headers: dict[bytes, bytes]
     body: bytes
+    pairs: Pairs = ()
 
 
 class Call(Struct, frozen=True):
@@ -68,7 +78,8 @@
     channel.send(EndOfMessage())
     head = await _read_head(channel)
     body = await read_body(channel)
-    return Reply(head.status_code, dict(head.headers), body)
+    pairs = tuple(head.headers)
+    return Reply(head.status_code, dict(pairs), body, pairs)
 
 
 async def _read_head(channel: Channel) -> Response:
--- a/plantaingrade/platform/headers.py
+++ b/plantaingrade/platform/headers.py
@@ -2,6 +2,7 @@
 
 import math
 
+from plantaingrade.backends.report import ServerNotice
 from plantaingrade.const import MS_PER_S
 from plantaingrade.http.const import HOP_BY_HOP
 from plantaingrade.http.messages import Request, Response
@@ -16,6 +17,7 @@
     HEADER_NOT_RUN,
     HEADER_REQUEST_ID,
 )
+from plantaingrade.platform.notices import decode_notice
 from plantaingrade.requests.entity import (
     CallerRequest,
     Headers,
@@ -125,9 +127,18 @@
         load=_parse_load(text_by_name.get(HEADER_LOAD)),
         closes=b'close' in connection,
         idle_s=_parse_idle(text_by_name.get(b'keep-alive', b'')),
+        notice=_decode_notice(response.status_code, pairs),
     )
 
 
+def _decode_notice(status: int, pairs: Headers) -> ServerNotice:
+    notice = decode_notice(pairs)
+    if status == STATUS_MISDIRECTED and not notice.instance:
+        # It may be from another incarnation than the request was sent to.
+        return ServerNotice()
+    return notice
+
+
 def answer_headers(request_id: bytes) -> Headers:
     """Return the headers that are set on every response to a caller."""
     return ((HEADER_REQUEST_ID, request_id),) if request_id else ()
--- /dev/null
+++ b/plantaingrade/platform/notices.py
@@ -0,0 +1,46 @@
+"""Decode what a backend server says of itself in any of its answers."""
+
+import re
+
+from plantaingrade.backends.report import (
+    LimitNotice,
+    NamedLimit,
+    NoLimit,
+    ServerNotice,
+    UnreadableLimit,
+)
+from plantaingrade.platform.const import (
+    HEADER_INSTANCE,
+    HEADER_LEAVING,
+    HEADER_LIMIT,
+)
+from plantaingrade.requests.entity import Headers
+
+# A decimal number without sign or exponent, far larger than any real limit.
+LIMIT = re.compile(rb'\d{1,9}(\.\d{0,9})?|\.\d{1,9}')
+LEAVING = b'1'
+MAX_LOGGED_CHARS = 40
+
+
+def decode_notice(headers: Headers) -> ServerNotice:
+    """Decode the headers in which a server names its state."""
+    instance = dict(headers).get(HEADER_INSTANCE, b'')
+    limits = [text for name, text in headers if name == HEADER_LIMIT]
+    return ServerNotice(
+        instance.decode('ascii', 'replace'),
+        _decode_limit(limits),
+        any(
+            name == HEADER_LEAVING and text.strip() == LEAVING
+            for name, text in headers
+        ),
+    )
+
+
+def _decode_limit(texts: list[bytes]) -> LimitNotice:
+    if not texts:
+        return NoLimit()
+    text = b','.join(each.strip() for each in texts)
+    if LIMIT.fullmatch(text) is None:
+        readable = text.decode('ascii', 'replace')
+        return UnreadableLimit(readable[:MAX_LOGGED_CHARS])
+    return NamedLimit(float(text))
--- a/plantaingrade/platform/orders.py
+++ b/plantaingrade/platform/orders.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
-from plantaingrade.backends.report import ServerPresence
+from plantaingrade.backends.report import ServerNotice, ServerPresence
 from plantaingrade.const import MS_PER_S
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.holds.entity import (
@@ -31,6 +31,7 @@
     PATH_RELEASE,
     TYPE_JSON,
 )
+from plantaingrade.platform.notices import decode_notice
 from plantaingrade.platform.units import format_time
 
 STATUS_OK = 200
@@ -41,6 +42,9 @@
 MAX_COLD_DIGITS = 9
 
 
+OnNotice = Callable[[ServerNotice], None]
+
+
 class OrderRejectedError(PlantaingradeError):
     """Raised when the server rejects an order as invalid."""
 
@@ -50,12 +54,15 @@
 class GrantConnection:
     """Exclusive use of one connection of a session for one grant."""
 
-    __slots__ = ('_address', '_checkout')
+    __slots__ = ('_address', '_checkout', '_on_notice')
 
-    def __init__(self, checkout: Checkout, address: str) -> None:
+    def __init__(
+        self, checkout: Checkout, address: str, on_notice: OnNotice
+    ) -> None:
         """Use a connection that was checked out of its session."""
         self._checkout = checkout
         self._address = address
+        self._on_notice = on_notice
 
     async def async_grant(self, grant: Grant, limit_s: float) -> OrderOutcome:
         """Send a new or renewed grant of a key range.
@@ -65,22 +72,25 @@
         call = _make_call(self._address, PATH_GRANT, _grant_fields(grant))
         try:
             async with asyncio.timeout(limit_s):
-                return _decode_order(await self._checkout.async_fetch(call))
+                reply = await self._checkout.async_fetch(call)
         except (TimeoutError, ChannelClosedError):
             self._checkout.drop()
             return Unanswered()
+        self._on_notice(decode_notice(reply.pairs))
+        return _decode_order(reply)
 
 
 class OrderClient:
     """Client that sends orders to one backend server."""
 
-    __slots__ = ('_address', '_pool', '_sessions')
+    __slots__ = ('_address', '_on_notice', '_pool', '_sessions')
 
     def __init__(self, pool: Pool, address: str) -> None:
         """Create a client for the server at an address."""
         self._pool = pool
         self._address = address
         self._sessions = Sessions(pool, address)
+        self._on_notice: OnNotice = _ignore_notice
 
     @property
     def session(self) -> int:
@@ -91,6 +101,10 @@
         """Set the callback for the end of a session."""
         self._sessions.on_ended = on_over
 
+    def listen_to_notices(self, on_notice: OnNotice) -> None:
+        """Set the callback for what the server says of itself in answers."""
+        self._on_notice = on_notice
+
     async def async_open(self) -> bool:
         """Open a session unless there is one, and return whether it is open."""
         try:
@@ -108,7 +122,7 @@
         """
         try:
             async with self._sessions.checkout(session) as checkout:
-                yield GrantConnection(checkout, self._address)
+                yield GrantConnection(checkout, self._address, self._on_notice)
         except SessionEndedError as error:
             raise NoSessionError('The session has ended.') from error
 
@@ -129,11 +143,13 @@
         call = _make_call(self._address, PATH_RELEASE, fields)
         try:
             async with asyncio.timeout(limit_s):
-                return _decode_order(await fetch(self._pool, call))
+                reply = await fetch(self._pool, call)
         except ConnectFailedError:
             return Unsent()
         except (TimeoutError, ChannelClosedError):
             return Unanswered()
+        self._on_notice(decode_notice(reply.pairs))
+        return _decode_order(reply)
 
     def close(self) -> None:
         """Close the session."""
@@ -155,7 +171,13 @@
         instance = _read_text(reply, HEADER_INSTANCE)
         if not instance:
             return None
-        return ServerPresence(instance, _read_cold_s(reply))
+        return ServerPresence(
+            instance, _read_cold_s(reply), decode_notice(reply.pairs)
+        )
+
+
+def _ignore_notice(_: ServerNotice) -> None:
+    """Ignore notices while nothing listens to them."""
 
 
 def _make_call(address: str, path: str, fields: dict[str, object]) -> Call:
--- a/plantaingrade/requests/entity.py
+++ b/plantaingrade/requests/entity.py
@@ -7,6 +7,8 @@
 
 from msgspec import Struct
 
+from plantaingrade.backends.report import ServerNotice
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -140,7 +142,8 @@
 
     ``request_id`` and ``instance`` are empty if the server sent none.
     ``is_not_run`` is set if the server guarantees that it did not run the
-    request. ``closes`` is set if the server closes the connection.
+    request. ``closes`` is set if the server closes the connection. ``notice``
+    is what the server says of itself.
     """
 
     status: int
@@ -151,3 +154,4 @@
     load: ServerLoad | None
     closes: bool
     idle_s: float | None
+    notice: ServerNotice = ServerNotice()
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -8,6 +8,7 @@
 from plantaingrade.admission.gate import Gate, RefusedError
 from plantaingrade.admission.slots import Ticket
 from plantaingrade.backends.incarnation import IncarnationTracker
+from plantaingrade.backends.report import ResponseNotice
 from plantaingrade.balance.entity import FreeCapacity
 from plantaingrade.clock import Clock
 from plantaingrade.const import MS_PER_S
@@ -70,13 +71,15 @@
     an unexpected instance id from a response. ``observe`` receives the key of
     each request, or ``NO_KEY``, and its expected work in seconds. ``on_crash``
     receives the fingerprints of the requests that ran at the server when it
-    crashed.
+    crashed. ``on_response`` receives what the server says of itself in the
+    response to a request.
     """
 
     is_keyed: Callable[[], bool | None]
     on_unexpected_incarnation: Callable[[str], None]
     observe: Callable[[int, float], None]
     on_crash: Callable[[tuple[str, ...]], None]
+    on_response: Callable[[ResponseNotice], None]
 
 
 class ServerPath:
@@ -362,17 +365,17 @@
         except ChannelClosedError:
             channel.abort()
             return NotRun(NotRunReason.CONNECT_FAILED, DEFAULT_RETRY_AFTER_S)
-        return await self._async_track(routed, channel)
+        return await self._async_track(routed, channel, instance)
 
     async def _async_track(
-        self, routed: RoutedRequest, channel: Channel
+        self, routed: RoutedRequest, channel: Channel, instance: str
     ) -> Outcome:
         """Read the response, and update the crash detection by its outcome."""
         digest = fingerprint(routed)
         self._crashes.on_sent(digest)
         outcome = None
         try:
-            outcome = await self._async_read(routed, channel)
+            outcome = await self._async_read(routed, channel, instance)
         finally:
             now = self._clock.now()
             match outcome:
@@ -385,8 +388,9 @@
         return outcome
 
     async def _async_read(
-        self, routed: RoutedRequest, channel: Channel
+        self, routed: RoutedRequest, channel: Channel, instance: str
     ) -> Outcome:
+        sent_at = self._clock.now()
         wanted = routed.caller.request_id
         reply = None
 
@@ -408,6 +412,11 @@
         if whole is None or reply is None:
             channel.abort()
             return Unknown(UnknownReason.MISMATCH)
+        self._hooks.on_response(
+            ResponseNotice(
+                instance, wanted, sent_at, not reply.is_not_run, reply.notice
+            )
+        )
         if reply.closes:
             channel.close()
         else:
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -255,6 +255,7 @@
                 lambda instance: self._server_watch.verify(instance),
                 self._balance.observe,
                 self._peers.announce_crash,
+                lambda response: self._server_watch.on_response(response),
             ),
         )
         peer_path = PeerPath(
@@ -306,6 +307,7 @@
             self._clock,
             self._log,
         )
+        self._orders.listen_to_notices(self._server_watch.on_order_notice)
         self._server_evacuation = ServerEvacuation(
             self._server_path,
             self._balance,
--- a/plantaingrade/sidecar/server_watch.py
+++ b/plantaingrade/sidecar/server_watch.py
@@ -9,9 +9,17 @@
     IncarnationChange,
     IncarnationTracker,
 )
-from plantaingrade.backends.report import Farewell, Heartbeat
+from plantaingrade.backends.limit import LimitChange, LimitTracker
+from plantaingrade.backends.report import (
+    Farewell,
+    Heartbeat,
+    ResponseNotice,
+    ServerNotice,
+    UnreadableLimit,
+)
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
+from plantaingrade.const import MS_PER_S
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.orders import ServerOrders
 from plantaingrade.sidecar.const import INITIAL_SLOTS
@@ -35,6 +43,11 @@
         )
 
 
+# Time of sending assumed for an answer that carries none: it may be older than
+# any other one, so it ends no limit.
+UNKNOWN_TIME = float('-inf')
+
+
 class IncarnationHooks(Struct, frozen=True):
     """Callbacks for changes of the server.
 
@@ -57,6 +70,7 @@
         '_clock',
         '_config',
         '_hooks',
+        '_limit',
         '_tracker',
         '_log',
         '_orders',
@@ -77,6 +91,7 @@
         """Monitor one server."""
         self._server = server
         self._tracker = tracker
+        self._limit = LimitTracker()
         self._orders = orders
         self._hooks = hooks
         self._config = config
@@ -104,6 +119,27 @@
             self._hooks.on_slots(self._tracker.slots)
         return True
 
+    def on_response(self, response: ResponseNotice) -> None:
+        """Apply what the server says in the response to a request."""
+        notice = response.notice
+        if response.sent_to != self._tracker.instance or self._is_other(notice):
+            return
+        now = self._clock.now()
+        apply = (
+            self._limit.on_response
+            if response.has_run
+            else self._limit.on_notice
+        )
+        change = apply(notice.limit, response.sent_at, now)
+        age_ms = round((now - response.sent_at) * MS_PER_S, 1)
+        self._log_limit(
+            change, response.request_id.decode('ascii', 'replace'), age_ms
+        )
+
+    def on_order_notice(self, notice: ServerNotice) -> None:
+        """Apply what the server says in the answer to an order."""
+        self._apply_notice(notice, 'order')
+
     def verify(self, instance: str) -> None:
         """Ask the server for its id, unless that is already under way."""
         if self._verify_task is not None and not self._verify_task.done():
@@ -130,6 +166,7 @@
             # Called first, as a new incarnation may get work at once.
             self._hooks.on_cold(now + presence.cold_s)
         self._apply(self._tracker.on_identified(presence.instance, now))
+        self._apply_notice(presence.notice, 'health')
 
     def stop(self) -> None:
         """Cancel a request for the id that is under way."""
@@ -138,6 +175,7 @@
 
     def _apply(self, change: IncarnationChange) -> None:
         if change.is_new_incarnation:
+            self._limit.reset()
             self._log_incarnation('server-life')
             self._hooks.on_slots(self._tracker.slots or INITIAL_SLOTS)
             self._hooks.on_new_incarnation()
@@ -147,6 +185,48 @@
         if change.must_verify:
             self.verify(change.must_verify)
 
+    def _apply_notice(self, notice: ServerNotice, call: str) -> None:
+        """Apply an answer to a call that is not a request.
+
+        Only answers to requests have to name a limit, so one that names none
+        ends none.
+        """
+        if self._is_other(notice):
+            return
+        now = self._clock.now()
+        change = self._limit.on_notice(notice.limit, UNKNOWN_TIME, now)
+        self._log_limit(change, call, None)
+
+    def _is_other(self, notice: ServerNotice) -> bool:
+        """Return whether a notice is from another incarnation."""
+        return notice.instance not in {'', self._tracker.instance}
+
+    def _log_limit(
+        self,
+        change: LimitChange | UnreadableLimit | None,
+        answer: str,
+        age_ms: float | None,
+    ) -> None:
+        """Log a change of the limit; ``answer`` is the answer that made it."""
+        match change:
+            case LimitChange(before, after):
+                self._log.write(
+                    'server-limit',
+                    instance=self._tracker.instance,
+                    before=before,
+                    per_s=after,
+                    answer=answer,
+                    age_ms=age_ms,
+                )
+            case UnreadableLimit(text):
+                self._log.write(
+                    'server-limit-unreadable',
+                    instance=self._tracker.instance,
+                    text=text,
+                    in_force=self._limit.per_s,
+                    answer=answer,
+                )
+
     def _log_incarnation(self, event: str) -> None:
         incarnation = self._tracker.current
         self._log.write(
