Tests that fail: a server that names a limit goes on getting its whole load

The stand-in server names a limit in all its answers, and whole processes are asked 60 requests a second.

--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -44,6 +44,7 @@
 from standins.cold import ColdPeriod
 from standins.fences import Acquisition, find_stale_acquisitions
 from standins.incarnation import Heartbeat, Incarnation
+from standins.notices import Notices
 from standins.reports import Reporter
 
 STATUS_OK = 200
@@ -190,6 +191,9 @@
         self.incarnation = incarnation or Incarnation.from_seed(seed)
         self.state = 'ready'
         self.cold = ColdPeriod(clock)
+        self.notices = Notices()
+        # Times at which requests arrived, refused ones included.
+        self.arrivals: list[float] = []
         self.is_up = False
         self.running = 0
         self.holds: list[Hold] = []
@@ -239,6 +243,7 @@
     async def async_drain(self) -> bool:
         """Report draining; return whether that was acknowledged."""
         self.state = 'draining'
+        self.notices.is_leaving = True
         return await self.async_heartbeat()
 
     async def async_heartbeat(self) -> bool:
@@ -362,6 +367,7 @@
         self.holds = kept
 
     async def _run(self, raw: Request, channel: Channel) -> None:
+        self.arrivals.append(self._clock.now())
         headers = dict(raw.headers)
         request_id = headers.get(HEADER_REQUEST_ID, b'')
         echo = ((HEADER_REQUEST_ID, request_id),)
@@ -457,6 +463,7 @@
         response_headers = (
             (HEADER_INSTANCE, self.instance.encode()),
             (HEADER_LOAD, load),
+            *self.notices.headers(),
             *headers,
         )
         with suppress(ChannelClosedError):
