A server gets no more requests than the rate limit that it names

Callers and servers saw: a server in need named 11.8 requests a second and got 187 in 4 s (76 tolerated); two other processes moved keys to it meanwhile, as it told them its slots. Cause: nobody read the limit; the class of fault is a state that a server tells in its answers and that no process acts on, nor a process that starts beside it.

The token bucket for cold servers becomes one rate limiter (admission/rate_limit.py) for both limits. A named limit holds from the answer that names it, with the bucket empty; it stands in the expected wait, in the free capacity told to others and in the load share, so work without a key goes elsewhere and keys move away. Callers that are refused for it (reason server-rate-limit) are told to return in turn. A process that has just started has two requests at most at a server that has not answered one yet: it cannot know the limit, nor what its predecessor sent.

--- a/plantaingrade/admission/gate.py
+++ b/plantaingrade/admission/gate.py
@@ -93,17 +93,22 @@
         self._schedule_fill()
 
     def _schedule_fill(self) -> None:
-        """Schedule a check for the time a cold server may get more requests.
+        """Schedule a check for the time a limited server may get more requests.
 
         Without it free slots would stay unused until another request ends,
         which may never happen.
         """
-        if self._fill_timer is not None:
-            return
         delay_s = self.queue.next_fill_s(self._clock.now())
-        if delay_s is not None:
-            loop = asyncio.get_running_loop()
-            self._fill_timer = loop.call_later(delay_s, self._fill)
+        if delay_s is None:
+            return
+        fill_at = asyncio.get_running_loop().time() + delay_s
+        if self._fill_timer is not None:
+            if self._fill_timer.when() <= fill_at:
+                return
+            self._fill_timer.cancel()
+        self._fill_timer = asyncio.get_running_loop().call_at(
+            fill_at, self._fill
+        )
 
     def _abandon(self, ticket: Ticket) -> None:
         """Leave the queue, or release a slot assigned at the same moment."""
--- a/plantaingrade/admission/slots.py
+++ b/plantaingrade/admission/slots.py
@@ -19,8 +19,8 @@
 
 from msgspec import Struct
 
-from plantaingrade.admission.cold import ColdAllowance
 from plantaingrade.admission.estimate import WorkEstimate, WorkRate
+from plantaingrade.admission.server_limits import ServerLimits
 from plantaingrade.requests.entity import NotRun, NotRunReason
 
 # Minimum retry delay sent to callers, in seconds; shorter ones are no use.
@@ -101,16 +101,16 @@
         '_sequence',
         '_rate',
         '_running_tickets',
-        'cold',
         'estimate',
+        'limits',
         'slots',
     )
 
     def __init__(self, slots: int, estimate: WorkEstimate) -> None:
         """Create empty queues with all slots free."""
         self.slots = slots
-        self.cold = ColdAllowance()
         self.estimate = estimate
+        self.limits = ServerLimits()
         self._rate = WorkRate()
         self._sequence = count()
         self._running_tickets: dict[Ticket, None] = {}
@@ -151,7 +151,7 @@
             return self._enqueue(
                 ticket, WaitingQueue.LATE, ticket.deadline - work_s
             )
-        return _refuse(ticket, NotRunReason.QUEUE_FULL, wait_s)
+        return self._refuse_full(ticket, NotRunReason.QUEUE_FULL, wait_s, now)
 
     def release(self, ticket: Ticket, now: float) -> list[Decision]:
         """Free the slot of a ticket; return decisions on waiting tickets."""
@@ -175,7 +175,9 @@
         """
         if self.running >= self.slots or not self.waiting:
             return None
-        return max(MIN_FILL_DELAY_S, self.cold.wait_s(now))
+        if not self.limits.named.admits(self.running):
+            return None
+        return max(MIN_FILL_DELAY_S, self.limits.wait_s(now))
 
     def expected_wait_s(self, kind: str, priority: int, now: float) -> float:
         """Return the expected wait for a slot of a further ticket."""
@@ -185,11 +187,12 @@
         wait_s = predict_wait_s(
             self._remaining_s(now), work_ahead_s, self.slots
         )
-        return max(wait_s, self.cold.wait_s(now, len(work_ahead_s)))
+        return max(wait_s, self.limits.wait_s(now, len(work_ahead_s)))
 
     def usable_slots(self, now: float) -> float:
         """Return the number of slots that the server can currently use."""
-        return self.cold.usable_slots(self.slots, self.estimate.mean_s(), now)
+        mean_s = self.estimate.mean_s()
+        return self.limits.usable_slots(self.slots, mean_s, now)
 
     def on_timeout(self, ticket: Ticket, now: float) -> Decision:
         """Requeue or refuse a ticket whose wait limit has passed.
@@ -202,7 +205,9 @@
         late_wait_s = self._late_wait_s(ticket, now)
         if is_late or now + late_wait_s + work_s > ticket.deadline:
             self.remove(ticket)
-            return _refuse(ticket, NotRunReason.TOO_LATE, late_wait_s)
+            return self._refuse_full(
+                ticket, NotRunReason.TOO_LATE, late_wait_s, now
+            )
         self.remove(ticket)
         return self._enqueue(
             ticket, WaitingQueue.LATE, ticket.deadline - work_s
@@ -219,18 +224,33 @@
         heapq.heapify(heap)
         self._heap_by_queue[ticket.queue] = heap
 
+    def _refuse_full(
+        self, ticket: Ticket, reason: NotRunReason, wait_s: float, now: float
+    ) -> Refuse:
+        """Refuse a ticket that slots or limits have no room for in time."""
+        limit_wait_s = self.limits.wait_s(now, self.waiting)
+        if not limit_wait_s or limit_wait_s < wait_s:
+            return _refuse(ticket, reason, wait_s)
+        work_s = self.estimate.expected_s(ticket.kind)
+        turn_s = self.limits.take_turn_s(
+            now, self.waiting, ticket.deadline - work_s
+        )
+        return _refuse(ticket, NotRunReason.RATE_LIMITED, turn_s)
+
     def _start(self, ticket: Ticket, now: float) -> Start:
         ticket.is_waiting = False
         ticket.started_at = now
         self._running_tickets[ticket] = None
-        self.cold.spend(now)
+        self.limits.spend(now)
         if ticket.queue is WaitingQueue.IN_TIME:
             work_s = self.estimate.expected_s(ticket.kind)
             self._rate.observe(work_s, now)
         return Start(ticket)
 
     def _may_start(self, now: float) -> bool:
-        return self.running < self.slots and not self.cold.wait_s(now)
+        return self.running < self.slots and self.limits.admits(
+            self.running, now
+        )
 
     def _enqueue(
         self, ticket: Ticket, queue: WaitingQueue, timeout_at: float
@@ -285,7 +305,7 @@
             wait_s = predict_wait_s(remaining_s, work_ahead_s, self.slots)
         else:
             wait_s = self._even_share_s([*remaining_s, *work_ahead_s])
-        return max(wait_s, self.cold.wait_s(now, len(work_ahead_s)))
+        return max(wait_s, self.limits.wait_s(now, len(work_ahead_s)))
 
     def _work_ahead_s(self, queue_priority: int, due: float) -> list[float]:
         """Return the durations of queued work that precedes such a ticket."""
@@ -307,7 +327,7 @@
         ]
         wait_s = self._even_share_s([*self._remaining_s(now), *work_ahead_s])
         wait_s /= self._unused_share(now)
-        return max(wait_s, self.cold.wait_s(now, len(work_ahead_s)))
+        return max(wait_s, self.limits.wait_s(now, len(work_ahead_s)))
 
     def _even_share_s(self, work_s: Sequence[float]) -> float:
         """Return how long work takes if spread evenly over all slots."""
--- a/plantaingrade/backends/limit.py
+++ b/plantaingrade/backends/limit.py
@@ -28,28 +28,27 @@
     """Tracks the limit that one incarnation of the server names.
 
     ``per_s`` is the limit in force, in requests per second, or None.
-    ``is_heard`` is set once a response to a request has arrived: until then it
-    is unknown whether the server names a limit.
+    ``awaits_response`` is set while no response of the incarnation to a request
+    has arrived: until then it is unknown whether it names a limit.
     """
 
-    __slots__ = ('_learned_at', '_unreadable', 'is_heard', 'per_s')
+    __slots__ = ('_learned_at', '_unreadable', 'awaits_response', 'per_s')
 
     def __init__(self) -> None:
-        """Start without an answer of the server."""
-        self.reset()
+        """Create a tracker before any incarnation is known."""
+        self.awaits_response = False
+        self._forget()
 
-    def reset(self) -> None:
-        """Begin with an incarnation that has not answered yet."""
-        self.per_s: float | None = None
-        self.is_heard = False
-        self._learned_at = 0.0
-        self._unreadable: UnreadableLimit | None = None
+    def on_new_incarnation(self) -> None:
+        """Begin with an incarnation that has not answered a request yet."""
+        self.awaits_response = True
+        self._forget()
 
     def on_response(
         self, notice: LimitNotice, sent_at: float, now: float
     ) -> LimitChange | UnreadableLimit | None:
         """Apply a response to a request; it ends a limit that it omits."""
-        self.is_heard = True
+        self.awaits_response = False
         if isinstance(notice, NoLimit):
             return self._apply(None, sent_at, now)
         return self.on_notice(notice, sent_at, now)
@@ -70,6 +69,11 @@
                 return notice
         return None
 
+    def _forget(self) -> None:
+        self.per_s: float | None = None
+        self._learned_at = 0.0
+        self._unreadable: UnreadableLimit | None = None
+
     def _apply(
         self, per_s: float | None, sent_at: float, now: float
     ) -> LimitChange | None:
--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -58,7 +58,13 @@
 )
 # Refusals because a server has no free capacity. Nothing was sent to it, and
 # for a service without keys another server may have free capacity.
-OVERLOAD_REASONS = frozenset((NotRunReason.QUEUE_FULL, NotRunReason.TOO_LATE))
+OVERLOAD_REASONS = frozenset(
+    (
+        NotRunReason.QUEUE_FULL,
+        NotRunReason.TOO_LATE,
+        NotRunReason.RATE_LIMITED,
+    )
+)
 # Other servers tried after one was full. Each try costs a hop, and if the whole
 # service is overloaded, no server has free capacity.
 MAX_SPILLOVERS = 1
--- a/plantaingrade/requests/entity.py
+++ b/plantaingrade/requests/entity.py
@@ -24,6 +24,7 @@
     NOT_GRANTED = 'keys-not-granted'
     QUEUE_FULL = 'queue-full'
     TOO_LATE = 'cannot-finish-in-time'
+    RATE_LIMITED = 'server-rate-limit'
     EXPIRED = 'deadline-passed'
     DRAINING = 'server-draining'
     SERVER_DOWN = 'server-down'
--- a/plantaingrade/sidecar/config_applier.py
+++ b/plantaingrade/sidecar/config_applier.py
@@ -1,6 +1,7 @@
 """Apply the configuration to the parts of one process."""
 
-from plantaingrade.admission.cold import ColdAllowance, ColdLimit
+from plantaingrade.admission.cold import ColdAllowance
+from plantaingrade.admission.rate_limit import RateLimit
 from plantaingrade.config.entity import RoutingConfig, ServiceConfig
 from plantaingrade.http.server import HttpServer
 from plantaingrade.sidecar.endpoints import CallerEndpoint
@@ -34,10 +35,10 @@
         service = config.service_by_name.get(self._service)
         self._cold.apply_limit(self._cold_limit(service))
 
-    def _cold_limit(self, service: ServiceConfig | None) -> ColdLimit | None:
+    def _cold_limit(self, service: ServiceConfig | None) -> RateLimit | None:
         if service is None or service.cold_per_s is None:
             return None
-        return ColdLimit.from_bounds(
+        return RateLimit.from_cold_bounds(
             service.cold_per_s,
             self._bounds.cold_overage,
             self._bounds.cold_slack,
--- a/plantaingrade/sidecar/gauges.py
+++ b/plantaingrade/sidecar/gauges.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from plantaingrade.admission.server_limits import ServerLimits
 from plantaingrade.admission.slots import SlotQueue
 from plantaingrade.balance.coordinator import BalanceCoordinator
 from plantaingrade.clock import Clock
@@ -24,6 +25,7 @@
 
 def register_gauges(metrics: Metrics, parts: GaugeSources) -> None:
     """Register the gauges of a process."""
+    _register_limits(metrics, parts.queue.limits, parts.clock)
     queue, registry, clock = parts.queue, parts.registry, parts.clock
     register = metrics.register_gauge
     register('slots_running', 'Requests at the server.', lambda: queue.running)
@@ -33,11 +35,6 @@
         'Work asked for, as a share of the slots.',
         lambda: parts.balance.load().share,
     )
-    register(
-        'server_cold',
-        'Whether the server is cold, and gets less for it.',
-        lambda: queue.cold.is_limited(clock.now()),
-    )
     register(
         'server_evacuated',
         'Whether nothing goes to the server, as its zone is evacuated.',
@@ -53,3 +50,24 @@
         'Time left of the own lease.',
         lambda: registry.lease_until - clock.now(),
     )
+
+
+def _register_limits(
+    metrics: Metrics, limits: ServerLimits, clock: Clock
+) -> None:
+    register = metrics.register_gauge
+    register(
+        'server_cold',
+        'Whether the server is cold, and gets less for it.',
+        lambda: limits.cold.is_limited(clock.now()),
+    )
+    register(
+        'server_limit_in_force',
+        'Whether the server names a rate limit.',
+        lambda: limits.named.per_s is not None,
+    )
+    register(
+        'server_limit_per_second',
+        'Requests that the server accepts per second; 0 without a limit.',
+        lambda: limits.named.per_s or 0.0,
+    )
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -224,6 +224,7 @@
 
     def _build_paths(self) -> None:
         self._gate = Gate.from_slots(INITIAL_SLOTS, self._clock)
+        self._limits = self._gate.queue.limits
         self._balance = BalanceCoordinator(
             self._own,
             self.holds,
@@ -296,12 +297,13 @@
         self._server_watch = ServerWatch(
             OwnServer(self._own.service, self._settings.backend),
             self._tracker,
+            self._limits.named,
             self._orders,
             IncarnationHooks(
                 self._on_new_incarnation,
                 self._balance.leave,
                 self._gate.resize,
-                self._gate.queue.cold.mark_cold_until,
+                self._limits.cold.mark_cold_until,
             ),
             self._config,
             self._clock,
@@ -392,7 +394,7 @@
             self._settings.bounds,
             self._caller_server,
             self._caller_endpoint,
-            self._gate.queue.cold,
+            self._limits.cold,
         )
         self._config.add_listener(applier.apply)
         peers_bind = self._options.peers_bind or listeners.peers
--- a/plantaingrade/sidecar/server_watch.py
+++ b/plantaingrade/sidecar/server_watch.py
@@ -5,11 +5,12 @@
 
 from msgspec import Struct
 
+from plantaingrade.admission.named import NamedAllowance
 from plantaingrade.backends.incarnation import (
     IncarnationChange,
     IncarnationTracker,
 )
-from plantaingrade.backends.limit import LimitChange, LimitTracker
+from plantaingrade.backends.limit import LimitChange
 from plantaingrade.backends.report import (
     Farewell,
     Heartbeat,
@@ -82,6 +83,7 @@
         self,
         server: OwnServer,
         tracker: IncarnationTracker,
+        limit: NamedAllowance,
         orders: ServerOrders,
         hooks: IncarnationHooks,
         config: ConfigFollower,
@@ -91,7 +93,7 @@
         """Monitor one server."""
         self._server = server
         self._tracker = tracker
-        self._limit = LimitTracker()
+        self._limit = limit
         self._orders = orders
         self._hooks = hooks
         self._config = config
@@ -175,7 +177,7 @@
 
     def _apply(self, change: IncarnationChange) -> None:
         if change.is_new_incarnation:
-            self._limit.reset()
+            self._limit.on_new_incarnation()
             self._log_incarnation('server-life')
             self._hooks.on_slots(self._tracker.slots or INITIAL_SLOTS)
             self._hooks.on_new_incarnation()
--- a/tests/admission/test_cold.py
+++ b/tests/admission/test_cold.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from plantaingrade.admission.cold import ColdAllowance, ColdLimit
+from plantaingrade.admission.cold import ColdAllowance
 from plantaingrade.admission.estimate import WorkEstimate
 from plantaingrade.admission.gate import Gate, RefusedError
+from plantaingrade.admission.rate_limit import RateLimit
 from plantaingrade.admission.slots import SlotQueue, Start, Ticket, Wait
 from tests.virtual import LoopClock, run
 
@@ -21,8 +22,8 @@
 COLD_S = 3.0
 
 
-def make_limit() -> ColdLimit:
-    return ColdLimit.from_bounds(TOLERATED, OVERAGE, SLACK)
+def make_limit() -> RateLimit:
+    return RateLimit.from_cold_bounds(TOLERATED, OVERAGE, SLACK)
 
 
 def max_per_second(times: list[float]) -> int:
@@ -38,7 +39,7 @@
     sent: list[float] = []
     refused = 0
     queue = SlotQueue(SLOTS, WorkEstimate())
-    queue.cold.apply_limit(make_limit())
+    queue.limits.cold.apply_limit(make_limit())
     clock = LoopClock()
     gate = Gate(queue, clock)
 
@@ -58,7 +59,9 @@
         while clock.now() < started_at + cold_from + COLD_S:
             await asyncio.sleep(rng.expovariate(per_s))
             if clock.now() >= started_at + cold_from:
-                queue.cold.mark_cold_until(started_at + cold_from + COLD_S)
+                queue.limits.cold.mark_cold_until(
+                    started_at + cold_from + COLD_S
+                )
             tasks.append(asyncio.create_task(send(clock.now())))
         await asyncio.gather(*tasks)
         nonlocal sent
@@ -118,7 +121,7 @@
 
 def test_cold_server_with_a_zero_limit_gets_nothing() -> None:
     allowance = ColdAllowance()
-    allowance.apply_limit(ColdLimit(0.0, 0.0))
+    allowance.apply_limit(RateLimit(0.0, 0.0))
     allowance.mark_cold_until(5.0)
     assert allowance.wait_s(2.0) == pytest.approx(3.0)
 
@@ -126,8 +129,8 @@
 def test_requests_beyond_the_cold_limit_are_refused_at_once() -> None:
     """Requests wait for a cold server beyond their deadline."""
     queue = SlotQueue(100, WorkEstimate())
-    queue.cold.apply_limit(make_limit())
-    queue.cold.mark_cold_until(100.0)
+    queue.limits.cold.apply_limit(make_limit())
+    queue.limits.cold.mark_cold_until(100.0)
     tickets = [Ticket('a', 1, 10.5, 10.3) for _ in range(20)]
     decisions = [queue.offer(each, 10.0) for each in tickets]
     started = sum(isinstance(each, Start) for each in decisions)
@@ -140,8 +143,8 @@
     """Peers send a cold server as much as a warm one."""
     queue = SlotQueue(12, WorkEstimate())
     queue.estimate.observe('a', 0.1)
-    queue.cold.apply_limit(make_limit())
-    queue.cold.mark_cold_until(5.0)
+    queue.limits.cold.apply_limit(make_limit())
+    queue.limits.cold.mark_cold_until(5.0)
     assert queue.usable_slots(1.0) == pytest.approx(0.9)
     assert queue.usable_slots(6.0) == 12
 
--- a/tests/backends/test_limit.py
+++ b/tests/backends/test_limit.py
@@ -6,9 +6,10 @@
 
 def test_limit_is_learned_changed_and_ended() -> None:
     tracker = LimitTracker()
-    assert not tracker.is_heard
+    tracker.on_new_incarnation()
+    assert tracker.awaits_response
     assert tracker.on_response(NamedLimit(9), 1, 2) == LimitChange(None, 9)
-    assert tracker.is_heard
+    assert not tracker.awaits_response
     assert tracker.on_response(NamedLimit(12.5), 3, 4) == LimitChange(9, 12.5)
     assert tracker.on_response(NamedLimit(12.5), 3, 5) is None
     assert tracker.on_response(NoLimit(), 5, 6) == LimitChange(12.5, None)
@@ -48,14 +49,15 @@
     assert tracker.on_response(unreadable, 5, 6) is None
     assert tracker.per_s == 5
     fresh = LimitTracker()
+    fresh.on_new_incarnation()
     fresh.on_response(unreadable, 1, 2)
     assert fresh.per_s is None
-    assert fresh.is_heard
+    assert not fresh.awaits_response
 
 
 def test_limit_ends_with_its_incarnation() -> None:
     tracker = LimitTracker()
     tracker.on_response(NamedLimit(5), 1, 2)
-    tracker.reset()
+    tracker.on_new_incarnation()
     assert tracker.per_s is None
-    assert not tracker.is_heard
+    assert tracker.awaits_response
--- a/tests/sidecar/test_evacuation.py
+++ b/tests/sidecar/test_evacuation.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from plantaingrade.admission.cold import ColdLimit
+from plantaingrade.admission.rate_limit import RateLimit
 from tests.sidecar.harness import KEYED, PLAIN, Harness
 
 ROW = 'evacuate/b'
@@ -116,8 +116,8 @@
 
     async def scenario(harness: Harness) -> None:
         node = harness.nodes[-1]
-        cold = node.process._gate.queue.cold
-        cold.apply_limit(ColdLimit(1.0, 0.0))
+        cold = node.process._limits.cold
+        cold.apply_limit(RateLimit(1.0, 0.0))
         harness.store.rows.put('op', ROW, b'{}')
         path = node.process._server_path
         await harness.async_until(lambda: path.is_evacuated)
