Balance: the load share of a limited server is exact

A server whose limit allows 0.7 slots told a load as if it had one, so it kept more keys than its limit could serve. The share now divides by what is usable; the number of slots told to others stays whole.

--- a/plantaingrade/balance/const.py
+++ b/plantaingrade/balance/const.py
@@ -1,5 +1,8 @@
 """Constants for load balancing: times in seconds, loads as shares of slots."""
 
+# Slots that a server is assumed to use at least, however low its rate limit is:
+# its load share stays a number that others can compare.
+MIN_USABLE_SLOTS = 0.05
 # Window over which demand is measured. It holds enough requests to decide where
 # to split a range, and a new hot range shows within half of it.
 WINDOW_S = 1.5
--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -11,6 +11,7 @@
     IDLE_LOAD,
     IDLE_PUBLISH_INTERVAL_S,
     MIN_OWNED_S,
+    MIN_USABLE_SLOTS,
     POLL_INTERVAL_S,
     RESERVATION_S,
 )
@@ -96,8 +97,9 @@
         work = self._meter.demand(now) + sum(
             each[1] for each in self._reservations
         )
-        slots = max(1, round(self._queue.usable_slots(now)))
-        share = LEAVING_SHARE if self._refuses_keys else work / slots
+        usable = max(MIN_USABLE_SLOTS, self._queue.usable_slots(now))
+        share = LEAVING_SHARE if self._refuses_keys else work / usable
+        slots = max(1, round(usable))
         return Load(share, self._queue.estimate.mean_s(), slots)
 
     def on_offer(self, offer: Offer) -> OfferReply:
