A server that says in its answers that it leaves gets nothing after its drain

Seen: a server that tells Server-Leaving only in answers, and goes on with ready heartbeats, got 44 (divided by key) and 123 requests later than 2 s after a caller's process had passed such an answer on; beside a process that was started again it got one. Cause, as for the limit: nobody read it, and what a process knew of its server ended with the process.

The process beside the server now starts the drain with the first such answer: keys are handed on, requests without a key refused, keyed ones served for the usual part of the drain time. If it cannot know that the answer was the first one, they are not. A process that is drained says so in its answers to other processes (one header of the hop, with the incarnation); they return it with what they send, so a process that has started again knows before its first send. An incarnation that began while the process ran is never ended by such a reminder. A first heartbeat that already reports draining opens no time to finish either: its acknowledgement may be long past.

--- a/plantaingrade/backends/incarnation.py
+++ b/plantaingrade/backends/incarnation.py
@@ -120,6 +120,20 @@
         """Return the id of the current incarnation, empty if none is known."""
         return self.current.instance
 
+    @property
+    def leaving_incarnation(self) -> ServerIncarnation | None:
+        """Return the current incarnation if it leaves."""
+        is_leaving = self.state is IncarnationState.DRAINING
+        return self.current if is_leaving else None
+
+    @property
+    def is_first_known(self) -> bool:
+        """Return whether the current incarnation is the first one known here.
+
+        A previous process may have known more of it.
+        """
+        return not self._ended
+
     def is_finishing(self, now: float) -> bool:
         """Return whether a draining server may still get work on its keys."""
         return (
@@ -174,6 +188,21 @@
             is_new_incarnation=is_new_incarnation, is_leaving=True
         )
 
+    def on_leaving_notice(
+        self, now: float, *, may_finish: bool
+    ) -> IncarnationChange:
+        """Apply that the current incarnation says in an answer that it leaves.
+
+        With ``may_finish`` it still gets work on its keys for a while: the
+        answer is the first one that says so.
+        """
+        if not self.accepts_work:
+            return NO_CHANGE
+        self._start_draining(now)
+        if not may_finish:
+            self.finish_until = now
+        return IncarnationChange(is_leaving=True)
+
     def on_identified(self, instance: str, now: float) -> IncarnationChange:
         """Apply the id that the server itself just returned.
 
@@ -232,12 +261,15 @@
     ) -> IncarnationChange:
         """Begin an incarnation with its first heartbeat received here.
 
-        It may be the only one, and may report that the server drains.
+        It may be the only one, and may report that the server drains. If it is
+        the first of all, a previous process may have acknowledged the drain
+        long ago, so the server gets no work on its keys either.
         """
+        is_first = not self.instance
         self._begin(heartbeat.incarnation, now)
         self._apply(heartbeat, now)
         is_leaving = self.state is IncarnationState.DRAINING
-        if is_leaving:
+        if is_leaving and not is_first:
             self._start_draining(now)
         return IncarnationChange(is_new_incarnation=True, is_leaving=is_leaving)
 
--- a/plantaingrade/requests/hop.py
+++ b/plantaingrade/requests/hop.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from plantaingrade.backends.report import ServerIncarnation
 from plantaingrade.balance.entity import Load
 from plantaingrade.const import MS_PER_S, PERCENT
 from plantaingrade.errors import PlantaingradeError
@@ -29,12 +30,15 @@
 HEADER_RETRY_AFTER = b'r'
 HEADER_OWNER = b'w'
 HEADER_LOAD = b'l'
+HEADER_LEAVING = b'x'
 MARK_IDEMPOTENT = 'i'
 MARK_NON_IDEMPOTENT = 'o'
 MARK_NOT_RUN = 'n'
 MARK_UNKNOWN = 'u'
 NO_KEY = ''
 FIELD_COUNT = 10
+# Digits of a Unix time in milliseconds, with a margin.
+MAX_BORN_DIGITS = 18
 LOAD_COUNT = 3
 STATUS_FAILED = 503
 HOP_HEADERS = frozenset(
@@ -45,6 +49,7 @@
         HEADER_RETRY_AFTER,
         HEADER_OWNER,
         HEADER_LOAD,
+        HEADER_LEAVING,
         b'host',
         b'content-length',
         b'transfer-encoding',
@@ -149,6 +154,29 @@
     return routed, known
 
 
+def encode_leaving(incarnation: ServerIncarnation | None) -> Headers:
+    """Return the header that names an incarnation of a server as leaving.
+
+    A process adds it to its answers while its server leaves, and the others to
+    the requests that they send to that process afterwards.
+    """
+    if incarnation is None:
+        return ()
+    born = '' if incarnation.born_ms is None else incarnation.born_ms
+    text = f'{born},{incarnation.instance}'
+    return ((HEADER_LEAVING, text.encode('ascii', 'replace')),)
+
+
+def decode_leaving(headers: Headers) -> ServerIncarnation | None:
+    """Return the incarnation that is named as leaving, if any."""
+    text = dict(headers).get(HEADER_LEAVING, b'').decode('ascii', 'replace')
+    born, _, instance = text.partition(',')
+    if not instance:
+        return None
+    is_number = born.isdecimal() and len(born) <= MAX_BORN_DIGITS
+    return ServerIncarnation(instance, int(born) if is_number else None)
+
+
 def encode_load(load: Load) -> tuple[bytes, bytes]:
     """Return the header that reports the load of the responding process."""
     share = int(load.share * PERCENT)
--- a/plantaingrade/requests/peer_path.py
+++ b/plantaingrade/requests/peer_path.py
@@ -10,6 +10,7 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.http.channel import ChannelClosedError
 from plantaingrade.http.exchange import read_response, send_request
+from plantaingrade.http.messages import Response
 from plantaingrade.http.pool import ConnectFailedError, Pool
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member
@@ -28,10 +29,13 @@
 )
 from plantaingrade.requests.hop import (
     KnownVersions,
+    decode_leaving,
     decode_load,
     decode_outcome,
     encode_hop,
+    encode_leaving,
 )
+from plantaingrade.requests.leaving import LeavingServers
 
 
 class PeerPath:
@@ -41,6 +45,7 @@
         '_clock',
         '_directory',
         '_known',
+        '_leaving',
         '_loads',
         '_log',
         '_pool',
@@ -62,6 +67,7 @@
         self._log = log
         self._loads = loads
         self._known = known
+        self._leaving = LeavingServers()
         self._directory = directory
         self._pool = pool
         self._clock = clock
@@ -92,7 +98,10 @@
         except ConnectFailedError:
             self._mark_unreachable(member, 'no connection')
             return NotRun(NotRunReason.PEER_DOWN, DEFAULT_RETRY_AFTER_S)
-        headers = encode_hop(routed, known, self._clock.now())
+        headers = (
+            *encode_hop(routed, known, self._clock.now()),
+            *encode_leaving(self._leaving.find(member.name)),
+        )
         caller = routed.caller
         try:
             send_request(
@@ -111,15 +120,21 @@
             channel.abort()
             raise
         self._pool.release(member.address, channel)
+        return self._apply_answer(member, whole.head, whole.body)
+
+    def _apply_answer(
+        self, member: Member, head: Response, body: bytes
+    ) -> Outcome:
+        """Return the outcome of an answer; note what it says of its member."""
         if self._directory.clear_suspicion(member.name):
             self._log.write('member-regained', member=member.name)
-        headers = whole.head.headers
-        load = decode_load(headers)
+        load = decode_load(head.headers)
         if load is not None:
             self._loads.record(member.name, load, self._clock.now())
-        return decode_outcome(
-            Answer(whole.head.status_code, headers, whole.body)
-        )
+        outcome = decode_outcome(Answer(head.status_code, head.headers, body))
+        leaving = decode_leaving(head.headers)
+        self._leaving.on_answer(member.name, leaving, outcome)
+        return outcome
 
     def _mark_unreachable(self, member: Member, why: str) -> None:
         """Record that a member was not reached; close its idle connections.
--- a/plantaingrade/sidecar/endpoints.py
+++ b/plantaingrade/sidecar/endpoints.py
@@ -5,7 +5,10 @@
 
 from collections.abc import Awaitable, Callable
 
-from plantaingrade.backends.report import Farewell, Heartbeat
+from plantaingrade.backends.report import (
+    Farewell,
+    Heartbeat,
+)
 from plantaingrade.balance.entity import Load
 from plantaingrade.clock import Clock
 from plantaingrade.errors import PlantaingradeError
@@ -52,10 +55,13 @@
 from plantaingrade.requests.hop import (
     KnownVersions,
     decode_hop,
+    decode_leaving,
+    encode_leaving,
     encode_load,
     encode_outcome,
 )
 from plantaingrade.requests.server_path import ServerPath
+from plantaingrade.sidecar.server_watch import ServerWatch
 
 STATUS_OK = 200
 STATUS_HEAD_TOO_LARGE = 431
@@ -195,6 +201,7 @@
         '_load',
         '_on_known',
         '_server',
+        '_server_watch',
         '_service',
     )
 
@@ -202,6 +209,7 @@
         self,
         service: str,
         server: ServerPath,
+        server_watch: ServerWatch,
         clock: Clock,
         control: Callable[[Request, bytes], Awaitable[Answer]],
         load: Callable[[], Load],
@@ -212,6 +220,7 @@
         Each answer includes ``load``; ``on_known`` is called with the versions
         of configuration and map that a sender uses.
         """
+        self._server_watch = server_watch
         self._load = load
         self._on_known = on_known
         self._service = service
@@ -231,9 +240,16 @@
             send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
             return
         self._on_known(known)
+        told_leaving = decode_leaving(raw.headers)
+        if told_leaving is not None:
+            self._server_watch.on_peer_notice(told_leaving)
         outcome = await self._async_serve(routed, known.key_map)
         answer = encode_outcome(outcome)
-        headers = (*answer.headers, encode_load(self._load()))
+        headers = (
+            *answer.headers,
+            encode_load(self._load()),
+            *encode_leaving(self._server_watch.leaving_incarnation),
+        )
         send_answer(channel, Answer(answer.status, headers, answer.body))
 
     async def _async_serve(
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -344,6 +344,7 @@
         self._peer_endpoint = PeerEndpoint(
             self._settings.service,
             self._server_path,
+            self._server_watch,
             self._clock,
             ControlHandler(
                 self._peers,
--- a/plantaingrade/sidecar/server_watch.py
+++ b/plantaingrade/sidecar/server_watch.py
@@ -15,6 +15,7 @@
     Farewell,
     Heartbeat,
     ResponseNotice,
+    ServerIncarnation,
     ServerNotice,
     UnreadableLimit,
 )
@@ -101,6 +102,11 @@
         self._log = log
         self._verify_task: asyncio.Task[None] | None = None
 
+    @property
+    def leaving_incarnation(self) -> ServerIncarnation | None:
+        """Return the current incarnation if it leaves."""
+        return self._tracker.leaving_incarnation
+
     def on_report(self, report: Heartbeat | Farewell) -> bool:
         """Apply a report; return whether it was from this server."""
         now = self._clock.now()
@@ -127,6 +133,7 @@
         if response.sent_to != self._tracker.instance or self._is_other(notice):
             return
         now = self._clock.now()
+        may_finish = not self._limit.awaits_response
         apply = (
             self._limit.on_response
             if response.has_run
@@ -134,14 +141,24 @@
         )
         change = apply(notice.limit, response.sent_at, now)
         age_ms = round((now - response.sent_at) * MS_PER_S, 1)
-        self._log_limit(
-            change, response.request_id.decode('ascii', 'replace'), age_ms
-        )
+        answer = response.request_id.decode('ascii', 'replace')
+        self._log_limit(change, answer, age_ms)
+        if notice.is_leaving:
+            self._apply_leaving(answer, may_finish=may_finish)
 
     def on_order_notice(self, notice: ServerNotice) -> None:
         """Apply what the server says in the answer to an order."""
         self._apply_notice(notice, 'order')
 
+    def on_peer_notice(self, incarnation: ServerIncarnation) -> None:
+        """Apply that another process was told that an incarnation leaves.
+
+        This process may have started since then.
+        """
+        is_current = incarnation == self._tracker.current
+        if is_current and self._tracker.is_first_known:
+            self._apply_leaving('peer', may_finish=False)
+
     def verify(self, instance: str) -> None:
         """Ask the server for its id, unless that is already under way."""
         if self._verify_task is not None and not self._verify_task.done():
@@ -198,6 +215,23 @@
         now = self._clock.now()
         change = self._limit.on_notice(notice.limit, UNKNOWN_TIME, now)
         self._log_limit(change, call, None)
+        if notice.is_leaving:
+            self._apply_leaving(
+                call, may_finish=not self._limit.awaits_response
+            )
+
+    def _apply_leaving(self, answer: str, *, may_finish: bool) -> None:
+        change = self._tracker.on_leaving_notice(
+            self._clock.now(), may_finish=may_finish
+        )
+        if change.is_leaving:
+            self._log.write(
+                'server-leaving-told',
+                instance=self._tracker.instance,
+                answer=answer,
+                may_finish=may_finish,
+            )
+        self._apply(change)
 
     def _is_other(self, notice: ServerNotice) -> bool:
         """Return whether a notice is from another incarnation."""
--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -47,6 +47,7 @@
 from standins.notices import Notices
 from standins.reports import Reporter
 
+PATH_HEALTH = '/healthz'
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 STATUS_FAILED = 500
@@ -76,11 +77,16 @@
     grant: GrantFault = GrantFault.NONE
     late_s: float = 2.0
     is_silent: bool = False
+    is_health_silent: bool = False
     lose_answers: int = 0
     reset_answers: int = 0
     repeat_answers: int = 0
     refuse: int = 0
 
+    def ignores(self, path: str) -> bool:
+        """Return whether a call to a path gets no answer."""
+        return self.is_silent or (self.is_health_silent and path == PATH_HEALTH)
+
 
 # A request whose path contains this crashes any server that runs it.
 CRASHING_TARGET = b'deadly'
@@ -272,14 +278,14 @@
     async def _serve(self, raw: Request, channel: Channel) -> None:
         body = await read_body(channel)
         arrived = self._clock.now()
-        if self.faults.is_silent:
-            await asyncio.Event().wait()
         path = raw.target.decode()
+        if self.faults.ignores(path):
+            await asyncio.Event().wait()
         if path == PATH_GRANT:
             await self._handle_grant(self._grant, body, arrived, channel)
         elif path == PATH_RELEASE:
             await self._release(json.loads(body), channel)
-        elif path == '/healthz':
+        elif path == PATH_HEALTH:
             cold_ms = str(int(self.cold.remaining_s * MS_PER_S)).encode()
             self._send(channel, STATUS_OK, ((HEADER_COLD, cold_ms),))
         else:
