Soak and stand-ins: servers that name limits, and that tell leaving only in answers

Servers name changing limits (also 0, 0.5 and one that cannot be read) and leave by what their answers say; runs of even seeds end with a loss of power on all instances. The verdict counts requests beyond a limit in any 4 s, from half a second after an answer that named it, and requests sent by callers later than the drain time after their instance was told.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,8 +16,15 @@
 from soak.callers import KEYS, STATUS_OK, Callers
 from soak.cluster import ZONES, Cluster
 from soak.faults import FaultInjector
+from soak.notices import count_after_leaving, count_over_limit
 from soak.schedule import ALL_FAULTS, FaultKind, make_schedule
-from soak.verdict import Verdict, judge, read_acquisitions, read_runs
+from soak.verdict import (
+    Verdict,
+    judge,
+    read_acquisitions,
+    read_runs,
+    read_told,
+)
 
 # All keys must be served again within this time after the last fault: the rest
 # of a lease, the wait after an outage, and a takeover.
@@ -56,11 +63,14 @@
         lines = [json.dumps(asdict(each)) for each in callers.records]
         (folder / 'told.jsonl').write_text('\n'.join(lines))
     run_log = folder / 'runs.jsonl'
+    runs = read_runs(run_log)
+    told = read_told(run_log)
     verdict = judge(
-        callers.records,
-        read_runs(run_log),
-        injector.pauses,
-        read_acquisitions(run_log),
+        callers.records, runs, injector.pauses, read_acquisitions(run_log)
+    )
+    verdict.over_limit = count_over_limit(runs, told)
+    verdict.after_leaving = count_after_leaving(
+        callers.records, runs, told, [*injector.pauses, *injector.restarts]
     )
     verdict.unserved_at_end = unserved
     verdict.ended_by_itself = len(ended)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,6 +31,12 @@
 # Time until the operator notices and writes the configuration again.
 REWRITE_S = 0.4
 LOSSES = {'lost': 0.3, 'late': 0.3}
+# Limits that a server names one after the other, in requests per second.
+LIMITS = ('4', '0.5', '9', 'nan', '0')
+# Times of a step for which a server names limits, and at least for which one
+# that says that it leaves still serves.
+LIMIT_LENGTHS = 3
+MIN_LEAVING_S = 4.0
 
 
 class FaultInjector:
@@ -44,6 +50,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._busy: set[str] = set()
         self.pauses: list[Pause] = []
+        self.restarts: list[Pause] = []
 
     async def async_execute(self, steps: list[Step]) -> None:
         """Execute all steps at their times and wait for their ends."""
@@ -106,6 +113,10 @@
                 return self._async_lose_rows(step)
             case FaultKind.POWER_OFF:
                 return self._async_power_off(step)
+            case FaultKind.NAME_LIMIT:
+                return self._async_name_limits(instance, step)
+            case FaultKind.TELL_LEAVING:
+                return self._async_tell_leaving(instance, step)
         return self._async_impair_store(instance, step)
 
     async def _async_restart(
@@ -115,11 +126,43 @@
             return
         is_immediate = step.trouble is FaultKind.RESTART_SERVER
         share = DOWN_SHARE_IMMEDIATE if is_immediate else DOWN_SHARE
+        began = self._cluster.clock.now()
         self._cluster.signal(name, SIGNAL_BY_KIND[step.trouble])
         while self._cluster.runs(name):
             await asyncio.sleep(RESTART_S)
         await asyncio.sleep(step.for_s * share)
         start()
+        if name == router_name(self._cluster.instances[step.spot]):
+            self._record_restart(step.spot, began)
+        self._busy.discard(name)
+
+    def _record_restart(self, spot: int, began: float) -> None:
+        ended = self._cluster.clock.now()
+        self.restarts.append(Pause(spot, began, ended))
+
+    async def _async_name_limits(self, instance: Instance, step: Step) -> None:
+        name = server_name(instance)
+        if not self._reserve(name):
+            return
+        for limit in LIMITS[: 1 + int(step.for_s)]:
+            command = {'limit': limit}
+            await self._cluster.async_send_command(instance.server, command)
+            await asyncio.sleep(step.for_s * LIMIT_LENGTHS / len(LIMITS))
+        await self._cluster.async_send_command(instance.server, {'limit': ''})
+        self._busy.discard(name)
+
+    async def _async_tell_leaving(self, instance: Instance, step: Step) -> None:
+        """Let a server leave that reports nothing but in its answers."""
+        name = server_name(instance)
+        if not self._reserve(name):
+            return
+        command = {'leaving': True}
+        await self._cluster.async_send_command(instance.server, command)
+        await asyncio.sleep(MIN_LEAVING_S + step.for_s)
+        self._cluster.signal(name, signal.SIGKILL)
+        while self._cluster.runs(name):
+            await asyncio.sleep(RESTART_S)
+        self._cluster.start_server(instance)
         self._busy.discard(name)
 
     async def _async_power_off(self, step: Step) -> None:
@@ -133,10 +176,13 @@
         reserved = [name for name in start_by_name if self._reserve(name)]
         for name in reserved:
             self._cluster.signal(name, signal.SIGKILL)
+        began = self._cluster.clock.now()
         await asyncio.sleep(RESTART_S + step.for_s * DOWN_SHARE)
         for name in reserved:
             start_by_name[name]()
             self._busy.discard(name)
+        for instance in self._cluster.instances:
+            self._record_restart(instance.number, began)
 
     async def _async_pause(self, instance: Instance, step: Step) -> None:
         is_router = step.trouble is FaultKind.PAUSE_ROUTER
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -41,6 +41,9 @@
     STORE_RESTORED = 'store-goes-back'
     # All processes and servers are killed, as by a power failure.
     POWER_OFF = 'power-off'
+    # A server names a rate limit in its answers, or says that it leaves.
+    NAME_LIMIT = 'name-limit'
+    TELL_LEAVING = 'tell-leaving'
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,7 +69,10 @@
     spots: int,
     kinds: tuple[FaultKind, ...] = ALL_FAULTS,
 ) -> list[Step]:
-    """Return the steps of a run, ordered by time."""
+    """Return the steps of a run, ordered by time.
+
+    Where power failures are among the kinds, runs of even seeds end with one.
+    """
     rng = random.Random(seed)
     steps = []
     at = 1.0
@@ -81,4 +87,6 @@
             )
         )
         at += rng.uniform(MIN_GAP_S, MAX_GAP_S)
+    if FaultKind.POWER_OFF in kinds and seed % 2 == 0:
+        steps.append(Step(at, FaultKind.POWER_OFF, 0, MIN_LENGTH_S))
     return steps
--- a/soak/verdict.py
+++ b/soak/verdict.py
@@ -11,6 +11,7 @@
 from soak.cluster import KEYED, instance_number
 from standins.fences import Acquisition, find_stale_acquisitions
 from standins.incarnation import Incarnation
+from standins.notices import Told
 
 # Tolerance for overlaps of runs on a key, as two clocks are read.
 OVERLAP_TOLERANCE_S = 0.001
@@ -20,6 +21,7 @@
 # A server processes calls received during its pause within this time.
 RESUME_S = 0.5
 EVENT_TAKEN = 'taken'
+EVENT_TOLD = 'told'
 UNKNOWN_STATUSES = frozenset((502, 504))
 
 
@@ -66,6 +68,8 @@
     two_owners: int = 0
     old_fences: int = 0
     wrong_service: int = 0
+    over_limit: int = 0
+    after_leaving: int = 0
     answered_late: int = 0
     unserved_at_end: int = 0
     ended_by_itself: int = 0
@@ -81,7 +85,7 @@
     """Return the runs that servers recorded."""
     run_by_name: dict[tuple[str, Incarnation, float], Run] = {}
     for fields in _read_lines(path):
-        if fields['event'] == EVENT_TAKEN:
+        if fields['event'] in {EVENT_TAKEN, EVENT_TOLD}:
             continue
         incarnation = Incarnation(fields['instance'], fields['born_ms'])
         name = (fields['request_id'], incarnation, fields['began'])
@@ -103,12 +107,20 @@
 
 def read_acquisitions(path: Path) -> list[Acquisition]:
     """Return the acquisitions of keys that servers recorded."""
+    return [Acquisition(**fields) for fields in _read_events(path, EVENT_TAKEN)]
+
+
+def read_told(path: Path) -> list[Told]:
+    """Return what servers named in their answers, in order."""
+    return [Told(**fields) for fields in _read_events(path, EVENT_TOLD)]
+
+
+def _read_events(path: Path, event: str) -> list[dict[str, Any]]:
+    """Return the fields of the events of a kind."""
     return [
-        Acquisition(
-            **{name: fields[name] for name in fields if name != 'event'}
-        )
+        {name: fields[name] for name in fields if name != 'event'}
         for fields in _read_lines(path)
-        if fields['event'] == EVENT_TAKEN
+        if fields['event'] == event
     ]
 
 
--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -44,10 +44,11 @@
 from standins.cold import ColdPeriod
 from standins.fences import Acquisition, find_stale_acquisitions
 from standins.incarnation import Heartbeat, Incarnation
-from standins.notices import Notices
+from standins.notices import Notices, Told
 from standins.reports import Reporter
 
 PATH_HEALTH = '/healthz'
+PATH_COMMAND = '/-/fault'
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 STATUS_FAILED = 500
@@ -140,11 +141,15 @@
         self.acquisitions.append(acquisition)
         self._append('taken', acquisition)
 
+    def on_told(self, told: Told) -> None:
+        """Record what an incarnation named, when that changes."""
+        self._append('told', told)
+
     def find_stale_fences(self) -> list[Acquisition]:
         """Return acquisitions under a fence that another incarnation had."""
         return find_stale_acquisitions(self.acquisitions)
 
-    def _append(self, event: str, entry: Run | Acquisition) -> None:
+    def _append(self, event: str, entry: Run | Acquisition | Told) -> None:
         if self.fd is not None:
             line = json.dumps({'event': event, **asdict(entry)})
             os.write(self.fd, f'{line}\n'.encode())
@@ -285,6 +290,9 @@
             await self._handle_grant(self._grant, body, arrived, channel)
         elif path == PATH_RELEASE:
             await self._release(json.loads(body), channel)
+        elif path == PATH_COMMAND:
+            self.notices.update(json.loads(body))
+            self._send(channel, STATUS_OK, ())
         elif path == PATH_HEALTH:
             cold_ms = str(int(self.cold.remaining_s * MS_PER_S)).encode()
             self._send(channel, STATUS_OK, ((HEADER_COLD, cold_ms),))
@@ -465,6 +473,9 @@
             channel.transport.write(repeated.encode())
 
     def _send(self, channel, status: int, headers, body: bytes = b'') -> None:
+        if self.notices.take_change():
+            now = self._clock.now()
+            self.record.on_told(self.notices.to_told(self.incarnation, now))
         load = f'{self.running},0,{self.plan.slots}'.encode()
         response_headers = (
             (HEADER_INSTANCE, self.instance.encode()),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,7 +17,13 @@
 KINDS_BEFORE_RESTORES = tuple(
     kind
     for kind in ALL_FAULTS
-    if kind not in {FaultKind.STORE_RESTORED, FaultKind.POWER_OFF}
+    if kind
+    not in {
+        FaultKind.STORE_RESTORED,
+        FaultKind.POWER_OFF,
+        FaultKind.NAME_LIMIT,
+        FaultKind.TELL_LEAVING,
+    }
 )
 KINDS_BEFORE_RESTARTS = tuple(
     kind
