Within a rate limit, calls and urgent requests find room

Less urgent requests now leave part of the burst to the classes before them that came within two seconds: the last class 0.8 of it, those between evenly less; the burst is half a second's requests.

Tried and reverted: counting only what precedes a late request by class, no difference.

--- a/plantaingrade/admission/cold.py
+++ b/plantaingrade/admission/cold.py
@@ -41,11 +41,14 @@
         """Consume a token for a request sent to the server."""
         self._bucket.spend(now)
 
-    def wait_s(self, now: float, ahead: int = 0) -> float:
+    def wait_s(
+        self, now: float, ahead: int = 0, *, reserve_share: float = 0.0
+    ) -> float:
         """Return the seconds until a request behind ``ahead`` others may go."""
         if not self.is_limited(now):
             return 0.0
-        return min(self._bucket.wait_s(now, ahead), self._cold_until - now)
+        wait_s = self._bucket.wait_s(now, ahead, reserve_share=reserve_share)
+        return min(wait_s, self._cold_until - now)
 
     def usable_slots(self, slots: float, work_s: float, now: float) -> float:
         """Return how many slots the rate limit allows to keep busy."""
--- a/plantaingrade/admission/named.py
+++ b/plantaingrade/admission/named.py
@@ -63,9 +63,11 @@
         """Consume a token for a request sent to the server."""
         self._bucket.spend(now)
 
-    def wait_s(self, now: float, ahead: int = 0) -> float:
+    def wait_s(
+        self, now: float, ahead: int = 0, *, reserve_share: float = 0.0
+    ) -> float:
         """Return the seconds until a request behind ``ahead`` others may go."""
-        return self._bucket.wait_s(now, ahead)
+        return self._bucket.wait_s(now, ahead, reserve_share=reserve_share)
 
     def usable_slots(self, slots: float, work_s: float) -> float:
         """Return how many slots the limit allows to keep busy."""
--- a/plantaingrade/admission/rate_limit.py
+++ b/plantaingrade/admission/rate_limit.py
@@ -12,8 +12,10 @@
 SLACK_FRACTION = 0.5
 # Part of a second's requests that may be sent at once to a server that names a
 # limit.
-BURST_S = 0.25
-MIN_BURST = 1.0
+BURST_S = 0.5
+MIN_BURST = 2.0
+# Part of a burst that less urgent requests leave to those that may come.
+RESERVE_FRACTION = 0.8
 # Lowest rate at which a server is asked whose limit is lower: its next response
 # is the only sign that the limit has ended.
 MIN_PER_S = 0.25
@@ -25,6 +27,11 @@
     per_s: float
     burst: float
 
+    @property
+    def reserve(self) -> float:
+        """Return how many tokens are kept for the most urgent requests."""
+        return max(0.0, RESERVE_FRACTION * (self.burst - 1))
+
     @classmethod
     def from_cold_bounds(
         cls, tolerated_per_s: float, overage: float, slack: float
@@ -76,12 +83,18 @@
         self._refill(now)
         self._tokens = max(0.0, self._tokens - 1)
 
-    def wait_s(self, now: float, ahead: int = 0) -> float:
-        """Return the seconds until a request behind ``ahead`` others may go."""
+    def wait_s(
+        self, now: float, ahead: int = 0, *, reserve_share: float = 0.0
+    ) -> float:
+        """Return the seconds until a request behind ``ahead`` others may go.
+
+        It leaves ``reserve_share`` of the reserve for more urgent requests.
+        """
         if self.limit is None:
             return 0.0
         self._refill(now)
-        missing = 1 + ahead - self._tokens
+        reserve = reserve_share * self.limit.reserve
+        missing = 1 + ahead + reserve - self._tokens
         if missing <= 0:
             return 0.0
         if not self.limit.per_s:
--- a/plantaingrade/admission/server_limits.py
+++ b/plantaingrade/admission/server_limits.py
@@ -20,18 +20,30 @@
         self.named = NamedAllowance()
         self._next_turn_at = 0.0
 
-    def admits(self, running: int, now: float) -> bool:
+    def admits(
+        self, running: int, now: float, *, reserve_share: float = 0.0
+    ) -> bool:
         """Return whether a further request may be sent now."""
-        return self.named.admits(running) and not self.wait_s(now)
+        if not self.named.admits(running):
+            return False
+        return not self.wait_s(now, reserve_share=reserve_share)
 
     def spend(self, now: float) -> None:
         """Count a request that is sent."""
         self.cold.spend(now)
         self.named.spend(now)
 
-    def wait_s(self, now: float, ahead: int = 0) -> float:
-        """Return the seconds until a request behind ``ahead`` others may go."""
-        return max(self.cold.wait_s(now, ahead), self.named.wait_s(now, ahead))
+    def wait_s(
+        self, now: float, ahead: int = 0, *, reserve_share: float = 0.0
+    ) -> float:
+        """Return the seconds until a request behind ``ahead`` others may go.
+
+        It leaves ``reserve_share`` of the reserve for more urgent requests.
+        """
+        return max(
+            self.cold.wait_s(now, ahead, reserve_share=reserve_share),
+            self.named.wait_s(now, ahead, reserve_share=reserve_share),
+        )
 
     def usable_slots(self, slots: float, work_s: float, now: float) -> float:
         """Return how many slots the limits allow to keep busy."""
--- a/plantaingrade/admission/slots.py
+++ b/plantaingrade/admission/slots.py
@@ -20,6 +20,7 @@
 from msgspec import Struct
 
 from plantaingrade.admission.estimate import WorkEstimate, WorkRate
+from plantaingrade.admission.priorities import RecentPriorities
 from plantaingrade.admission.server_limits import ServerLimits
 from plantaingrade.requests.entity import NotRun, NotRunReason
 
@@ -98,6 +99,7 @@
 
     __slots__ = (
         '_heap_by_queue',
+        '_priorities',
         '_sequence',
         '_rate',
         '_running_tickets',
@@ -112,6 +114,7 @@
         self.estimate = estimate
         self.limits = ServerLimits()
         self._rate = WorkRate()
+        self._priorities = RecentPriorities()
         self._sequence = count()
         self._running_tickets: dict[Ticket, None] = {}
         self._heap_by_queue: dict[WaitingQueue, list[QueueEntry]] = {
@@ -137,7 +140,9 @@
         work_s = self.estimate.expected_s(ticket.kind)
         if now + work_s > ticket.deadline:
             return _refuse(ticket, NotRunReason.TOO_LATE, work_s)
-        if self._may_start(now) and not self.waiting:
+        queue_priority = self._queue_priority(ticket.kind, ticket.priority)
+        self._priorities.observe(queue_priority, now)
+        if self._may_start(ticket, now) and not self.waiting:
             return self._start(ticket, now)
         wait_s = self._in_time_wait_s(ticket, now)
         is_brief = self._is_brief(ticket.kind)
@@ -161,11 +166,10 @@
     def fill(self, now: float) -> list[Decision]:
         """Assign free slots to waiting tickets."""
         decisions: list[Decision] = []
-        while self._may_start(now):
-            ticket = self._pop_next(now)
-            if ticket is None:
-                break
+        ticket = self._find_next()
+        while ticket is not None and self._may_start(ticket, now):
             decisions.append(self._start(ticket, now))
+            ticket = self._find_next()
         return decisions
 
     def next_fill_s(self, now: float) -> float | None:
@@ -173,11 +177,13 @@
 
         Returns None if no ticket waits or all slots are in use.
         """
-        if self.running >= self.slots or not self.waiting:
+        ticket = self._find_next()
+        if ticket is None or self.running >= self.slots:
             return None
         if not self.limits.named.admits(self.running):
             return None
-        return max(MIN_FILL_DELAY_S, self.limits.wait_s(now))
+        wait_s = self._limit_wait_s(ticket.kind, ticket.priority, 0, now)
+        return max(MIN_FILL_DELAY_S, wait_s)
 
     def expected_wait_s(self, kind: str, priority: int, now: float) -> float:
         """Return the expected wait for a slot of a further ticket."""
@@ -187,7 +193,10 @@
         wait_s = predict_wait_s(
             self._remaining_s(now), work_ahead_s, self.slots
         )
-        return max(wait_s, self.limits.wait_s(now, len(work_ahead_s)))
+        limit_wait_s = self._limit_wait_s(
+            kind, priority, len(work_ahead_s), now
+        )
+        return max(wait_s, limit_wait_s)
 
     def usable_slots(self, now: float) -> float:
         """Return the number of slots that the server can currently use."""
@@ -228,7 +237,9 @@
         self, ticket: Ticket, reason: NotRunReason, wait_s: float, now: float
     ) -> Refuse:
         """Refuse a ticket that slots or limits have no room for in time."""
-        limit_wait_s = self.limits.wait_s(now, self.waiting)
+        limit_wait_s = self._limit_wait_s(
+            ticket.kind, ticket.priority, self.waiting, now
+        )
         if not limit_wait_s or limit_wait_s < wait_s:
             return _refuse(ticket, reason, wait_s)
         work_s = self.estimate.expected_s(ticket.kind)
@@ -247,10 +258,23 @@
             self._rate.observe(work_s, now)
         return Start(ticket)
 
-    def _may_start(self, now: float) -> bool:
-        return self.running < self.slots and self.limits.admits(
-            self.running, now
-        )
+    def _may_start(self, ticket: Ticket, now: float) -> bool:
+        if self.running >= self.slots:
+            return False
+        share = self._reserve_share(ticket.kind, ticket.priority, now)
+        return self.limits.admits(self.running, now, reserve_share=share)
+
+    def _reserve_share(self, kind: str, priority: int, now: float) -> float:
+        """Return the share of the reserve that is left to other requests."""
+        queue_priority = self._queue_priority(kind, priority)
+        return self._priorities.rank(queue_priority, now)
+
+    def _limit_wait_s(
+        self, kind: str, priority: int, ahead: int, now: float
+    ) -> float:
+        """Return the wait for the rate limits behind ``ahead`` requests."""
+        share = self._reserve_share(kind, priority, now)
+        return self.limits.wait_s(now, ahead, reserve_share=share)
 
     def _enqueue(
         self, ticket: Ticket, queue: WaitingQueue, timeout_at: float
@@ -265,13 +289,13 @@
         heapq.heappush(self._heap_by_queue[queue], entry)
         return Wait(ticket, timeout_at)
 
-    def _pop_next(self, now: float) -> Ticket | None:
-        """Remove and return the ticket that gets the next slot, if any."""
+    def _find_next(self) -> Ticket | None:
+        """Return the ticket that gets the next slot, if any waits."""
         for heap in self._heap_by_queue.values():
-            while heap:
-                ticket = heapq.heappop(heap)[-1]
-                if ticket.is_waiting:
-                    return ticket
+            while heap and not heap[0][-1].is_waiting:
+                heapq.heappop(heap)
+            if heap:
+                return heap[0][-1]
         return None
 
     def _queue_priority(self, kind: str, priority: int) -> int:
@@ -304,8 +328,11 @@
         if self._is_brief(ticket.kind):
             wait_s = predict_wait_s(remaining_s, work_ahead_s, self.slots)
         else:
-            wait_s = self._even_share_s([*remaining_s, *work_ahead_s])
-        return max(wait_s, self.limits.wait_s(now, len(work_ahead_s)))
+            wait_s = spread_s([*remaining_s, *work_ahead_s], self.slots)
+        limit_wait_s = self._limit_wait_s(
+            ticket.kind, ticket.priority, len(work_ahead_s), now
+        )
+        return max(wait_s, limit_wait_s)
 
     def _work_ahead_s(self, queue_priority: int, due: float) -> list[float]:
         """Return the durations of queued work that precedes such a ticket."""
@@ -325,13 +352,12 @@
             for entry in heap
             if entry[-1] is not ticket and entry[-1].is_waiting
         ]
-        wait_s = self._even_share_s([*self._remaining_s(now), *work_ahead_s])
+        wait_s = spread_s([*self._remaining_s(now), *work_ahead_s], self.slots)
         wait_s /= self._unused_share(now)
-        return max(wait_s, self.limits.wait_s(now, len(work_ahead_s)))
-
-    def _even_share_s(self, work_s: Sequence[float]) -> float:
-        """Return how long work takes if spread evenly over all slots."""
-        return sum(work_s) / max(1, self.slots)
+        limit_wait_s = self._limit_wait_s(
+            ticket.kind, ticket.priority, len(work_ahead_s), now
+        )
+        return max(wait_s, limit_wait_s)
 
     def _remaining_s(self, now: float) -> list[float]:
         """Return the expected remaining time of each running ticket."""
@@ -350,6 +376,11 @@
         return max(MIN_UNUSED_SHARE, 1 - taken)
 
 
+def spread_s(work_s: Sequence[float], slots: int) -> float:
+    """Return how long work takes if spread evenly over all slots."""
+    return sum(work_s) / max(1, slots)
+
+
 def predict_wait_s(
     remaining_s: Sequence[float], work_ahead_s: Sequence[float], slots: int
 ) -> float:
--- a/tests/admission/simulation.py
+++ b/tests/admission/simulation.py
@@ -20,6 +20,7 @@
 )
 
 NETWORK_DELAY_S = 0.008
+NEVER = float('inf')
 
 
 @dataclass(frozen=True)
@@ -88,12 +89,14 @@
         self._sequence = count()
         self._attempt_by_ticket: dict[Ticket, Attempt] = {}
         self._timeout_by_ticket: dict[Ticket, float] = {}
+        self._fill_at = NEVER
         for request_class in self.classes:
             self.counts[request_class.name] = ClassCounts()
             self._next_arrival(request_class, 0.0)
         while self._events:
             now, _, callback, argument = heapq.heappop(self._events)
             callback(argument, now)
+            self._schedule_fill(now)
         return self.counts
 
     def total_worth(self) -> float:
@@ -114,6 +117,18 @@
             self._events, (when, next(self._sequence), callback, argument)
         )
 
+    def _schedule_fill(self, now: float) -> None:
+        """Schedule a check for when a limited server may get more requests."""
+        delay_s = self.queue.next_fill_s(now)
+        if delay_s is not None and now + delay_s < self._fill_at:
+            self._fill_at = now + delay_s
+            self._schedule(self._fill_at, self._on_fill, None)
+
+    def _on_fill(self, _: None, now: float) -> None:
+        self._fill_at = NEVER
+        for decision in self.queue.fill(now):
+            self._apply(decision, now)
+
     def _next_arrival(self, request_class: RequestClass, now: float) -> None:
         when = now + self._random.expovariate(request_class.per_s)
         if when < self.duration_s:
