Reading: entities and predictions of the slot queue, and notices of servers, in modules of their own

Moved without a change: the tickets and decisions to admission/entity.py, the pure predictions to admission/waits.py, what a server says in its answers to sidecar/server_notices.py.

--- /dev/null
+++ b/plantaingrade/admission/entity.py
@@ -0,0 +1,53 @@
+"""Requests for slots of the local backend server, and decisions on them."""
+
+from enum import IntEnum
+
+from msgspec import Struct
+
+from plantaingrade.requests.entity import NotRun
+
+
+class WaitingQueue(IntEnum):
+    """Queues of waiting tickets, in the order in which they get slots."""
+
+    IN_TIME = 0
+    LATE = 1
+
+
+class Ticket(Struct, eq=False):
+    """A request for a slot.
+
+    ``kind`` is its class of work, ``deadline`` the time by which it must be
+    answered, and ``due`` the time at which its latency objective ends.
+    """
+
+    kind: str
+    priority: int
+    deadline: float
+    due: float
+    queue: WaitingQueue = WaitingQueue.IN_TIME
+    is_waiting: bool = False
+    started_at: float = 0.0
+
+
+class Start(Struct, frozen=True):
+    """The ticket has been given a slot."""
+
+    ticket: Ticket
+
+
+class Wait(Struct, frozen=True):
+    """The ticket is queued; call ``on_timeout`` for it at ``timeout_at``."""
+
+    ticket: Ticket
+    timeout_at: float
+
+
+class Refuse(Struct, frozen=True):
+    """The ticket cannot be served in time and is rejected."""
+
+    ticket: Ticket
+    outcome: NotRun
+
+
+Decision = Start | Wait | Refuse
--- a/plantaingrade/admission/gate.py
+++ b/plantaingrade/admission/gate.py
@@ -4,15 +4,9 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from plantaingrade.admission.entity import Decision, Refuse, Start, Ticket, Wait
 from plantaingrade.admission.estimate import WorkEstimate
-from plantaingrade.admission.slots import (
-    Decision,
-    Refuse,
-    SlotQueue,
-    Start,
-    Ticket,
-    Wait,
-)
+from plantaingrade.admission.slots import SlotQueue
 from plantaingrade.clock import Clock
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.requests.entity import NotRun
--- a/plantaingrade/admission/slots.py
+++ b/plantaingrade/admission/slots.py
@@ -13,15 +13,20 @@
 """
 
 import heapq
-from collections.abc import Sequence
-from enum import IntEnum
-from itertools import count, repeat
-
-from msgspec import Struct
-
+from itertools import count
+
+from plantaingrade.admission.entity import (
+    Decision,
+    Refuse,
+    Start,
+    Ticket,
+    Wait,
+    WaitingQueue,
+)
 from plantaingrade.admission.estimate import WorkEstimate, WorkRate
 from plantaingrade.admission.priorities import RecentPriorities
 from plantaingrade.admission.server_limits import ServerLimits
+from plantaingrade.admission.waits import predict_wait_s, spread_s
 from plantaingrade.requests.entity import NotRun, NotRunReason
 
 # Minimum retry delay sent to callers, in seconds; shorter ones are no use.
@@ -43,50 +48,6 @@
 BRIEF_PRIORITY = -1
 
 
-class WaitingQueue(IntEnum):
-    """Queues of waiting tickets, in the order in which they get slots."""
-
-    IN_TIME = 0
-    LATE = 1
-
-
-class Ticket(Struct, eq=False):
-    """A request for a slot.
-
-    ``kind`` is its class of work, ``deadline`` the time by which it must be
-    answered, and ``due`` the time at which its latency objective ends.
-    """
-
-    kind: str
-    priority: int
-    deadline: float
-    due: float
-    queue: WaitingQueue = WaitingQueue.IN_TIME
-    is_waiting: bool = False
-    started_at: float = 0.0
-
-
-class Start(Struct, frozen=True):
-    """The ticket has been given a slot."""
-
-    ticket: Ticket
-
-
-class Wait(Struct, frozen=True):
-    """The ticket is queued; call ``on_timeout`` for it at ``timeout_at``."""
-
-    ticket: Ticket
-    timeout_at: float
-
-
-class Refuse(Struct, frozen=True):
-    """The ticket cannot be served in time and is rejected."""
-
-    ticket: Ticket
-    outcome: NotRun
-
-
-Decision = Start | Wait | Refuse
 QueueEntry = tuple[int, float, int, Ticket]
 
 
@@ -376,34 +337,6 @@
         return max(MIN_UNUSED_SHARE, 1 - taken)
 
 
-def spread_s(work_s: Sequence[float], slots: int) -> float:
-    """Return how long work takes if spread evenly over all slots."""
-    return sum(work_s) / max(1, slots)
-
-
-def predict_wait_s(
-    remaining_s: Sequence[float], work_ahead_s: Sequence[float], slots: int
-) -> float:
-    """Return the wait until a slot is free after all work ahead, in seconds.
-
-    ``remaining_s`` holds the remaining times of running work, ``work_ahead_s``
-    the durations of queued work that goes first, in order. Each piece of work
-    takes the slot that becomes free first.
-
-    Short calls between servers depend on this prediction: with nine slots that
-    run reads of 360 ms, a slot becomes free every 40 ms.
-    """
-    surplus = len(remaining_s) - slots
-    free_at = sorted(remaining_s)[max(0, surplus) :]
-    free_at.extend(repeat(0.0, max(0, -surplus)))
-    if not free_at:
-        return float('inf')
-    heapq.heapify(free_at)
-    for work_s in work_ahead_s:
-        heapq.heapreplace(free_at, free_at[0] + work_s)
-    return free_at[0]
-
-
 def _refuse(ticket: Ticket, reason: NotRunReason, wait_s: float) -> Refuse:
     retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
     return Refuse(ticket, NotRun(reason, retry_after_s))
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -5,8 +5,8 @@
 
 from msgspec import Struct
 
+from plantaingrade.admission.entity import Ticket
 from plantaingrade.admission.gate import Gate, RefusedError
-from plantaingrade.admission.slots import Ticket
 from plantaingrade.backends.incarnation import IncarnationTracker
 from plantaingrade.backends.report import ResponseNotice
 from plantaingrade.balance.entity import FreeCapacity
--- a/plantaingrade/sidecar/endpoints.py
+++ b/plantaingrade/sidecar/endpoints.py
@@ -242,7 +242,7 @@
         self._on_known(known)
         told_leaving = decode_leaving(raw.headers)
         if told_leaving is not None:
-            self._server_watch.on_peer_notice(told_leaving)
+            self._server_watch.notices.on_peer_notice(told_leaving)
         outcome = await self._async_serve(routed, known.key_map)
         answer = encode_outcome(outcome)
         headers = (
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -256,7 +256,9 @@
                 lambda instance: self._server_watch.verify(instance),
                 self._balance.observe,
                 self._peers.announce_crash,
-                lambda response: self._server_watch.on_response(response),
+                lambda response: self._server_watch.notices.on_response(
+                    response
+                ),
             ),
         )
         peer_path = PeerPath(
@@ -309,7 +311,9 @@
             self._clock,
             self._log,
         )
-        self._orders.listen_to_notices(self._server_watch.on_order_notice)
+        self._orders.listen_to_notices(
+            self._server_watch.notices.on_order_notice
+        )
         self._server_evacuation = ServerEvacuation(
             self._server_path,
             self._balance,
--- a/tests/admission/simulation.py
+++ b/tests/admission/simulation.py
@@ -10,14 +10,9 @@
 from itertools import count
 from typing import Any
 
+from plantaingrade.admission.entity import Refuse, Start, Ticket, Wait
 from plantaingrade.admission.estimate import WorkEstimate
-from plantaingrade.admission.slots import (
-    Refuse,
-    SlotQueue,
-    Start,
-    Ticket,
-    Wait,
-)
+from plantaingrade.admission.slots import SlotQueue
 
 NETWORK_DELAY_S = 0.008
 NEVER = float('inf')
--- a/tests/admission/test_cold.py
+++ b/tests/admission/test_cold.py
@@ -7,10 +7,11 @@
 import pytest
 
 from plantaingrade.admission.cold import ColdAllowance
+from plantaingrade.admission.entity import Start, Ticket, Wait
 from plantaingrade.admission.estimate import WorkEstimate
 from plantaingrade.admission.gate import Gate, RefusedError
 from plantaingrade.admission.rate_limit import RateLimit
-from plantaingrade.admission.slots import SlotQueue, Start, Ticket, Wait
+from plantaingrade.admission.slots import SlotQueue
 from tests.virtual import LoopClock, run
 
 # The platform allows 6 * 1.5 + 8 = 17 requests in any second.
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -5,9 +5,10 @@
 
 import pytest
 
+from plantaingrade.admission.entity import Ticket
 from plantaingrade.admission.estimate import WorkEstimate
 from plantaingrade.admission.gate import Gate, RefusedError
-from plantaingrade.admission.slots import SlotQueue, Ticket
+from plantaingrade.admission.slots import SlotQueue
 from tests.virtual import LoopClock, run
 
 WORK_S = 0.1
--- a/tests/admission/test_named.py
+++ b/tests/admission/test_named.py
@@ -6,11 +6,12 @@
 
 import pytest
 
+from plantaingrade.admission.entity import Refuse, Start, Ticket
 from plantaingrade.admission.estimate import WorkEstimate
 from plantaingrade.admission.named import MAX_UNANSWERED
 from plantaingrade.admission.rate_limit import RateLimit
 from plantaingrade.admission.server_limits import ServerLimits
-from plantaingrade.admission.slots import Refuse, SlotQueue, Start, Ticket
+from plantaingrade.admission.slots import SlotQueue
 from plantaingrade.backends.report import NamedLimit, NoLimit
 from plantaingrade.requests.entity import NotRunReason
 from standins.notices import WINDOW_S, max_in_window, tolerated
--- a/tests/admission/test_slots.py
+++ b/tests/admission/test_slots.py
@@ -2,15 +2,15 @@
 
 import pytest
 
-from plantaingrade.admission.slots import (
+from plantaingrade.admission.entity import (
     Decision,
     Refuse,
-    SlotQueue,
     Start,
     Ticket,
     Wait,
     WaitingQueue,
 )
+from plantaingrade.admission.slots import SlotQueue
 from plantaingrade.requests.entity import NotRun, NotRunReason
 from tests.admission.simulation import RequestClass, Simulation, make_queue
 
