A server that has not answered yet gets one more request each quarter of a second

Found by reading: after all processes had started again, two requests at each server could wait for calls of their own that need a server whose two are waiting as well, until their deadlines (0.4 to 4 s). The cap on requests at a server that has not answered yet now grows slowly, and the first answer ends it as before.

--- a/plantaingrade/admission/named.py
+++ b/plantaingrade/admission/named.py
@@ -3,26 +3,31 @@
 A server in need names how many requests a second it accepts from all callers
 together, far fewer than its slots would serve. A process that has just started
 does not know whether its server names a limit, nor what its predecessor has
-sent: until the first response it has only a few requests at the server.
+sent: until the first response it has only a few requests at the server. These
+may wait for calls of their own that need the same server, so their number grows
+slowly.
 """
 
 from plantaingrade.admission.rate_limit import RateLimit, TokenBucket
 from plantaingrade.backends.limit import LimitChange, LimitTracker
 from plantaingrade.backends.report import LimitNotice, UnreadableLimit
 
-# Requests that may be at a server that has not answered one yet.
+# Requests that may be at a server that has not answered one yet, at first.
 MAX_UNANSWERED = 2
+# Time after which one more may be, in seconds: most work takes less.
+UNANSWERED_STEP_S = 0.25
 
 
 class NamedAllowance:
     """Limits requests to the rate that the server names."""
 
-    __slots__ = ('_bucket', '_tracker')
+    __slots__ = ('_bucket', '_first_sent_at', '_tracker')
 
     def __init__(self) -> None:
         """Create an allowance without a limit."""
         self._tracker = LimitTracker()
         self._bucket = TokenBucket()
+        self._first_sent_at: float | None = None
 
     @property
     def per_s(self) -> float | None:
@@ -38,6 +43,7 @@
         """Begin with an incarnation that has not answered a request yet."""
         self._tracker.on_new_incarnation()
         self._bucket.apply(None)
+        self._first_sent_at = None
 
     def on_response(
         self, notice: LimitNotice, sent_at: float, now: float
@@ -55,13 +61,23 @@
         self._apply(change, now)
         return change
 
-    def admits(self, running: int) -> bool:
-        """Return whether a further request may run beside those that do."""
-        return not self.awaits_response or running < MAX_UNANSWERED
+    def response_wait_s(self, running: int, now: float) -> float:
+        """Return the seconds until a request may run beside those that do.
+
+        A response to one of them ends the wait earlier.
+        """
+        if not self.awaits_response or running < MAX_UNANSWERED:
+            return 0.0
+        if self._first_sent_at is None:
+            return 0.0
+        steps = running - MAX_UNANSWERED + 1
+        return max(0.0, self._first_sent_at + steps * UNANSWERED_STEP_S - now)
 
     def spend(self, now: float) -> None:
         """Consume a token for a request sent to the server."""
         self._bucket.spend(now)
+        if self._first_sent_at is None:
+            self._first_sent_at = now
 
     def wait_s(
         self, now: float, ahead: int = 0, *, reserve_share: float = 0.0
