--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -199,6 +199,26 @@
         )
 
 
+def run_scenario(net: int, services: tuple[str, ...], scenario) -> None:
+    """Run a scenario with an instance for each service, once all serve."""
+
+    async def async_run() -> None:
+        async with Harness(net) as harness:
+            for service in services:
+                await harness.async_add(service)
+            if KEYED in services:
+                await harness.async_until_served()
+            else:
+                await harness.async_until(
+                    lambda: all(node.process.is_ready for node in harness.nodes)
+                )
+                await asyncio.sleep(0.5)
+            await scenario(harness)
+            assert not harness.record.two_owners
+
+    asyncio.run(async_run())
+
+
 def _route(prefix: str, service: str, kind: str) -> dict:
     return {
         'host': HOST,
--- a/tests/sidecar/test_named_limit.py
+++ b/tests/sidecar/test_named_limit.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from standins.notices import max_in_window, tolerated
-from tests.sidecar.harness import KEYED, PLAIN, Harness, Node
+from tests.sidecar.harness import KEYED, PLAIN, Harness, Node, run_scenario
 
 LIMIT_PER_S = 10.0
 ASKED_PER_S = 60.0
@@ -31,23 +31,6 @@
     )
 
 
-def run_scenario(net: int, services: tuple[str, ...], scenario) -> None:
-    async def async_run() -> None:
-        async with Harness(net) as harness:
-            for service in services:
-                await harness.async_add(service)
-            if KEYED in services:
-                await harness.async_until_served()
-            else:
-                await harness.async_until(
-                    lambda: all(node.process.is_ready for node in harness.nodes)
-                )
-            await scenario(harness)
-            assert not harness.record.two_owners
-
-    asyncio.run(async_run())
-
-
 def count_most(node: Node, since: float) -> int:
     """Return the most requests in any window since a point in time."""
     server = node.server
@@ -111,3 +94,21 @@
         assert statuses[200] >= 0.98 * ASKED_PER_S * LOAD_S
 
     run_scenario(203, (PLAIN, PLAIN), scenario)
+
+
+def test_limit_of_zero_starves_no_renewal_of_grants() -> None:
+    """Grants wait behind requests for the limit, and all keys are lost."""
+
+    async def scenario(harness: Harness) -> None:
+        node = harness.nodes[0]
+        node.server.notices.limit = '0'
+        await harness.async_ask(node, '/cases/1', 'first', 5)
+        told_at = harness.clock.now() + LEARNED_S
+        held_until = min(hold.until for hold in node.server.holds)
+        statuses = await async_load(harness, node, '/cases/1', 3.0)
+        assert count_most(node, told_at) <= tolerated(0)
+        assert set(statuses) <= {200, 503}
+        assert harness.is_every_key_held()
+        assert min(hold.until for hold in node.server.holds) > held_until
+
+    run_scenario(204, (KEYED,), scenario)
--- a/tests/sidecar/test_requests.py
+++ b/tests/sidecar/test_requests.py
@@ -4,25 +4,7 @@
 
 import pytest
 
-from tests.sidecar.harness import KEYED, PLAIN, Harness
-
-
-def run_scenario(net: int, services: tuple[str, ...], scenario) -> None:
-    async def async_run() -> None:
-        async with Harness(net) as harness:
-            for service in services:
-                await harness.async_add(service)
-            if KEYED in services:
-                await harness.async_until_served()
-            else:
-                await harness.async_until(
-                    lambda: all(node.process.is_ready for node in harness.nodes)
-                )
-                await asyncio.sleep(0.5)
-            await scenario(harness)
-            assert not harness.record.two_owners
-
-    asyncio.run(async_run())
+from tests.sidecar.harness import KEYED, PLAIN, Harness, run_scenario
 
 
 def test_unsafe_request_is_not_retried_after_a_lost_answer() -> None:
--- a/tests/sidecar/test_told_leaving.py
+++ b/tests/sidecar/test_told_leaving.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from tests.sidecar.harness import KEYED, PLAIN, Harness, Node
-from tests.sidecar.test_named_limit import async_load, run_scenario
+from tests.sidecar.harness import KEYED, PLAIN, Harness, Node, run_scenario
+from tests.sidecar.test_named_limit import async_load
 
 # The platform's time from the answer until nothing may reach the server.
 DRAIN_S = 2.0
