Headers of callers and servers are not taken for those between processes

Found by reading the hop for told leaving: a caller's header named q overrode the fields of the request, and the next process answered 400; one named a changed the id; a server's header named o turned a whole answer into an unknown outcome; one named x could name a server as leaving. All were dropped on the way besides. Headers with such names now travel with a prefix, which is taken off before they are used.

--- a/plantaingrade/requests/hop.py
+++ b/plantaingrade/requests/hop.py
@@ -41,7 +41,7 @@
 MAX_BORN_DIGITS = 18
 LOAD_COUNT = 3
 STATUS_FAILED = 503
-HOP_HEADERS = frozenset(
+OWN_HEADERS = frozenset(
     (
         HEADER_ID,
         HEADER_FIELDS,
@@ -50,12 +50,17 @@
         HEADER_OWNER,
         HEADER_LOAD,
         HEADER_LEAVING,
-        b'host',
-        b'content-length',
-        b'transfer-encoding',
-        b'connection',
     )
 )
+HOP_HEADERS = OWN_HEADERS | {
+    b'host',
+    b'content-length',
+    b'transfer-encoding',
+    b'connection',
+}
+# Prefix of a caller's or server's header that is named like one of these
+# processes, which would take it for their own.
+FOREIGN_PREFIX = b'_'
 
 
 class MalformedHopError(PlantaingradeError):
@@ -102,7 +107,7 @@
         (b'host', caller.host),
         (HEADER_ID, caller.request_id),
         (HEADER_FIELDS, fields.encode()),
-        *caller.headers,
+        *_mark_foreign(caller.headers),
     ]
     if caller.body:
         length = str(len(caller.body)).encode()
@@ -199,7 +204,8 @@
     """Return the response to another process for an outcome."""
     match outcome:
         case Answered(answer):
-            return answer
+            headers = _mark_foreign(answer.headers)
+            return Answer(answer.status, headers, answer.body)
         case NotRun(reason, retry_after_s, owner, map_version):
             headers = [
                 (HEADER_OUTCOME, f'{MARK_NOT_RUN}{reason.value}'.encode()),
@@ -240,10 +246,27 @@
 
 def _end_to_end_headers(headers: Headers) -> Headers:
     return tuple(
-        (name, text) for name, text in headers if name not in HOP_HEADERS
+        (_unmarked(name), text)
+        for name, text in headers
+        if name not in HOP_HEADERS
     )
 
 
+def _mark_foreign(headers: Headers) -> Headers:
+    return tuple(
+        (FOREIGN_PREFIX + name if _is_ambiguous(name) else name, text)
+        for name, text in headers
+    )
+
+
+def _unmarked(name: bytes) -> bytes:
+    return name.removeprefix(FOREIGN_PREFIX) if _is_ambiguous(name) else name
+
+
+def _is_ambiguous(name: bytes) -> bool:
+    return name.lstrip(FOREIGN_PREFIX) in OWN_HEADERS
+
+
 def _ms(seconds: float) -> int:
     return max(0, round(seconds * MS_PER_S))
 
--- a/tests/requests/test_hop.py
+++ b/tests/requests/test_hop.py
@@ -3,7 +3,9 @@
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
+from plantaingrade.backends.report import ServerIncarnation
 from plantaingrade.balance.entity import Load
 from plantaingrade.http.messages import Request
 from plantaingrade.requests.entity import (
@@ -20,9 +22,11 @@
     KnownVersions,
     MalformedHopError,
     decode_hop,
+    decode_leaving,
     decode_load,
     decode_outcome,
     encode_hop,
+    encode_leaving,
     encode_load,
     encode_outcome,
 )
@@ -122,3 +126,33 @@
     assert load.slots == 6
     assert decode_load(((b'l', b'x'),)) is None
     assert decode_load(()) is None
+
+
+@pytest.mark.parametrize('name', [b'q', b'a', b'x', b'o', b'_q', b'__x', b'_'])
+def test_headers_named_like_those_of_processes_are_forwarded(name) -> None:
+    """A caller's header is taken for one of the process that forwards it."""
+    headers = ((name, b',i-1'),)
+    caller = replace(CALLER, headers=headers)
+    encoded = encode_hop(replace(ROUTED, caller=caller), KNOWN, NOW)
+    raw = Request(method=b'POST', target=b'/a/b', headers=encoded)
+    decoded, known = decode_hop(raw, b'body', NOW)
+    assert decoded.caller.headers == headers
+    assert known == KNOWN
+    assert decode_leaving(encoded) is None
+    answer = Answer(200, headers, b'done')
+    sent = encode_outcome(Answered(answer))
+    assert decode_leaving(sent.headers) is None
+    assert decode_outcome(sent) == Answered(answer)
+
+
+@pytest.mark.parametrize('born_ms', [None, 1_700_000_000_000])
+def test_leaving_incarnation_is_named_between_processes(born_ms) -> None:
+    incarnation = ServerIncarnation('i-1', born_ms)
+    assert decode_leaving(encode_leaving(incarnation)) == incarnation
+    assert decode_leaving(encode_leaving(None)) is None
+
+
+@given(st.binary(max_size=40))
+def test_malformed_leaving_header_raises_no_error(text) -> None:
+    incarnation = decode_leaving(((b'x', text),))
+    assert incarnation is None or incarnation.instance
