A member that joins late introduces itself

In the logs: the members with keys wait 15 s for earlier leases before their rows stand; they say hello only in their first six seconds, to the rows of then; an instance that had started meanwhile met none of them and would have read the rows at its next refresh, after 20 s. A member now says hello again once it has joined, as at its start. The class: an introduction that is made once, at a time that need not be the one at which it can be heard.

--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -159,16 +159,28 @@
 
     async def async_run(self) -> None:
         """Send hellos, then refresh from the store until cancelled."""
-        for pause_s in HELLO_PAUSES_S:
-            self._announcer.send_hello()
-            await asyncio.sleep(pause_s)
-        self._announcer.introduce()
+        await self._async_send_hellos()
         while True:
             await asyncio.sleep(self._refresh_pause_s())
             self._looked_up_names.clear()
             await self.async_refresh()
             self._announcer.send_hello()
 
+    async def async_introduce(self) -> None:
+        """Introduce this member to those that started before its row stood.
+
+        A member with keys that waits to join has no row for many seconds, and
+        who starts meanwhile would meet it at its next refresh only.
+        """
+        await self.async_refresh()
+        await self._async_send_hellos()
+
+    async def _async_send_hellos(self) -> None:
+        for pause_s in HELLO_PAUSES_S:
+            self._announcer.send_hello()
+            await asyncio.sleep(pause_s)
+        self._announcer.introduce()
+
     def _refresh_pause_s(self) -> float:
         count = len(self._directory.members())
         return max(REFRESH_S, REFRESH_S_PER_MEMBER * count)
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -489,4 +489,4 @@
             self._start(self._operators.async_restore_desired_states())
 
     def _on_joined(self) -> None:
-        self._start(self._peers.async_refresh())
+        self._start(self._peers.async_introduce())
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -163,6 +163,38 @@
     run(scenario())
 
 
+class FakeRows:
+    """Rows that can be read but name no further member."""
+
+    async def async_read(self) -> bool:
+        return True
+
+
+class FakeEndpoint:
+    """Record what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[object] = []
+
+    def send_all(self, message: object, addresses: list[str]) -> None:
+        if addresses:
+            self.sent.append(message)
+
+
+def test_member_that_joins_late_introduces_itself() -> None:
+    """Members that start while another waits to join do not know its row."""
+
+    async def scenario() -> None:
+        peers = make_coordinator(KeyMaps(), FakeCalls())
+        peers._rows = FakeRows()
+        endpoint = FakeEndpoint()
+        peers._announcer.endpoint = endpoint
+        await peers.async_introduce()
+        assert Hello(OWN) in endpoint.sent
+
+    run(scenario())
+
+
 def test_restarted_member_does_not_keep_its_old_load() -> None:
     """A process reports that it leaves, and restarts under the same name.
 
