Uploads are requests that run at most once; an unknown kind no longer rejects a configuration

Cause: one route of the type 'upload' made every process reject the whole configuration ('unknown route type'), so that no request of either new customer was served.

Weighed: reject the version as before (one word of one route takes every route away, and stays in force until the operators notice); leave that route out (its callers get 503, truly not run, though the service could serve them); read it as not idempotent (chosen: the safe reading of a kind that this program doesn't know, and an old process beside a new one serves the same routes).

Change: 'upload' is known and not idempotent; another text as the kind is read as not idempotent too, with one line config-unknown-kind per version. A kind that is no text is still rejected.

--- a/plantaingrade/config/coordinator.py
+++ b/plantaingrade/config/coordinator.py
@@ -46,6 +46,8 @@
 # Time after which the operators have rewritten the rows that a store restored
 # from a backup lacks; all rows are then read again.
 REREAD_DELAY_S = 10.0
+# Limit on the length of a log line.
+MAX_LOGGED_KINDS = 5
 
 Decode = Callable[[bytes], RoutingConfig]
 NEVER = float('inf')
@@ -282,6 +284,15 @@
             source=source,
             routes=len(config.routes),
         )
+        if config.unknown_kind_by_route:
+            self._log.write(
+                'config-unknown-kind',
+                version=config.version,
+                kinds=sorted(set(config.unknown_kind_by_route.values()))[
+                    :MAX_LOGGED_KINDS
+                ],
+                routes=len(config.unknown_kind_by_route),
+            )
         self.config = config
         self.routes = RouteTable(config)
         self._on_progress()
--- a/plantaingrade/config/entity.py
+++ b/plantaingrade/config/entity.py
@@ -56,10 +56,15 @@
 
 
 class RoutingConfig(Struct, frozen=True):
-    """One complete version of the configuration."""
+    """One complete version of the configuration.
+
+    ``unknown_kind_by_route`` holds the kinds that this program does not know,
+    by route; requests of these routes are never repeated.
+    """
 
     version: int
     routes: tuple[Route, ...]
     service_by_name: dict[str, ServiceConfig]
     limits: Limits
     source: bytes = b''
+    unknown_kind_by_route: dict[str, str] = {}
--- a/plantaingrade/platform/const.py
+++ b/plantaingrade/platform/const.py
@@ -33,4 +33,5 @@
 STATE_DRAINING = 'draining'
 TYPE_IDEMPOTENT = 'safe'
 TYPE_ONCE = 'unsafe'
+TYPE_UPLOAD = 'upload'
 TYPE_JSON = ('content-type', 'application/json')
