Pipelined idempotent requests of callers run at the same time

Weighed: a queue of requests for each connection (every request would pass it, also on connections with one request at a time); choice by method (does not tell whether the operator allows a repetition); answers written into a buffer of bytes (their framing depends on whether they close the connection, known at their turn only).

Change: a request at its turn is served on the connection as before. A request that is not idempotent begins when all before it are answered, and nothing begins behind it: what is behind an answer that closes is sent again by its caller. Arrival of a request is when its head was read. No turn begins while the caller does not read its answers.

Found on the way: a head that began behind other requests in the same bytes was counted with all of them, and refused with 431 once they exceeded 16 KB.

Two guards are red when broken.

--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -19,7 +19,11 @@
 from plantaingrade.clock import Clock
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.http.connection import NEED_DATA, Connection
-from plantaingrade.http.const import MAX_HEAD_BYTES, MAX_UNREAD_BYTES
+from plantaingrade.http.const import (
+    MAX_FURTHER_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_UNREAD_BYTES,
+)
 from plantaingrade.http.messages import (
     EndOfMessage,
     InformationalResponse,
@@ -62,6 +66,7 @@
         'is_last_response',
         'last_byte_at',
         'on_closed',
+        'on_further',
         'transport',
     )
 
@@ -82,6 +87,8 @@
         self._request_task: asyncio.Task[Any] | None = None
         # Called when the connection was closed by the peer or broke.
         self.on_closed: Callable[[], None] | None = None
+        # Called when parts of a request behind the current one have arrived.
+        self.on_further: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -92,8 +99,12 @@
         self.last_byte_at = self._clock.now()
         self._unread += len(data)
         if not self.closed:
-            self.http.receive(data)
-        if self._unread > MAX_UNREAD_BYTES and not self._paused:
+            self.http.receive(data, self.last_byte_at)
+        limit = MAX_UNREAD_BYTES
+        if self.on_further is not None and self.http.has_message_ahead:
+            limit = MAX_FURTHER_BYTES
+            self.on_further()
+        if self._unread > limit and not self._paused:
             self._paused = True
             self.transport.pause_reading()
         self._wake()
@@ -145,6 +156,7 @@
         while True:
             event = self._parse()
             if event is not NEED_DATA:
+                self._check_further(event)
                 return event
             if self.closed:
                 raise ChannelClosedError('Connection closed by the peer.')
@@ -187,6 +199,11 @@
             self.transport.write(b''.join(self._unsent))
         self._unsent.clear()
 
+    @property
+    def is_writing_paused(self) -> bool:
+        """Return whether the peer reads more slowly than is written."""
+        return self._writable is not None
+
     async def drain(self) -> None:
         """Wait until the transport accepts more data from a slow peer."""
         if len(self._unsent) > MAX_UNSENT_CHUNKS:
@@ -266,6 +283,12 @@
                 'Invalid or incomplete response.'
             ) from error
 
+    def _check_further(self, event: Any) -> None:
+        is_end = isinstance(event, EndOfMessage)
+        if self.on_further is not None and is_end:
+            if self.http.has_message_ahead:
+                self.on_further()
+
     def _mark_closed(self) -> None:
         if self.closed:
             self._wake()
--- a/plantaingrade/http/connection.py
+++ b/plantaingrade/http/connection.py
@@ -71,10 +71,21 @@
         """Return whether bytes of a further message have arrived."""
         return not self._reader.is_between_messages
 
-    def receive(self, chunk: bytes) -> None:
-        """Parse bytes from the peer; empty bytes mean end of file."""
+    @property
+    def has_message_ahead(self) -> bool:
+        """Return whether parts of a message behind the current one are there.
+
+        The peer's current message is consumed.
+        """
+        return self.their_state is State.DONE and bool(self._reader.parts)
+
+    def receive(self, chunk: bytes, at: float = 0.0) -> None:
+        """Parse bytes from the peer; empty bytes mean end of file.
+
+        ``at`` is when they arrived.
+        """
         if chunk:
-            self._reader.feed(chunk)
+            self._reader.feed(chunk, at)
         else:
             self._is_eof = True
             self._reader.feed_end()
@@ -99,6 +110,30 @@
             raise RemoteProtocolError('Connection closed without a response.')
         return CLOSED
 
+    def message_ahead(self, number: int) -> list[Part] | None:
+        """Return a message behind the current one without consuming it.
+
+        ``number`` counts them from 0. Return None if it has not arrived whole,
+        or if the peer's current message is not consumed.
+        """
+        if self.their_state is not State.DONE:
+            return None
+        message: list[Part] = []
+        for part in self._reader.parts:
+            message.append(part)
+            if isinstance(part, EndOfMessage):
+                if not number:
+                    return message
+                number -= 1
+                message = []
+        return None
+
+    def skip_body(self) -> None:
+        """Consume the rest of the peer's message, as far as it has arrived."""
+        while self.their_state is State.BODY:
+            if self.next_event() is NEED_DATA:
+                return
+
     def send(self, part: Part) -> bytes:
         """Return the bytes of the next part of our message.
 
@@ -143,6 +178,8 @@
         self.their_state = State.IDLE
         self._is_reusable = True
         self._expects_continue = False
+        if self.role is Role.SERVER:
+            self._reader.unanswered -= 1
 
     def expect_another_response(self) -> None:
         """Read another response to the request that was sent."""
--- a/plantaingrade/http/messages.py
+++ b/plantaingrade/http/messages.py
@@ -54,11 +54,17 @@
 
 
 class Request(Struct):
-    """Head of a request, with header names in lower case."""
+    """Head of a request, with header names in lower case.
+
+    ``arrived`` is when it was read, and ``ahead`` the number of requests of
+    its connection that were not answered then.
+    """
 
     method: bytes
     target: bytes
     headers: Pairs
+    arrived: float = 0.0
+    ahead: int = 0
 
     @classmethod
     def build(
--- /dev/null
+++ b/plantaingrade/http/read_ahead.py
@@ -0,0 +1,231 @@
+"""Serve the requests of one connection that begin before their turn."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from msgspec import Struct, field
+
+from plantaingrade.http.channel import Channel
+from plantaingrade.http.messages import (
+    Data,
+    EndOfMessage,
+    Part,
+    Request,
+    Response,
+    State,
+)
+from plantaingrade.http.pipeline import (
+    EarlyRequest,
+    EarlyTotals,
+    Pipeline,
+    PipelineLimits,
+)
+
+RequestHandler = Callable[[Request, Any], Awaitable[None]]
+
+
+class ByteBudget(Protocol):
+    """Bytes that a process holds for others."""
+
+    def has_room(self) -> bool:
+        """Return whether more may be held."""
+
+    def hold(self, size: int) -> None:
+        """Count bytes that are held from now on."""
+
+    def release(self, size: int) -> None:
+        """Count bytes that are not held any more."""
+
+
+class ReadAheadHooks(Struct, frozen=True):
+    """Decisions and counts beyond one connection.
+
+    ``may_repeat`` returns whether a request is idempotent. ``on_withdrawn`` is
+    called for each request that began early and whose answer, if it is there,
+    will not be sent. ``totals`` count all connections of the server.
+    """
+
+    may_repeat: Callable[[Request], bool]
+    budget: ByteBudget
+    on_withdrawn: Callable[[Request], None]
+    limits: PipelineLimits = PipelineLimits()
+    totals: EarlyTotals = field(default_factory=EarlyTotals)
+
+
+class EarlyChannel:
+    """Takes the place of the connection for a request that is not its turn.
+
+    It has the methods of ``Channel`` that request handlers use. The answer is
+    kept in parts, since its framing depends on whether it is the last one of
+    the connection.
+    """
+
+    __slots__ = ('_message', 'answer', 'closed', 'size')
+
+    def __init__(self, message: list[Part]) -> None:
+        """Create a channel from which the rest of a message can be read."""
+        self._message = deque(message)
+        self.answer: list[Part] = []
+        self.closed = False
+        # Bytes of the answer without its framing.
+        self.size = 0
+
+    async def next_event(
+        self, before_wait: Callable[[], None] | None = None
+    ) -> Part:
+        """Return the next part of the message, which has arrived whole."""
+        return self._message.popleft() if self._message else EndOfMessage()
+
+    def send(self, event: Part) -> None:
+        """Keep one part of the answer."""
+        match event:
+            case Response(headers=headers):
+                self.size += sum(
+                    len(name) + len(text) for name, text in headers
+                )
+            case Data(data=chunk):
+                self.size += len(chunk)
+        self.answer.append(event)
+
+    def flush(self) -> None:
+        """Keep all parts until the turn of the request."""
+
+    async def drain(self) -> None:
+        """Return at once, as the answer is kept in any case."""
+
+
+class EarlyRun(EarlyRequest, eq=False, kw_only=True):
+    """An early request while it is served."""
+
+    request: Request
+    channel: EarlyChannel
+    task: asyncio.Task[None] | None = None
+
+
+class ReadAhead:
+    """Begins requests of one connection early, and keeps their answers."""
+
+    __slots__ = (
+        '_channel',
+        '_current',
+        '_hooks',
+        '_is_draining',
+        '_pipeline',
+        '_serve',
+    )
+
+    def __init__(
+        self,
+        channel: Channel,
+        serve: RequestHandler,
+        hooks: ReadAheadHooks,
+        is_draining: Callable[[], bool],
+    ) -> None:
+        """Attach to the server's end of a connection."""
+        self._channel = channel
+        self._serve = serve
+        self._hooks = hooks
+        self._is_draining = is_draining
+        self._pipeline = Pipeline(hooks.limits, hooks.totals)
+        self._current: Request | None = None
+        channel.on_further = self._begin_further
+        channel.on_closed = self.close
+
+    async def async_wait_writable(self, idle_s: float) -> bool:
+        """Wait until the caller has read most of the answers sent to it.
+
+        Return False if the caller has left, or has read nothing for ``idle_s``
+        seconds.
+        """
+        channel = self._channel
+        while channel.is_writing_paused and not channel.closed:
+            unread = channel.transport.get_write_buffer_size()
+            try:
+                async with asyncio.timeout(idle_s):
+                    await channel.drain()
+            except TimeoutError:
+                if channel.transport.get_write_buffer_size() >= unread:
+                    channel.abort()
+        return not channel.closed
+
+    async def async_take_turn(self, request: Request) -> None:
+        """Serve the next request of the connection in its turn."""
+        self._current = request
+        early = self._pipeline.start_turn()
+        if early is None:
+            await self._async_serve_now(request)
+        else:
+            await self._async_deliver(early)
+
+    def close(self) -> None:
+        """Begin nothing more, and withdraw all early requests."""
+        self._pipeline.close()
+        self._withdraw()
+
+    async def _async_serve_now(self, request: Request) -> None:
+        is_last = self._pipeline.is_last_turn(is_draining=self._is_draining())
+        self._channel.is_last_response = is_last
+        await self._serve(request, self._channel)
+
+    async def _async_deliver(self, early: EarlyRun) -> None:
+        """Send the answer of an early request once it is there."""
+        self._channel.http.skip_body()
+        self._begin_further()
+        try:
+            await early.task
+        finally:
+            self._hooks.budget.release(early.held_bytes)
+        is_last = self._pipeline.is_last_turn(is_draining=self._is_draining())
+        self._channel.is_last_response = is_last
+        for part in early.channel.answer:
+            self._channel.send(part)
+
+    def _begin_further(self) -> None:
+        """Begin all requests that may begin early now."""
+        while self._is_open():
+            message = self._channel.http.message_ahead(self._pipeline.depth)
+            if message is None or not self._may_begin(message[0]):
+                return
+            self._begin(message)
+
+    def _is_open(self) -> bool:
+        channel = self._channel
+        is_last = channel.is_last_response or self._is_draining()
+        if is_last or channel.closed or channel.is_writing_paused:
+            return False
+        return channel.http.our_state is not State.CLOSING
+
+    def _may_begin(self, request: Request) -> bool:
+        may_repeat = self._hooks.may_repeat
+        is_allowed = self._pipeline.may_begin(
+            is_current_idempotent=may_repeat(self._current),
+            is_idempotent=may_repeat(request),
+        )
+        return is_allowed and self._hooks.budget.has_room()
+
+    def _begin(self, message: list[Part]) -> None:
+        request, *rest = message
+        early = EarlyRun(request=request, channel=EarlyChannel(rest))
+        self._pipeline.begin(early)
+        loop = asyncio.get_running_loop()
+        early.task = loop.create_task(self._async_run(early))
+
+    async def _async_run(self, early: EarlyRun) -> None:
+        if not self._hooks.may_repeat(early.request):
+            # Its route has changed since it was chosen.
+            self._withdraw(early)
+            if early.request is not self._current:
+                return
+        await self._serve(early.request, early.channel)
+        size = early.channel.size
+        if self._pipeline.keep_answer(early, size):
+            self._hooks.budget.hold(size)
+
+    def _withdraw(self, first: EarlyRun | None = None) -> None:
+        for early in self._pipeline.withdraw(first):
+            self._hooks.budget.release(early.held_bytes)
+            if early is not first:
+                early.task.cancel()
+                self._hooks.on_withdrawn(early.request)
--- a/plantaingrade/http/reader.py
+++ b/plantaingrade/http/reader.py
@@ -48,8 +48,10 @@
     """
 
     __slots__ = (
+        '_arrived',
         '_ends_at_close',
         '_error',
+        '_has_ended_message',
         '_head_size',
         '_headers',
         '_in_head',
@@ -72,7 +74,10 @@
         self._ends_at_close = False
         self._in_head = False
         self._in_message = False
+        # Whether a message has ended in the bytes that are being parsed.
+        self._has_ended_message = False
         self._head_size = 0
+        self._arrived = 0.0
         self._headers: list[tuple[bytes, bytes]] = []
         self._target = b''
         self.parts: deque[Part] = deque()
@@ -86,10 +91,12 @@
         is_empty = not self.parts and not self._in_message
         return is_empty and self._error is None
 
-    def feed(self, chunk: bytes) -> None:
-        """Parse bytes."""
+    def feed(self, chunk: bytes, at: float = 0.0) -> None:
+        """Parse bytes that arrived at the given time."""
         if self._error is not None or self._is_stopped:
             return
+        self._arrived = at
+        self._has_ended_message = False
         try:
             self._parser.feed_data(chunk)
         except HttpParserUpgrade:
@@ -151,6 +158,7 @@
     def on_message_complete(self) -> None:
         """Append the end of the message."""
         self._in_message = False
+        self._has_ended_message = True
         self.parts.append(EndOfMessage())
 
     def _make_parser(self) -> HttpRequestParser | HttpResponseParser:
@@ -181,7 +189,9 @@
             )
 
     def _check_size(self, added: int) -> None:
-        if not self._in_head:
+        # Where a head begins behind another message is not known, so it counts
+        # from the next bytes on.
+        if not self._in_head or self._has_ended_message:
             self._head_size = 0
             return
         self._head_size += added
@@ -201,7 +211,13 @@
 class RequestReader(Reader):
     """Parser of the requests of a caller."""
 
-    __slots__ = ()
+    __slots__ = ('unanswered',)
+
+    def __init__(self, max_head_bytes: int) -> None:
+        """Create a parser of a connection without requests."""
+        super().__init__(max_head_bytes)
+        # Requests that were parsed and whose response is not complete.
+        self.unanswered = 0
 
     def on_url(self, target: bytes) -> None:
         """Append a part of the request target."""
@@ -217,7 +233,16 @@
         if hosts > 1 or (not hosts and self.version == '1.1'):
             raise RemoteProtocolError('Missing or repeated Host header.')
         method = self._parser.get_method()
-        self.parts.append(Request(method, self._target, tuple(self._headers)))
+        self.parts.append(
+            Request(
+                method,
+                self._target,
+                tuple(self._headers),
+                self._arrived,
+                self.unanswered,
+            )
+        )
+        self.unanswered += 1
 
 
 class ResponseReader(Reader):
--- a/plantaingrade/http/server.py
+++ b/plantaingrade/http/server.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from plantaingrade.clock import Clock
 from plantaingrade.http.channel import Channel, ChannelClosedError
-from plantaingrade.http.connection import NEED_DATA
 from plantaingrade.http.const import CALLER_IDLE_S
 from plantaingrade.http.messages import (
     LocalProtocolError,
@@ -15,8 +14,12 @@
     Role,
     State,
 )
+from plantaingrade.http.read_ahead import (
+    ReadAhead,
+    ReadAheadHooks,
+    RequestHandler,
+)
 
-RequestHandler = Callable[[Request, Channel], Awaitable[None]]
 ProtocolErrorHandler = Callable[[Channel, RemoteProtocolError], None]
 # The logger of the standard library, since importing absl takes 10 ms of CPU
 # time at start. Only bugs of the program are logged here.
@@ -31,6 +34,7 @@
         '_channels',
         '_clock',
         '_on_protocol_error',
+        '_read_ahead_hooks',
         '_serve_request',
         '_server',
         '_tasks',
@@ -44,13 +48,16 @@
         serve: RequestHandler,
         on_protocol_error: ProtocolErrorHandler,
         idle_s: float = CALLER_IDLE_S,
+        read_ahead: ReadAheadHooks | None = None,
     ) -> None:
         """Create a server that passes requests to ``serve``.
 
         A connection that receives no request for ``idle_s`` is closed. After a
         message that cannot be parsed ``on_protocol_error`` is called and the
-        connection is closed.
+        connection is closed. With ``read_ahead`` idempotent requests begin
+        before those ahead of them on their connection are answered.
         """
+        self._read_ahead_hooks = read_ahead
         self.idle_s = idle_s
         self._clock = clock
         self._serve_request = serve
@@ -69,7 +76,9 @@
     @property
     def active_requests(self) -> int:
         """Return the number of requests in progress."""
-        return self._active_requests
+        hooks = self._read_ahead_hooks
+        early = 0 if hooks is None else hooks.totals.requests
+        return self._active_requests + early
 
     @property
     def connections(self) -> int:
@@ -109,9 +118,20 @@
                 'Unexpected error on a connection', exc_info=task.exception()
             )
 
+    def _make_read_ahead(self, channel: Channel) -> ReadAhead | None:
+        if self._read_ahead_hooks is None:
+            return None
+        return ReadAhead(
+            channel,
+            self._serve_request,
+            self._read_ahead_hooks,
+            lambda: self.is_draining,
+        )
+
     async def _serve(self, channel: Channel) -> None:
+        ahead = self._make_read_ahead(channel)
         try:
-            while await self._serve_one(channel):
+            while await self._serve_one(channel, ahead):
                 channel.http.start_next_cycle()
         except (ChannelClosedError, LocalProtocolError):
             channel.abort()
@@ -120,10 +140,17 @@
         except RemoteProtocolError as error:
             self._on_protocol_error(channel, error)
         finally:
-            channel.close()
-            self._channels.discard(channel)
+            self._close(channel, ahead)
+
+    def _close(self, channel: Channel, ahead: ReadAhead | None) -> None:
+        if ahead is not None:
+            ahead.close()
+        channel.close()
+        self._channels.discard(channel)
 
-    async def _serve_one(self, channel: Channel) -> bool:
+    async def _serve_one(
+        self, channel: Channel, ahead: ReadAhead | None
+    ) -> bool:
         """Serve one request, and return whether another one may follow."""
         try:
             async with asyncio.timeout(self.idle_s):
@@ -132,23 +159,29 @@
             return False
         if not isinstance(event, Request):
             return False
+        if ahead is not None and not await ahead.async_wait_writable(
+            self.idle_s
+        ):
+            return False
         channel.cancel_on_close(asyncio.current_task())
-        channel.is_last_response = self.is_draining
         self._active_requests += 1
         try:
-            await self._serve_request(event, channel)
+            await self._serve_turn(event, channel, ahead)
         finally:
             self._active_requests -= 1
             channel.cancel_on_close(None)
-        await self._skip_body(channel)
-        done = channel.http.our_state is State.DONE
-        return done and channel.http.their_state is State.DONE
-
-    async def _skip_body(self, channel: Channel) -> None:
         # A rejected request may have an unread body. Only bytes that have
         # already arrived are skipped; if more are due, the connection is
         # closed after the response.
-        while channel.http.their_state is State.BODY:
-            event = channel.http.next_event()
-            if event is NEED_DATA:
-                return
+        channel.http.skip_body()
+        done = channel.http.our_state is State.DONE
+        return done and channel.http.their_state is State.DONE
+
+    async def _serve_turn(
+        self, request: Request, channel: Channel, ahead: ReadAhead | None
+    ) -> None:
+        if ahead is not None:
+            await ahead.async_take_turn(request)
+            return
+        channel.is_last_response = self.is_draining
+        await self._serve_request(request, channel)
--- a/plantaingrade/platform/headers.py
+++ b/plantaingrade/platform/headers.py
@@ -80,6 +80,7 @@
         body=body,
         arrived=arrived,
         deadline=arrived + _deadline_s(text_by_name.get(HEADER_DEADLINE)),
+        ahead=raw.ahead,
     )
 
 
--- a/plantaingrade/requests/bodies.py
+++ b/plantaingrade/requests/bodies.py
@@ -22,6 +22,18 @@
         self._limit = limit
         self.used_bytes = 0
 
+    def has_room(self) -> bool:
+        """Return whether the budget is not used up."""
+        return self.used_bytes < self._limit
+
+    def hold(self, size: int) -> None:
+        """Count bytes that are held besides bodies."""
+        self.used_bytes += size
+
+    def release(self, size: int) -> None:
+        """Count bytes of ``hold`` that are not held any more."""
+        self.used_bytes -= size
+
     @asynccontextmanager
     async def read_body(
         self, channel: Channel, max_bytes: int | None
--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -8,8 +8,10 @@
 from plantaingrade.admission.service_retries import ServiceRetryBudget
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
+from plantaingrade.config.entity import Route
 from plantaingrade.const import MS_PER_S
 from plantaingrade.eventlog import EventLog
+from plantaingrade.http.messages import Request
 from plantaingrade.peers.entity import Member
 from plantaingrade.requests.const import (
     CALLER_NETWORK_S,
@@ -149,11 +151,21 @@
         self._report(progress, outcome)
         return outcome
 
+    def may_repeat(self, raw: Request) -> bool:
+        """Return whether a request is idempotent by its route."""
+        host = dict(raw.headers).get(b'host', b'')
+        route = self._find_route(host, raw.target)
+        return route is not None and route.is_idempotent
+
+    def _find_route(self, raw_host: bytes, target: bytes) -> Route | None:
+        routes = self._config.routes
+        host = raw_host.decode('ascii', 'replace')
+        path = target.split(b'?', 1)[0].decode('ascii', 'replace')
+        return routes.find(host, path) if routes else None
+
     def _route(self, caller: CallerRequest) -> RoutedRequest | None:
         routes = self._config.routes
-        host = caller.host.decode('ascii', 'replace')
-        path = caller.target.split(b'?', 1)[0].decode('ascii', 'replace')
-        route = routes.find(host, path) if routes else None
+        route = self._find_route(caller.host, caller.target)
         if route is None:
             return None
         deadline_ms = round((caller.deadline - caller.arrived) * MS_PER_S)
@@ -293,6 +305,8 @@
             status = outcome.answer.status
         else:
             reason = outcome.reason.value
+        ahead = routed.caller.ahead
+        pipelined = {'ahead': ahead} if ahead else {}
         self._log.write(
             'request',
             id=routed.caller.request_id.decode('ascii', 'replace'),
@@ -306,4 +320,5 @@
             ms=round(took_s * MS_PER_S, 1),
             config=self._config.version,
             map=self._targets.map_version(routed.service),
+            **pipelined,
         )
--- a/plantaingrade/requests/entity.py
+++ b/plantaingrade/requests/entity.py
@@ -52,7 +52,8 @@
 
     ``key`` is the key whose owner must run the request, if it names one;
     ``headers`` are the headers that are forwarded unchanged; ``deadline`` is
-    when the caller stops waiting.
+    when the caller stops waiting; ``ahead`` is the number of requests of its
+    connection that were not answered when it was read.
     """
 
     request_id: bytes
@@ -64,6 +65,7 @@
     body: bytes
     arrived: float
     deadline: float
+    ahead: int = 0
 
 
 class RoutedRequest(Struct, frozen=True):
--- a/plantaingrade/sidecar/endpoints.py
+++ b/plantaingrade/sidecar/endpoints.py
@@ -101,7 +101,7 @@
         '_coordinator',
         '_decode',
         '_answer_headers',
-        '_buffer_budget',
+        'buffer_budget',
         'is_closed',
         'limits',
     )
@@ -114,7 +114,7 @@
         clock: Clock,
     ) -> None:
         """Serve requests with a coordinator."""
-        self._buffer_budget = BufferBudget()
+        self.buffer_budget = BufferBudget()
         self.is_closed = False
         self._coordinator = coordinator
         self._decode = decode
@@ -124,14 +124,14 @@
 
     async def async_handle(self, raw: Request, channel: Channel) -> None:
         """Serve one request."""
-        arrived = self._clock.now()
+        arrived = raw.arrived or self._clock.now()
         refused = self._refuse_by_length(raw)
         if refused:
             send_answer(channel, Answer(refused, (), b''))
             return
         limit = None if self.limits is None else self.limits.max_body_bytes
         try:
-            async with self._buffer_budget.read_body(channel, limit) as body:
+            async with self.buffer_budget.read_body(channel, limit) as body:
                 caller = self._decode(raw, body, arrived)
                 await self._async_answer(caller, channel)
         except BodyTooLongError:
--- a/plantaingrade/sidecar/gauges.py
+++ b/plantaingrade/sidecar/gauges.py
@@ -8,6 +8,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.holds.registry import Registry
+from plantaingrade.http.pipeline import EarlyTotals
 from plantaingrade.requests.server_path import ServerPath
 from plantaingrade.sidecar.metrics import Metrics
 
@@ -20,12 +21,14 @@
     config: ConfigFollower
     registry: Registry
     server_path: ServerPath
+    early: EarlyTotals
     clock: Clock
 
 
 def register_gauges(metrics: Metrics, parts: GaugeSources) -> None:
     """Register the gauges of a process."""
     _register_limits(metrics, parts.queue.limits, parts.clock)
+    _register_read_ahead(metrics, parts.early)
     queue, registry, clock = parts.queue, parts.registry, parts.clock
     register = metrics.register_gauge
     register('slots_running', 'Requests at the server.', lambda: queue.running)
@@ -52,6 +55,20 @@
     )
 
 
+def _register_read_ahead(metrics: Metrics, early: EarlyTotals) -> None:
+    register = metrics.register_gauge
+    register(
+        'requests_read_ahead',
+        'Pipelined requests that began before their turn.',
+        lambda: early.requests,
+    )
+    register(
+        'answers_held_bytes',
+        'Bytes of answers to pipelined requests whose turn is not yet.',
+        lambda: early.held_bytes,
+    )
+
+
 def _register_limits(
     metrics: Metrics, limits: ServerLimits, clock: Clock
 ) -> None:
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -18,7 +18,6 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator, MemberLinks
 from plantaingrade.http.pool import split_address
-from plantaingrade.http.server import HttpServer, RequestHandler
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.operators.api import OperatorApi
 from plantaingrade.peers.calls import PeerCalls
@@ -40,7 +39,6 @@
     CONFIG_POLL_S,
     FINISH_FRACTION,
     INITIAL_SLOTS,
-    INTERNAL_IDLE_S,
 )
 from plantaingrade.sidecar.control import ControlHandler
 from plantaingrade.sidecar.endpoints import (
@@ -49,12 +47,13 @@
     PeerEndpoint,
     ReadinessEndpoint,
     ReportEndpoint,
-    refuse_malformed,
 )
 from plantaingrade.sidecar.evacuation import ServerEvacuation
 from plantaingrade.sidecar.gauges import GaugeSources, register_gauges
+from plantaingrade.sidecar.http_servers import HttpServers
 from plantaingrade.sidecar.metrics import Metrics
 from plantaingrade.sidecar.pools import Pools
+from plantaingrade.sidecar.read_ahead import make_read_ahead
 from plantaingrade.sidecar.server_watch import (
     IncarnationHooks,
     OwnServer,
@@ -87,7 +86,7 @@
         self._clock = clock
         self._log = log
         self._tasks: set[asyncio.Task[None]] = set()
-        self._servers: list[HttpServer] = []
+        self._servers = HttpServers(clock)
         self._is_shutting_down = False
         self._build_state()
         self._build_paths()
@@ -112,8 +111,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for server in self._servers:
-            await server.async_close()
+        await self._servers.async_close()
         self._peers.endpoint.close()
         self._orders.close()
         self._pools.close()
@@ -128,8 +126,7 @@
     async def async_shut_down(self) -> None:
         """Shut down within the platform's grace period."""
         self._is_shutting_down = True
-        for server in self._servers:
-            server.end_connections()
+        self._servers.end_connections()
         await self._shutdown.async_run()
 
     @property
@@ -140,7 +137,7 @@
     @property
     def busy(self) -> int:
         """Return how many requests are being served."""
-        return sum(server.active_requests for server in self._servers)
+        return self._servers.busy
 
     def _build_state(self) -> None:
         settings = self._settings
@@ -330,6 +327,12 @@
             self._adapter.answer_headers,
             self._clock,
         )
+        self._read_ahead = make_read_ahead(
+            self._requests,
+            self._caller_endpoint.buffer_budget,
+            self._adapter.decode_request,
+            self._log,
+        )
         self._operators = OperatorApi(
             self._own,
             self._directory,
@@ -374,6 +377,7 @@
                 self._config,
                 self.holds.registry,
                 self._server_path,
+                self._read_ahead.totals,
                 self._clock,
             ),
         )
@@ -391,13 +395,15 @@
 
     async def _async_listen(self) -> None:
         listeners = self._settings.listeners
-        self._caller_server = await self._async_serve(
-            listeners.callers, self._caller_endpoint.async_handle
+        caller_server = await self._servers.async_listen(
+            listeners.callers,
+            self._caller_endpoint.async_handle,
+            self._read_ahead,
         )
         applier = ConfigApplier(
             self._own.service,
             self._settings.bounds,
-            self._caller_server,
+            caller_server,
             self._caller_endpoint,
             self._limits.cold,
         )
@@ -410,19 +416,9 @@
             listeners.metrics: self._metrics_endpoint.async_handle,
         }
         for address, serve in serve_by_address.items():
-            await self._async_serve(address, serve)
+            await self._servers.async_listen(address, serve)
         await self._peers.endpoint.async_open(*split_address(peers_bind))
 
-    async def _async_serve(
-        self, address: str, serve: RequestHandler
-    ) -> HttpServer:
-        server = HttpServer(
-            self._clock, serve, refuse_malformed, INTERNAL_IDLE_S
-        )
-        await server.async_listen(*split_address(address))
-        self._servers.append(server)
-        return server
-
     def _start(self, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -28,6 +28,20 @@
 
 
 GUARDS = (
+    Guard(
+        'a request that runs at most once does not begin before its turn',
+        'plantaingrade/http/pipeline.py',
+        'if self._is_closed or not (is_current_idempotent and is_idempotent):',
+        'if self._is_closed:',
+        'tests/http/test_pipeline.py tests/http/test_read_ahead.py',
+    ),
+    Guard(
+        'nothing begins behind an answer that closes its connection',
+        'plantaingrade/http/read_ahead.py',
+        'is_last = channel.is_last_response or self._is_draining()',
+        'is_last = False',
+        'tests/http/test_read_ahead.py',
+    ),
     Guard(
         'a witness does not renew a lease that it reported lapsed',
         'plantaingrade/leases/witness.py',
