--- a/plantaingrade/http/read_ahead.py
+++ b/plantaingrade/http/read_ahead.py
@@ -133,6 +133,11 @@
         channel.on_further = self._begin_further
         channel.on_closed = self.close
 
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the caller is there and reads its answers."""
+        return not (self._channel.closed or self._channel.is_writing_paused)
+
     async def async_wait_writable(self, idle_s: float) -> bool:
         """Wait until the caller has read most of the answers sent to it.
 
@@ -150,27 +155,13 @@
                     channel.abort()
         return not channel.closed
 
-    async def async_take_turn(self, request: Request) -> None:
-        """Serve the next request of the connection in its turn."""
+    def start_turn(self, request: Request) -> EarlyRun | None:
+        """Make a request the current one; return its run if it has begun."""
         self._current = request
-        early = self._pipeline.start_turn()
-        if early is None:
-            await self._async_serve_now(request)
-        else:
-            await self._async_deliver(early)
-
-    def close(self) -> None:
-        """Begin nothing more, and withdraw all early requests."""
-        self._pipeline.close()
-        self._withdraw()
-
-    async def _async_serve_now(self, request: Request) -> None:
-        is_last = self._pipeline.is_last_turn(is_draining=self._is_draining())
-        self._channel.is_last_response = is_last
-        await self._serve(request, self._channel)
+        return self._pipeline.start_turn()
 
-    async def _async_deliver(self, early: EarlyRun) -> None:
-        """Send the answer of an early request once it is there."""
+    async def async_deliver(self, early: EarlyRun) -> None:
+        """Send the answer of the current request once it is there."""
         self._channel.http.skip_body()
         self._begin_further()
         try:
@@ -182,6 +173,11 @@
         for part in early.channel.answer:
             self._channel.send(part)
 
+    def close(self) -> None:
+        """Begin nothing more, and withdraw all early requests."""
+        self._pipeline.close()
+        self._withdraw()
+
     def _begin_further(self) -> None:
         """Begin all requests that may begin early now."""
         while self._is_open():
--- a/plantaingrade/http/server.py
+++ b/plantaingrade/http/server.py
@@ -159,10 +159,9 @@
             return False
         if not isinstance(event, Request):
             return False
-        if ahead is not None and not await ahead.async_wait_writable(
-            self.idle_s
-        ):
-            return False
+        if ahead is not None and not ahead.is_ready:
+            if not await ahead.async_wait_writable(self.idle_s):
+                return False
         channel.cancel_on_close(asyncio.current_task())
         self._active_requests += 1
         try:
@@ -180,8 +179,9 @@
     async def _serve_turn(
         self, request: Request, channel: Channel, ahead: ReadAhead | None
     ) -> None:
-        if ahead is not None:
-            await ahead.async_take_turn(request)
+        early = None if ahead is None else ahead.start_turn(request)
+        if early is not None:
+            await ahead.async_deliver(early)
             return
         channel.is_last_response = self.is_draining
         await self._serve_request(request, channel)
