Pipelining: of many requests that arrive at once only some are parsed

Cause: a read of 256 KB was parsed whole, and a parsed request takes about ten times the memory of its bytes where these are few.

Weighed: a smaller read of the socket (asyncio fixes it); stopping the parser at the end of a message (httptools cannot). Chosen: bytes go to the parser in pieces of 16 KB while it holds fewer than 128 parts. A client parses all, since it must see bytes behind a response.

--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -33,6 +33,7 @@
     Role,
     State,
 )
+from plantaingrade.http.unparsed import UnparsedBytes
 from plantaingrade.http.writer import CLOSE_HEADER
 
 MAX_UNSENT_CHUNKS = 4
@@ -57,6 +58,7 @@
         '_clock',
         '_paused',
         '_request_task',
+        '_unparsed',
         '_unread',
         '_unsent',
         '_wakeup',
@@ -80,6 +82,7 @@
         self._clock = clock
         self.last_byte_at = clock.now()
         self._unread = 0
+        self._unparsed = UnparsedBytes(self.http)
         self._unsent: list[bytes] = []
         self._paused = False
         self._wakeup: asyncio.Future[None] | None = None
@@ -99,7 +102,7 @@
         self.last_byte_at = self._clock.now()
         self._unread += len(data)
         if not self.closed:
-            self.http.receive(data, self.last_byte_at)
+            self._unparsed.receive(data, self.last_byte_at)
         limit = MAX_UNREAD_BYTES
         if self.on_further is not None and self.http.has_message_ahead:
             limit = MAX_FURTHER_BYTES
@@ -275,7 +278,11 @@
 
     def _parse(self) -> Any:
         try:
-            return self.http.next_event()
+            event = self.http.next_event()
+            if event is NEED_DATA:
+                self._unparsed.parse_more()
+                event = self.http.next_event()
+            return event
         except RemoteProtocolError as error:
             if self.http.role is Role.SERVER:
                 raise
@@ -285,9 +292,11 @@
 
     def _check_further(self, event: Any) -> None:
         is_end = isinstance(event, EndOfMessage)
-        if self.on_further is not None and is_end:
-            if self.http.has_message_ahead:
-                self.on_further()
+        if self.on_further is None or not is_end:
+            return
+        self._unparsed.parse_more()
+        if self.http.has_message_ahead:
+            self.on_further()
 
     def _mark_closed(self) -> None:
         if self.closed:
--- a/plantaingrade/http/connection.py
+++ b/plantaingrade/http/connection.py
@@ -79,6 +79,11 @@
         """
         return self.their_state is State.DONE and bool(self._reader.parts)
 
+    @property
+    def parsed_parts(self) -> int:
+        """Return how many parts were parsed and not consumed."""
+        return len(self._reader.parts)
+
     def receive(self, chunk: bytes, at: float = 0.0) -> None:
         """Parse bytes from the peer; empty bytes mean end of file.
 
--- a/plantaingrade/http/const.py
+++ b/plantaingrade/http/const.py
@@ -4,6 +4,9 @@
 MAX_UNREAD_BYTES = 262_144
 # Of requests behind the current one.
 MAX_FURTHER_BYTES = 65_536
+# A request in the parser takes some times the memory of its bytes.
+MAX_PARSED_PARTS = 128
+PARSED_AT_ONCE_BYTES = 16_384
 CONNECT_TIMEOUT_S = 0.5
 MAX_IDLE_S = 2.0
 MAX_IDLE_PER_ADDRESS = 100
--- a/tests/http/test_read_ahead.py
+++ b/tests/http/test_read_ahead.py
@@ -81,6 +81,11 @@
         for path in paths:
             self.may_end[path].set()
 
+    def parsed_parts(self) -> int:
+        """Return how many parts of messages were parsed and not consumed."""
+        channels = self.server._channels
+        return sum(channel.http.parsed_parts for channel in channels)
+
     async def async_read(self, count: int = 1) -> list[str]:
         """Return the bodies of the next answers."""
         return [await self._async_read_one() for _ in range(count)]
@@ -378,6 +383,7 @@
         assert rig.most_running == MAX_EARLY + 1
         grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         assert grown_kb - before_kb < 8192
+        assert rig.parsed_parts() < 2000
         reader, writer = await rig.async_open()
         writer.write(raw_request('o1'))
         rig.end('o1')
