Pipelining: an early channel answers for its connection; fewer calls a request

An early request's channel tells the caller's address and whether it has left, and has no unsent bytes: the handler of callers asks for these once held bytes are counted by caller (methods of Channel of that part, called by nobody before it). The log event is early-request-withdrawn, since request-withdrawn is the name of another decision.

--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -159,7 +159,8 @@
         while True:
             event = self._parse()
             if event is not NEED_DATA:
-                self._check_further(event)
+                if isinstance(event, EndOfMessage):
+                    self._check_further()
                 return event
             if self.closed:
                 raise ChannelClosedError('Connection closed by the peer.')
@@ -279,8 +280,7 @@
     def _parse(self) -> Any:
         try:
             event = self.http.next_event()
-            if event is NEED_DATA:
-                self._unparsed.parse_more()
+            if event is NEED_DATA and self._unparsed.parse_more():
                 event = self.http.next_event()
             return event
         except RemoteProtocolError as error:
@@ -290,9 +290,8 @@
                 'Invalid or incomplete response.'
             ) from error
 
-    def _check_further(self, event: Any) -> None:
-        is_end = isinstance(event, EndOfMessage)
-        if self.on_further is None or not is_end:
+    def _check_further(self) -> None:
+        if self.on_further is None:
             return
         self._unparsed.parse_more()
         if self.http.has_message_ahead:
--- a/plantaingrade/http/read_ahead.py
+++ b/plantaingrade/http/read_ahead.py
@@ -62,15 +62,31 @@
     the connection.
     """
 
-    __slots__ = ('_message', 'answer', 'closed', 'size')
+    __slots__ = ('_channel', '_message', 'answer', 'size', 'unsent_bytes')
 
-    def __init__(self, message: list[Part]) -> None:
+    def __init__(self, channel: Channel, message: list[Part]) -> None:
         """Create a channel from which the rest of a message can be read."""
+        self._channel = channel
         self._message = deque(message)
         self.answer: list[Part] = []
-        self.closed = False
         # Bytes of the answer without its framing.
         self.size = 0
+        # The answer is kept, and nothing of it waits for the caller.
+        self.unsent_bytes = 0
+
+    @property
+    def closed(self) -> bool:
+        """Return whether the connection is closed."""
+        return self._channel.closed
+
+    @property
+    def remote(self) -> tuple[str, int]:
+        """Return the address and port of the caller."""
+        return self._channel.remote
+
+    def is_peer_gone(self) -> bool:
+        """Return whether the caller has closed or reset the connection."""
+        return self._channel.is_peer_gone()
 
     async def next_event(
         self, before_wait: Callable[[], None] | None = None
@@ -203,7 +219,9 @@
 
     def _begin(self, message: list[Part]) -> None:
         request, *rest = message
-        early = EarlyRun(request=request, channel=EarlyChannel(rest))
+        early = EarlyRun(
+            request=request, channel=EarlyChannel(self._channel, rest)
+        )
         self._pipeline.begin(early)
         loop = asyncio.get_running_loop()
         early.task = loop.create_task(self._async_run(early))
--- a/plantaingrade/http/unparsed.py
+++ b/plantaingrade/http/unparsed.py
@@ -37,7 +37,13 @@
             self._pieces.append((piece, arrived))
         self.parse_more()
 
-    def parse_more(self) -> None:
-        """Parse further bytes if the parser may hold more."""
+    def parse_more(self) -> bool:
+        """Parse further bytes if the parser may hold more.
+
+        Return whether any were left to parse.
+        """
+        if not self._pieces:
+            return False
         while self._pieces and self._http.parsed_parts < MAX_PARSED_PARTS:
             self._http.receive(*self._pieces.popleft())
+        return True
--- a/plantaingrade/sidecar/read_ahead.py
+++ b/plantaingrade/sidecar/read_ahead.py
@@ -21,7 +21,9 @@
 
     def on_withdrawn(raw: Request) -> None:  # noqa: WPS430
         log.write(
-            'request-withdrawn', id=_request_id(raw, decode), ahead=raw.ahead
+            'early-request-withdrawn',
+            id=_request_id(raw, decode),
+            ahead=raw.ahead,
         )
 
     return ReadAheadHooks(coordinator.may_repeat, budget, on_withdrawn)
