Reading: queries and desired states of operators in modules of their own

Queries and desired states are modules now; the API is built from the state of one process by from_state.

--- a/plantaingrade/sidecar/control.py
+++ b/plantaingrade/sidecar/control.py
@@ -10,6 +10,7 @@
 from plantaingrade.peers.coordinator import PeerCoordinator
 from plantaingrade.peers.map_follower import HEADER_VERSION, PATH_MAP
 from plantaingrade.requests.entity import Answer
+from plantaingrade.store.interface import Store
 from plantaingrade.store.relay import RelayHandler
 
 STATUS_OK = 200
@@ -35,7 +36,7 @@
         holds: HoldCoordinator,
         balance: BalanceCoordinator,
         config: ConfigFollower,
-        store_relay: RelayHandler,
+        store: Store,
         operators: OperatorApi,
     ) -> None:
         """Handle requests with the parts of the process."""
@@ -43,7 +44,7 @@
         self._holds = holds
         self._balance = balance
         self._config = config
-        self._store_relay = store_relay
+        self._store_relay = RelayHandler(store)
         self._operators = operators
 
     async def async_handle(self, raw: Request, body: bytes) -> Answer:
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -21,6 +21,7 @@
 from plantaingrade.http.server import HttpServer, RequestHandler
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.operators.api import OperatorApi
+from plantaingrade.operators.queries import LocalState
 from plantaingrade.peers.calls import PeerCalls
 from plantaingrade.peers.coordinator import PeerCoordinator, PeerHooks
 from plantaingrade.peers.directory import Directory
@@ -62,7 +63,7 @@
 )
 from plantaingrade.sidecar.settings import InstanceSettings, ProcessOptions
 from plantaingrade.sidecar.shutdown import GracefulShutdown
-from plantaingrade.store.relay import RelayedStore, RelayHandler
+from plantaingrade.store.relay import RelayedStore
 
 BOOT_BYTES = 4
 _LOGGER = logging.getLogger(__name__)
@@ -193,7 +194,7 @@
             self._loads,
             PeerHooks(
                 self._service_names,
-                lambda desired: self._operators.apply_desired_state(desired),
+                lambda desired: self._operators.desired_states.apply(desired),
                 lambda digests: self._server_path.record_crash(digests),
                 lambda kind, priority: self._server_path.free_capacity(
                     kind, priority
@@ -330,21 +331,21 @@
             self._adapter.answer_headers,
             self._clock,
         )
-        self._operators = OperatorApi(
-            self._own,
-            self._directory,
-            self._maps,
-            self._loads,
-            self._config,
+        self._operators = OperatorApi.from_state(
+            LocalState(
+                self._own,
+                self._directory,
+                self._maps,
+                self._loads,
+                self._config,
+                self._clock,
+            ),
             self.holds,
             self._calls,
             self._direct_store,
-            self._clock,
-        )
-        self._operators.set_desired_state_callback(
-            self._server_evacuation.on_desired_state
+            lambda: self._tracker.current,
+            self._server_evacuation.on_desired_state,
         )
-        self._operators.set_incarnation_source(lambda: self._tracker.current)
         self._peer_endpoint = PeerEndpoint(
             self._settings.service,
             self._server_path,
@@ -355,7 +356,7 @@
                 self.holds,
                 self._balance,
                 self._config,
-                RelayHandler(self._direct_store),
+                self._direct_store,
                 self._operators,
             ).async_handle,
             self._balance.load,
@@ -486,7 +487,7 @@
         self._log.write('store-epoch', epoch=epoch, before=before)
         if self._peers.has_joined:
             self._start(self._peers.async_begin_epoch())
-            self._start(self._operators.async_restore_desired_states())
+            self._start(self._operators.desired_states.async_restore_all())
 
     def _on_joined(self) -> None:
         self._start(self._peers.async_introduce())
