A server that starts beside a running process gets all its slots

Callers of a server that had just started again waited, though it named no limit: until its first response it got two requests and one more each quarter of a second. That bound is for a process that has just started, which cannot know what its predecessor was told. It began anew with each incarnation of the server.

An incarnation that begins beside a running process has told nothing to anybody else, as all its responses pass through this process. So the bound applies where no response to a request has arrived yet at this process, where the last one named a limit, or where it named one that cannot be read: then an incarnation that was taken for a new one by mistake gets no more than before.

Three new tests fail without the change. The guard of this bound names its new line.

--- a/plantaingrade/admission/named.py
+++ b/plantaingrade/admission/named.py
@@ -5,7 +5,7 @@
 does not know whether its server names a limit, nor what its predecessor has
 sent: until the first response it has only a few requests at the server. These
 may wait for calls of their own that need the same server, so their number grows
-slowly.
+slowly. A server that starts beside this process has named nothing to another.
 """
 
 from plantaingrade.admission.rate_limit import RateLimit, TokenBucket
@@ -66,7 +66,7 @@
 
         A response to one of them ends the wait earlier.
         """
-        if not self.awaits_response or running < MAX_UNANSWERED:
+        if not self._tracker.is_unknown or running < MAX_UNANSWERED:
             return 0.0
         if self._first_sent_at is None:
             return 0.0
--- a/plantaingrade/backends/limit.py
+++ b/plantaingrade/backends/limit.py
@@ -29,18 +29,37 @@
 
     ``per_s`` is the limit in force, in requests per second, or None.
     ``awaits_response`` is set while no response of the incarnation to a request
-    has arrived: until then it is unknown whether it names a limit.
+    has arrived.
     """
 
-    __slots__ = ('_learned_at', '_unreadable', 'awaits_response', 'per_s')
+    __slots__ = (
+        '_learned_at',
+        '_may_have_named',
+        '_unreadable',
+        'awaits_response',
+        'per_s',
+    )
 
     def __init__(self) -> None:
         """Create a tracker before any incarnation is known."""
         self.awaits_response = False
+        # A previous process may have been told a limit.
+        self._may_have_named = True
         self._forget()
 
+    @property
+    def is_unknown(self) -> bool:
+        """Return whether the server may have named a limit unknown here."""
+        return self.awaits_response and self._may_have_named
+
     def on_new_incarnation(self) -> None:
-        """Begin with an incarnation that has not answered a request yet."""
+        """Begin with an incarnation that has not answered a request yet.
+
+        If the last answer to this process named no limit, none is in force,
+        also if the server did not start anew after all: every answer to a
+        request passes through this process.
+        """
+        self._may_have_named |= self.per_s is not None
         self.awaits_response = True
         self._forget()
 
@@ -49,6 +68,7 @@
     ) -> LimitChange | UnreadableLimit | None:
         """Apply a response to a request; it ends a limit that it omits."""
         self.awaits_response = False
+        self._may_have_named = not isinstance(notice, NoLimit)
         if isinstance(notice, NoLimit):
             return self._apply(None, sent_at, now)
         return self.on_notice(notice, sent_at, now)
--- a/tests/admission/test_named.py
+++ b/tests/admission/test_named.py
@@ -153,6 +153,18 @@
     assert len(queue.release(started[0].ticket, 1.3)) == SLOTS - 3
 
 
+def test_new_server_beside_a_running_process_gets_all_its_slots() -> None:
+    """A server that has started again is limited as if it had named a limit."""
+    queue = make_queue(SLOTS)
+    named = queue.limits.named
+    named.on_new_incarnation()
+    named.on_response(NoLimit(), 0.5, 0.6)
+    named.on_new_incarnation()
+    tickets = [Ticket('a', 1, 10.0, 9.0) for _ in range(SLOTS)]
+    decisions = [queue.offer(ticket, 1.0) for ticket in tickets]
+    assert all(isinstance(each, Start) for each in decisions)
+
+
 def test_refused_callers_are_told_to_return_in_turn() -> None:
     """Callers refused at one moment all return at the same time."""
     limits = ServerLimits()
--- a/tests/backends/test_limit.py
+++ b/tests/backends/test_limit.py
@@ -61,3 +61,28 @@
     tracker.on_new_incarnation()
     assert tracker.per_s is None
     assert tracker.awaits_response
+
+
+def test_server_that_starts_beside_this_process_may_get_all_its_work() -> None:
+    """A new server gets few requests, though no other process sent it any."""
+    tracker = LimitTracker()
+    tracker.on_new_incarnation()
+    assert tracker.is_unknown
+    tracker.on_response(NoLimit(), 1, 2)
+    tracker.on_new_incarnation()
+    assert tracker.awaits_response
+    assert not tracker.is_unknown
+
+
+def test_limit_may_outlast_an_incarnation_that_is_taken_for_another() -> None:
+    """A server that did not start anew gets its whole load in spite of it."""
+    for notice in (NamedLimit(5), UnreadableLimit('nan')):
+        tracker = LimitTracker()
+        tracker.on_new_incarnation()
+        tracker.on_response(NoLimit(), 1, 2)
+        tracker.on_response(notice, 3, 4)
+        tracker.on_new_incarnation()
+        assert tracker.is_unknown
+        # No request has been answered since.
+        tracker.on_new_incarnation()
+        assert tracker.is_unknown
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -285,7 +285,7 @@
     Guard(
         'a server that has not answered yet gets few requests',
         'plantaingrade/admission/named.py',
-        'if not self.awaits_response or running < MAX_UNANSWERED:',
+        'if not self._tracker.is_unknown or running < MAX_UNANSWERED:',
         'if True:',
         'tests/admission/test_named.py',
     ),
