Store calls: the first map, scans and the reads of a start take turns

Change: until there is a map, members try to create it at a random time within a second, and those that receive it meanwhile don't try. Scans for lapsed leases start at a random time of their period, so that a service is scanned once a second from the start on, also when all members restart together.

Weighed: rank by name (members don't know each other yet); a pause by the number of members (rows are not read yet when all join at once).

--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -173,8 +173,7 @@
 
     def lease_times(self) -> LeaseTimes:
         """Return the lease timing for a service of this size."""
-        known = max(len(self.rows.by_name), len(self.key_map.owners()))
-        return lease_times(known)
+        return lease_times(self.rows.count_with(self.key_map))
 
     def advance_epoch(self) -> None:
         """Switch to the rows of the store's newest epoch, if there is one.
--- a/plantaingrade/holds/rows.py
+++ b/plantaingrade/holds/rows.py
@@ -17,6 +17,7 @@
 )
 from plantaingrade.keyspace.codec import UnreadableMapError, decode_map
 from plantaingrade.keyspace.directory import KeyMaps
+from plantaingrade.keyspace.entity import KeyMap
 from plantaingrade.peers.entity import Member
 from plantaingrade.store.entity import Row, RowName
 from plantaingrade.store.unreadable import UnreadableRows
@@ -87,6 +88,10 @@
         """Return whether the rows of the current epoch have been read."""
         return self.read_at_s > 0
 
+    def count_with(self, key_map: KeyMap) -> int:
+        """Return the number of members known from rows or from the map."""
+        return max(len(self.by_name), len(key_map.owners()))
+
     def clear(self) -> None:
         """Remove all rows: they belong to an epoch that is over."""
         self.by_name = {}
--- a/plantaingrade/holds/takeovers.py
+++ b/plantaingrade/holds/takeovers.py
@@ -9,6 +9,7 @@
 from plantaingrade.holds.changes import CommitResult
 from plantaingrade.holds.const import (
     BOOTSTRAP_WAIT_S,
+    FIRST_MAP_SPREAD_S,
     SCAN_JITTER,
     SCAN_PERIOD_S,
     STORE_RECOVERY_GRACE_S,
@@ -57,18 +58,37 @@
     async def async_run(self) -> None:
         """Scan until cancelled."""
         await asyncio.sleep(BOOTSTRAP_WAIT_S)
+        await self._async_create_first_map()
+        await asyncio.sleep(self._random.uniform(0, self._scan_period_s()))
         while True:
             if self._registry.is_joined:
                 await self._async_scan()
-            await asyncio.sleep(self._pause_s())
+            jitter = self._random.uniform(*SCAN_JITTER)
+            await asyncio.sleep(self._scan_period_s() * jitter)
 
-    def _pause_s(self) -> float:
-        """Return the time until the next scan, short until there is a map."""
+    async def _async_create_first_map(self) -> None:
+        """Scan until there is a map.
+
+        Members that start together take turns at random, so that most of them
+        receive the map of the first one instead of trying to create it.
+        """
+        while not self._has_map():
+            await asyncio.sleep(self._random.uniform(0, FIRST_MAP_SPREAD_S))
+            if self._registry.is_joined and not self._has_map():
+                await self._async_scan()
+            if not self._has_map():
+                jitter = self._random.uniform(*SCAN_JITTER)
+                await asyncio.sleep(SCAN_PERIOD_S * jitter)
+
+    def _has_map(self) -> bool:
+        return bool(self._registry.key_map.version)
+
+    def _scan_period_s(self) -> float:
+        """Return the period at which all members together scan each second."""
         registry = self._registry
-        has_map = bool(registry.key_map.version)
-        members = len(registry.rows.by_name) if has_map else 1
-        jitter = self._random.uniform(*SCAN_JITTER)
-        return SCAN_PERIOD_S * max(1, members) * jitter
+        return SCAN_PERIOD_S * max(
+            1, registry.rows.count_with(registry.key_map)
+        )
 
     async def _async_scan(self) -> None:
         is_read = await self._registry.async_read()
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -15,7 +15,11 @@
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyRange
 from plantaingrade.peers.announcer import CODEC
-from plantaingrade.peers.coordinator import PeerCoordinator, PeerHooks
+from plantaingrade.peers.coordinator import (
+    OWN_ROW_WAIT_S,
+    PeerCoordinator,
+    PeerHooks,
+)
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Hello, MapChanged, Member
 from tests.virtual import LoopClock, run
@@ -166,7 +170,11 @@
 class FakeRows:
     """Rows that can be read but name no further member."""
 
+    def __init__(self) -> None:
+        self.reads = 0
+
     async def async_read(self) -> bool:
+        self.reads += 1
         return True
 
 
@@ -189,12 +197,31 @@
         peers._rows = FakeRows()
         endpoint = FakeEndpoint()
         peers._announcer.endpoint = endpoint
+        await peers.async_join(is_keyed=True)
+        assert Hello(OWN) not in endpoint.sent
         await peers.async_introduce()
         assert Hello(OWN) in endpoint.sent
 
     run(scenario())
 
 
+def test_member_that_joins_at_once_reads_the_others_after_its_own_row() -> None:
+    """Two members that each read before the other's row would not meet."""
+
+    async def scenario() -> None:
+        peers = make_coordinator(KeyMaps(), FakeCalls())
+        rows = FakeRows()
+        peers._rows = rows
+        join = asyncio.create_task(peers.async_join(is_keyed=True))
+        await asyncio.sleep(OWN_ROW_WAIT_S / 2)
+        assert not rows.reads
+        await peers.async_introduce()
+        await join
+        assert rows.reads == 1
+
+    run(scenario())
+
+
 def test_restarted_member_does_not_keep_its_old_load() -> None:
     """A process reports that it leaves, and restarts under the same name.
 
