--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -83,6 +83,7 @@
         '_clock',
         '_directory',
         '_hooks',
+        '_is_starting',
         '_loads',
         '_log',
         '_looked_up_names',
@@ -137,6 +138,8 @@
             log,
         )
         self._own_row: OwnRow | None = None
+        # Whether this member introduces itself since its start.
+        self._is_starting = False
         self._looked_up_names: set[str] = set()
         self._lookup_task: asyncio.Task[None] | None = None
 
@@ -147,6 +150,7 @@
 
     async def async_join(self, *, is_keyed: bool) -> None:
         """Register this member and read the others, retrying until done."""
+        self._is_starting = True
         self._directory.add(self.own)
         if not is_keyed:
             self._own_row = OwnRow(self.own, self._store, self._log)
@@ -160,6 +164,7 @@
     async def async_run(self) -> None:
         """Send hellos, then refresh from the store until cancelled."""
         await self._async_send_hellos()
+        self._is_starting = False
         while True:
             await asyncio.sleep(self._refresh_pause_s())
             self._looked_up_names.clear()
@@ -170,8 +175,11 @@
         """Introduce this member to those that started before its row stood.
 
         A member with keys that waits to join has no row for many seconds, and
-        who starts meanwhile would meet it at its next refresh only.
+        who starts meanwhile would meet it at its next refresh only. During its
+        own start it introduces itself anyway, to all at the end.
         """
+        if self._is_starting:
+            return
         await self.async_refresh()
         await self._async_send_hellos()
 
