--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable
+from contextlib import suppress
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -46,6 +47,9 @@
 PATH_HANDOVER = '/-/handed'
 HELLO_PAUSES_S = (0.2, 0.4, 0.8, 1.6, 3.2)
 JOIN_RETRY_S = 0.25
+# Longest wait of a member with keys for its own row, before it reads the
+# others. Members that start together write their rows one after another.
+OWN_ROW_WAIT_S = 0.5
 # After a lost map datagram, a redirect corrects the map. What that misses is
 # corrected by this periodic read of the store.
 REFRESH_S = 20.0
@@ -83,13 +87,14 @@
         '_clock',
         '_directory',
         '_hooks',
-        '_is_starting',
         '_loads',
         '_log',
         '_looked_up_names',
         '_lookup_task',
         '_maps',
+        '_has_read',
         '_own_row',
+        '_own_row_written',
         '_rows',
         '_store',
         'capacity_queries',
@@ -138,8 +143,9 @@
             log,
         )
         self._own_row: OwnRow | None = None
-        # Whether this member introduces itself since its start.
-        self._is_starting = False
+        self._own_row_written = asyncio.Event()
+        # Whether the other members have been read, or are being read.
+        self._has_read = False
         self._looked_up_names: set[str] = set()
         self._lookup_task: asyncio.Task[None] | None = None
 
@@ -149,13 +155,21 @@
         return self._announcer.endpoint
 
     async def async_join(self, *, is_keyed: bool) -> None:
-        """Register this member and read the others, retrying until done."""
-        self._is_starting = True
+        """Register this member and read the others, retrying until done.
+
+        A member that reads the rows after it has written its own either finds
+        another member there, or is found by it.
+        """
         self._directory.add(self.own)
-        if not is_keyed:
+        if is_keyed:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(OWN_ROW_WAIT_S):
+                    await self._own_row_written.wait()
+        else:
             self._own_row = OwnRow(self.own, self._store, self._log)
             while not await self._own_row.async_write():
                 await asyncio.sleep(JOIN_RETRY_S)
+        self._has_read = True
         while not await self.async_refresh():
             await asyncio.sleep(JOIN_RETRY_S)
         self.has_joined = True
@@ -164,7 +178,6 @@
     async def async_run(self) -> None:
         """Send hellos, then refresh from the store until cancelled."""
         await self._async_send_hellos()
-        self._is_starting = False
         while True:
             await asyncio.sleep(self._refresh_pause_s())
             self._looked_up_names.clear()
@@ -175,10 +188,12 @@
         """Introduce this member to those that started before its row stood.
 
         A member with keys that waits to join has no row for many seconds, and
-        who starts meanwhile would meet it at its next refresh only. During its
-        own start it introduces itself anyway, to all at the end.
+        who starts meanwhile would meet it at its next refresh only. A member
+        that joins at once has not read the others yet, and introduces itself
+        when it has.
         """
-        if self._is_starting:
+        self._own_row_written.set()
+        if not self._has_read:
             return
         await self.async_refresh()
         await self._async_send_hellos()
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -16,12 +16,12 @@
 from plantaingrade.keyspace.entity import KeyRange
 from plantaingrade.peers.announcer import CODEC
 from plantaingrade.peers.coordinator import (
-    HELLO_PAUSES_S,
+    OWN_ROW_WAIT_S,
     PeerCoordinator,
     PeerHooks,
 )
 from plantaingrade.peers.directory import Directory
-from plantaingrade.peers.entity import Hello, Introduced, MapChanged, Member
+from plantaingrade.peers.entity import Hello, MapChanged, Member
 from tests.virtual import LoopClock, run
 
 OWN = Member('s@1', 's', 'a', '127.0.0.1:1', 'b1')
@@ -197,29 +197,27 @@
         peers._rows = FakeRows()
         endpoint = FakeEndpoint()
         peers._announcer.endpoint = endpoint
+        await peers.async_join(is_keyed=True)
+        assert Hello(OWN) not in endpoint.sent
         await peers.async_introduce()
         assert Hello(OWN) in endpoint.sent
 
     run(scenario())
 
 
-def test_member_that_joins_while_it_starts_reads_the_others_once() -> None:
-    """It introduces itself again, to all, once it has joined."""
+def test_member_that_joins_at_once_reads_the_others_after_its_own_row() -> None:
+    """Two members that each read before the other's row would not meet."""
 
     async def scenario() -> None:
         peers = make_coordinator(KeyMaps(), FakeCalls())
         rows = FakeRows()
         peers._rows = rows
-        endpoint = FakeEndpoint()
-        peers._announcer.endpoint = endpoint
-        await peers.async_join(is_keyed=True)
-        running = asyncio.create_task(peers.async_run())
+        join = asyncio.create_task(peers.async_join(is_keyed=True))
+        await asyncio.sleep(OWN_ROW_WAIT_S / 2)
+        assert not rows.reads
         await peers.async_introduce()
-        endpoint.sent.clear()
-        await asyncio.sleep(sum(HELLO_PAUSES_S) + 1)
-        running.cancel()
+        await join
         assert rows.reads == 1
-        assert Introduced(OWN) in endpoint.sent
 
     run(scenario())
 
