Store calls: leases and refreshes of an availability zone share their calls

Change: the members of a service renew at the same readings of the store's clock, and send the renewal to one member of their zone, which commits all of them in one transaction. Each keeps its own conditions: a merged transaction is applied only if all rows have the expected versions; members whose rows don't are answered with their conflict, and the others are committed once more without them. An outcome that is unknown is unknown for each of them, and each follows it up by itself as before. A member without an answer within 0.4 s, or with a refusal, renews directly at once and chooses another committer for 10 s; so the lease, its fences and the promises of witnesses stay as they are. Periodic refreshes read through one member of the zone, which passes on reads of up to 10 s; any other read (join, takeover, unknown owner) stays an own one. A run that has said goodbye is not added again from rows that were read before.

Weighed for renewals: longer periods (a lost member's keys stay unserved longer); promises of witnesses instead of rows (a takeover then waits for the full lease); one committer for all zones (bytes between zones, one loss hits all).

--- a/plantaingrade/holds/changes.py
+++ b/plantaingrade/holds/changes.py
@@ -7,6 +7,7 @@
 from plantaingrade.holds.epoch_start import EpochStart
 from plantaingrade.holds.lease import MemberRow
 from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.store.interface import Committer
 
 
 class CommitResult(StrEnum):
@@ -59,11 +60,13 @@
     An attempt ends with the epoch of the store in which it began. As long as
     ``has_only_conflicts`` is set, the store has answered each write and only
     changes by others are in the way; then ``contended_until`` is the limit.
+    ``committer`` applies the next write.
     """
 
     epoch: int
     until: float
     contended_until: float
+    committer: Committer
     sent_by_id: dict[str, SentWrite] = field(default_factory=dict)
     has_only_conflicts: bool = True
 
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -22,6 +22,7 @@
 from plantaingrade.holds.orders import ServerOrders
 from plantaingrade.holds.plans import plan_new_fences
 from plantaingrade.holds.registry import Planner, Registry
+from plantaingrade.holds.renewal_turns import pause_until_turn
 from plantaingrade.holds.suspects import SuspectExpiry
 from plantaingrade.holds.takeovers import Takeovers
 from plantaingrade.holds.transfer import Transfers
@@ -31,7 +32,7 @@
 from plantaingrade.keyspace.entity import Assignment, KeyRange
 from plantaingrade.peers.entity import Member, Token
 from plantaingrade.peers.map_relay import MapRelay
-from plantaingrade.store.interface import Store
+from plantaingrade.store.interface import Committer, Store
 
 CHANGE_LIMIT_S = 1.0
 RENEW_LIMIT_S = 1.0
@@ -40,12 +41,14 @@
 class MemberLinks(Struct, frozen=True):
     """Connections of one member to its peers.
 
-    ``on_joined`` is called once it holds a lease.
+    ``on_joined`` is called once it holds a lease. Without ``shared_renewals``
+    it renews its lease by itself.
     """
 
     relay: MapRelay
     witnesses: Witnesses
     on_joined: Callable[[], None]
+    shared_renewals: Committer | None = None
 
 
 class HoldCoordinator:
@@ -81,6 +84,7 @@
             clock,
             log,
             starts_with_all=starts_with_all,
+            shared_renewals=links.shared_renewals,
         )
         self._epoch_started = asyncio.Event()
         store.epochs.listen(lambda _epoch, _before: self._epoch_started.set())
@@ -280,12 +284,16 @@
             return RETRY_S
         if not registry.is_joined or registry.is_migrating:
             return await self._async_join_epoch()
-        committed = await registry.async_commit(_plan_renewal, RENEW_LIMIT_S)
+        committed = await registry.async_commit(
+            _plan_renewal, RENEW_LIMIT_S, is_shared=True
+        )
         self._takeovers.on_store_result(
             is_ok=committed is not CommitResult.FAILED
         )
         if committed is CommitResult.DONE:
-            return registry.lease_times().renew_s
+            return pause_until_turn(
+                registry.store_now() or 0.0, registry.lease_times().renew_s
+            )
         return RETRY_S
 
     async def _async_join_epoch(self) -> float:
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -69,7 +69,7 @@
     Transaction,
     TransactionOutcome,
 )
-from plantaingrade.store.interface import Store
+from plantaingrade.store.interface import Committer, Store
 
 Planner = Callable[['Registry'], Change | None]
 
@@ -93,6 +93,7 @@
         '_log',
         '_maps',
         '_own_row_factory',
+        '_shared_renewals',
         '_store',
         '_writing',
         'accepts_keys',
@@ -119,12 +120,15 @@
         log: EventLog,
         *,
         starts_with_all: bool = False,
+        shared_renewals: Committer | None = None,
     ) -> None:
         """Prepare for one member; read nothing yet.
 
         With ``starts_with_all`` the process starts together with the whole
-        system, for the first time.
+        system, for the first time. ``shared_renewals`` commits renewals
+        together with those of other members.
         """
+        self._shared_renewals = shared_renewals or store
         # Whether the lease dates from an earlier epoch than the rows.
         self.is_migrating = False
         self.term = LeaseTerm(store.clock)
@@ -234,6 +238,7 @@
         joins: bool = False,
         migrates: bool = False,
         contended_limit_s: float | None = None,
+        is_shared: bool = False,
     ) -> CommitResult:
         """Renew the own row, together with the change planned for the state.
 
@@ -241,6 +246,8 @@
         fails once this run has lost its own row. A change that ``migrates`` the
         lease comes first in a new epoch. ``contended_limit_s`` replaces
         ``limit_s`` as long as only changes of other members are in the way.
+        The first try of a renewal that ``is_shared`` is committed together with
+        those of other members; later tries don't depend on them.
 
         A transaction without an answer may be applied seconds later. Renewals
         follow it, however long that takes, until the own row has changed: then
@@ -262,7 +269,10 @@
                 limit_s if contended_limit_s is None else contended_limit_s
             )
             attempt = CommitAttempt(
-                self.epochs.current, now + limit_s, now + contended_s
+                self.epochs.current,
+                now + limit_s,
+                now + contended_s,
+                self._shared_renewals if is_shared else self._store,
             )
             return await self._async_attempt(plan, attempt)
 
@@ -327,7 +337,9 @@
             self.own_row.version if self.own_row else 0,
             self.key_map.version if is_map_current else 0,
         )
-        outcome = await self._store.async_commit(transaction)
+        committer = attempt.committer
+        attempt.committer = self._store
+        outcome = await committer.async_commit(transaction)
         commit_result = self._apply_outcome(write, outcome, attempt.sent_by_id)
         if commit_result is not None:
             return commit_result
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -40,7 +40,7 @@
 from plantaingrade.peers.own_row import OwnRow
 from plantaingrade.peers.service_rows import ServiceRows
 from plantaingrade.peers.witnesses import PeerWitnesses
-from plantaingrade.store.interface import Store
+from plantaingrade.store.interface import RowReader, Store
 
 HANDOVER_CODEC = Codec(Handover)
 PATH_HANDOVER = '/-/handed'
@@ -65,13 +65,15 @@
     ``on_crash`` the digests of the requests that another member's server was
     running when it crashed. ``free_capacity_of`` returns how soon the own
     server could run a request of a kind and priority, or None if it accepts no
-    requests.
+    requests. ``shared_reads`` reads rows together with other members, which may
+    be some seconds old; without it, each read is an own one.
     """
 
     services: Callable[[], Iterable[str]]
     on_desired_state: Callable[[DesiredState], None]
     on_crash: Callable[[tuple[str, ...]], None]
     free_capacity_of: Callable[[str, int], FreeCapacity | None]
+    shared_reads: RowReader | None = None
 
 
 class PeerCoordinator:
@@ -168,7 +170,7 @@
         while True:
             await asyncio.sleep(self._refresh_pause_s())
             self._looked_up_names.clear()
-            await self.async_refresh()
+            await self._rows.async_read(self._hooks.shared_reads)
             self._announcer.send_hello()
 
     async def async_introduce(self) -> None:
--- a/plantaingrade/sidecar/control.py
+++ b/plantaingrade/sidecar/control.py
@@ -1,5 +1,7 @@
 """HTTP endpoints for requests between processes, under ``/-/``."""
 
+from collections.abc import Awaitable, Callable
+
 from plantaingrade.balance.coordinator import BalanceCoordinator
 from plantaingrade.codec import MalformedMessageError
 from plantaingrade.config.coordinator import ConfigFollower
@@ -12,6 +14,7 @@
 from plantaingrade.requests.entity import Answer
 from plantaingrade.store.relay import RelayHandler
 
+StoreCall = Callable[[bytes], Awaitable[bytes]]
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -62,6 +65,9 @@
             return Answer(STATUS_BAD_REQUEST, (), b'')
 
     async def _async_answer(self, target: str, body: bytes) -> Answer:
+        call_store = self._find_store_call(target)
+        if call_store is not None:
+            return Answer(STATUS_OK, (), await call_store(body))
         match target:
             case '/-/config':
                 return self._answer_config()
@@ -75,15 +81,20 @@
                 return await self._operators.async_move(body)
             case '/-/wish':
                 return await self._operators.async_read_desired_state()
+        return Answer(STATUS_NOT_FOUND, (), b'')
+
+    def _find_store_call(self, target: str) -> StoreCall | None:
+        """Return the store call that another process wants, if any."""
+        match target:
             case '/-/store/commit':
-                return Answer(
-                    STATUS_OK, (), await self._store_relay.async_commit(body)
-                )
+                return self._store_relay.async_commit
             case '/-/store/read':
-                return Answer(
-                    STATUS_OK, (), await self._store_relay.async_read(body)
-                )
-        return Answer(STATUS_NOT_FOUND, (), b'')
+                return self._store_relay.async_read
+            case '/-/store/renew':
+                return self._store_relay.async_renew
+            case '/-/store/shared-read':
+                return self._store_relay.async_read_shared
+        return None
 
     def _answer_config(self) -> Answer:
         config = self._config.config
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -62,7 +62,7 @@
 )
 from plantaingrade.sidecar.settings import InstanceSettings, ProcessOptions
 from plantaingrade.sidecar.shutdown import GracefulShutdown
-from plantaingrade.store.relay import RelayedStore, RelayHandler
+from plantaingrade.sidecar.store_access import StoreAccess
 
 BOOT_BYTES = 4
 _LOGGER = logging.getLogger(__name__)
@@ -182,6 +182,14 @@
             self._clock,
             self._log,
         )
+        self._store_access = StoreAccess.from_parts(
+            self._own,
+            self._direct_store,
+            self._directory,
+            self._calls,
+            self._clock,
+            self._log,
+        )
         self._peers = PeerCoordinator(
             self._own,
             self._directory,
@@ -198,24 +206,23 @@
                 lambda kind, priority: self._server_path.free_capacity(
                     kind, priority
                 ),
+                self._store_access.shared_reads,
             ),
         )
-        store = RelayedStore(
-            self._direct_store,
-            self._calls,
-            self._calls.relays,
-            self._clock,
-            self._log,
-        )
         self.holds = HoldCoordinator(
-            store,
+            self._store_access.relayed,
             self._maps,
             self._own,
             self._tracker,
             self._orders,
             self._clock,
             self._log,
-            MemberLinks(self._peers, self._peers.witnesses, self._on_joined),
+            MemberLinks(
+                self._peers,
+                self._peers.witnesses,
+                self._on_joined,
+                self._store_access.shared_renewals,
+            ),
             starts_with_all=settings.starts_with_all,
         )
         self._maps.listen(lambda service, _: self.holds.on_map(service))
@@ -355,7 +362,7 @@
                 self.holds,
                 self._balance,
                 self._config,
-                RelayHandler(self._direct_store),
+                self._store_access.relay_handler,
                 self._operators,
             ).async_handle,
             self._balance.load,
--- a/plantaingrade/store/interface.py
+++ b/plantaingrade/store/interface.py
@@ -12,20 +12,28 @@
 from plantaingrade.store.epochs import StoreEpochs
 
 
-class Store(Protocol):
-    """Versioned rows that are changed by transactions."""
-
-    clock: StoreClock
-    epochs: StoreEpochs
+class Committer(Protocol):
+    """Applies transactions."""
 
     async def async_commit(
         self, transaction: Transaction
     ) -> TransactionOutcome:
         """Apply a transaction."""
 
+
+class RowReader(Protocol):
+    """Reads rows."""
+
     async def async_read(self, table: str, part: str) -> ReadOutcome:
         """Return all rows of one part of a table."""
 
+
+class Store(Committer, RowReader, Protocol):
+    """Versioned rows that are changed by transactions."""
+
+    clock: StoreClock
+    epochs: StoreEpochs
+
     async def async_follow(
         self, table: str, after: int, wait_s: float
     ) -> FeedOutcome:
--- a/plantaingrade/store/relay.py
+++ b/plantaingrade/store/relay.py
@@ -7,6 +7,7 @@
 from plantaingrade.codec import Codec, MalformedMessageError
 from plantaingrade.eventlog import EventLog
 from plantaingrade.peers.entity import Member
+from plantaingrade.store.batches import CommitBatches
 from plantaingrade.store.clock import StoreClock
 from plantaingrade.store.entity import (
     Committed,
@@ -24,6 +25,7 @@
 )
 from plantaingrade.store.epochs import StoreEpochs
 from plantaingrade.store.interface import Store
+from plantaingrade.store.read_cache import ReadCache
 
 # After a failed direct call, relays are used for this long before the next
 # direct attempt. The end of an outage is noticed at most this much later.
@@ -237,11 +239,13 @@
 class RelayHandler:
     """Handle store calls on behalf of other processes."""
 
-    __slots__ = ('_direct',)
+    __slots__ = ('_direct', 'batches', 'reads')
 
     def __init__(self, direct: Store) -> None:
         """Use only direct store calls, so that relays cannot form a loop."""
         self._direct = direct
+        self.batches = CommitBatches(direct)
+        self.reads = ReadCache(direct)
 
     async def async_commit(self, body: bytes) -> bytes:
         """Apply a transaction of another process; return the outcome.
@@ -252,6 +256,16 @@
         transaction = TRANSACTION_CODEC.decode(body)
         return COMMIT_CODEC.encode(await self._direct.async_commit(transaction))
 
+    async def async_renew(self, body: bytes) -> bytes:
+        """Apply a renewal together with others; return the outcome.
+
+        Raises:
+            MalformedMessageError: the body is not a valid transaction.
+        """
+        transaction = TRANSACTION_CODEC.decode(body)
+        outcome = await self.batches.async_commit(transaction)
+        return COMMIT_CODEC.encode(outcome)
+
     async def async_read(self, body: bytes) -> bytes:
         """Read rows for another process; return the outcome.
 
@@ -261,3 +275,12 @@
         wanted = ROWS_WANTED_CODEC.decode(body)
         outcome = await self._direct.async_read(wanted.table, wanted.part)
         return READ_CODEC.encode(outcome)
+
+    async def async_read_shared(self, body: bytes) -> bytes:
+        """Return rows that may have been read for another process before.
+
+        Raises:
+            MalformedMessageError: the body does not name a table part.
+        """
+        outcome = await self.reads.async_read(ROWS_WANTED_CODEC.decode(body))
+        return READ_CODEC.encode(outcome)
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -58,6 +58,7 @@
     make_version,
     number_of,
 )
+from plantaingrade.store.interface import Committer
 from tests.virtual import LoopClock
 
 SERVICE = 'cases'
@@ -650,6 +651,10 @@
         self.servers.append(server)
         return server
 
+    def make_shared_renewals(self, name: str, store: FakeStore) -> Committer:
+        """Return what renews a member's lease, by default the member itself."""
+        return store
+
     def _make(
         self,
         name: str,
@@ -677,7 +682,12 @@
             orders,
             LoopClock(),
             self._log,
-            MemberLinks(relay, witnesses, lambda: None),
+            MemberLinks(
+                relay,
+                witnesses,
+                lambda: None,
+                self.make_shared_renewals(name, store),
+            ),
             starts_with_all=starts_with_all,
         )
         maps.listen(lambda service, _: holds.on_map(service))
