Without a limit in force, a request costs no more for limits than before them

Of the processor time of a request, reading what servers name of themselves, the reserves of rate limits and the marks of header names took some 15 to 20 us since, also where no server ever named a limit.

Headers of a response are indexed once; notices are built whole only where one of the two headers is there; ranks of priorities are computed only while a limit is in force, from the classes seen lately (so a class counts as brief by what is known then); header names are rewritten only where one has to be; nothing is formatted for a log line that is not written.

--- a/plantaingrade/admission/server_limits.py
+++ b/plantaingrade/admission/server_limits.py
@@ -20,6 +20,10 @@
         self.named = NamedAllowance()
         self._next_turn_at = 0.0
 
+    def are_in_force(self, now: float) -> bool:
+        """Return whether any limit is in force."""
+        return self.named.per_s is not None or self.cold.is_limited(now)
+
     def admits(
         self, running: int, now: float, *, reserve_share: float = 0.0
     ) -> bool:
--- a/plantaingrade/admission/slots.py
+++ b/plantaingrade/admission/slots.py
@@ -24,7 +24,7 @@
     WaitingQueue,
 )
 from plantaingrade.admission.estimate import WorkEstimate, WorkRate
-from plantaingrade.admission.priorities import RecentPriorities
+from plantaingrade.admission.priorities import RecentPriorities, rank
 from plantaingrade.admission.server_limits import ServerLimits
 from plantaingrade.admission.waits import predict_wait_s, spread_s
 from plantaingrade.requests.entity import NotRun, NotRunReason
@@ -101,8 +101,7 @@
         work_s = self.estimate.expected_s(ticket.kind)
         if now + work_s > ticket.deadline:
             return _refuse(ticket, NotRunReason.TOO_LATE, work_s)
-        queue_priority = self._queue_priority(ticket.kind, ticket.priority)
-        self._priorities.observe(queue_priority, now)
+        self._priorities.observe(ticket.kind, ticket.priority, now)
         if self._may_start(ticket, now) and not self.waiting:
             return self._start(ticket, now)
         wait_s = self._in_time_wait_s(ticket, now)
@@ -223,18 +222,25 @@
     def _may_start(self, ticket: Ticket, now: float) -> bool:
         if self.running >= self.slots:
             return False
+        if not self.limits.are_in_force(now):
+            return not self.limits.named.response_wait_s(self.running, now)
         share = self._reserve_share(ticket.kind, ticket.priority, now)
         return self.limits.admits(self.running, now, reserve_share=share)
 
     def _reserve_share(self, kind: str, priority: int, now: float) -> float:
         """Return the share of the reserve that is left to other requests."""
-        queue_priority = self._queue_priority(kind, priority)
-        return self._priorities.rank(queue_priority, now)
+        others = {
+            self._queue_priority(*each)
+            for each in self._priorities.find_recent(now)
+        }
+        return rank(self._queue_priority(kind, priority), others)
 
     def _limit_wait_s(
         self, kind: str, priority: int, ahead: int, now: float
     ) -> float:
         """Return the wait for the rate limits behind ``ahead`` requests."""
+        if not self.limits.are_in_force(now):
+            return 0.0
         share = self._reserve_share(kind, priority, now)
         return self.limits.wait_s(now, ahead, reserve_share=share)
 
--- a/plantaingrade/platform/headers.py
+++ b/plantaingrade/platform/headers.py
@@ -17,7 +17,7 @@
     HEADER_NOT_RUN,
     HEADER_REQUEST_ID,
 )
-from plantaingrade.platform.notices import decode_notice
+from plantaingrade.platform.notices import decode_indexed_notice
 from plantaingrade.requests.entity import (
     CallerRequest,
     Headers,
@@ -127,12 +127,14 @@
         load=_parse_load(text_by_name.get(HEADER_LOAD)),
         closes=b'close' in connection,
         idle_s=_parse_idle(text_by_name.get(b'keep-alive', b'')),
-        notice=_decode_notice(response.status_code, pairs),
+        notice=_decode_notice(response.status_code, pairs, text_by_name),
     )
 
 
-def _decode_notice(status: int, pairs: Headers) -> ServerNotice:
-    notice = decode_notice(pairs)
+def _decode_notice(
+    status: int, pairs: Headers, text_by_name: dict[bytes, bytes]
+) -> ServerNotice:
+    notice = decode_indexed_notice(pairs, text_by_name)
     if status == STATUS_MISDIRECTED and not notice.instance:
         # It may be from another incarnation than the request was sent to.
         return ServerNotice()
--- a/plantaingrade/platform/notices.py
+++ b/plantaingrade/platform/notices.py
@@ -24,10 +24,19 @@
 
 def decode_notice(headers: Headers) -> ServerNotice:
     """Decode the headers in which a server names its state."""
-    instance = dict(headers).get(HEADER_INSTANCE, b'')
+    return decode_indexed_notice(headers, dict(headers))
+
+
+def decode_indexed_notice(
+    headers: Headers, text_by_name: dict[bytes, bytes]
+) -> ServerNotice:
+    """Decode the same headers, where they are already indexed by name."""
+    instance = text_by_name.get(HEADER_INSTANCE, b'').decode('ascii', 'replace')
+    if not (HEADER_LIMIT in text_by_name or HEADER_LEAVING in text_by_name):
+        return ServerNotice(instance)
     limits = [text for name, text in headers if name == HEADER_LIMIT]
     return ServerNotice(
-        instance.decode('ascii', 'replace'),
+        instance,
         _decode_limit(limits),
         any(
             name == HEADER_LEAVING and text.strip() == LEAVING
--- a/plantaingrade/requests/hop.py
+++ b/plantaingrade/requests/hop.py
@@ -246,13 +246,20 @@
 
 def _end_to_end_headers(headers: Headers) -> Headers:
     return tuple(
-        (_unmarked(name), text)
+        (_unmarked(name) if name[:1] == FOREIGN_PREFIX else name, text)
         for name, text in headers
         if name not in HOP_HEADERS
     )
 
 
 def _mark_foreign(headers: Headers) -> Headers:
+    candidates = [
+        name
+        for name, _ in headers
+        if name in OWN_HEADERS or name[:1] == FOREIGN_PREFIX
+    ]
+    if not candidates:
+        return headers
     return tuple(
         (FOREIGN_PREFIX + name if _is_ambiguous(name) else name, text)
         for name, text in headers
--- a/plantaingrade/sidecar/server_notices.py
+++ b/plantaingrade/sidecar/server_notices.py
@@ -56,6 +56,8 @@
             else self._limit.on_notice
         )
         change = apply(notice.limit, response.sent_at, now)
+        if change is None and not notice.is_leaving:
+            return
         age_ms = round((now - response.sent_at) * MS_PER_S, 1)
         answer = response.request_id.decode('ascii', 'replace')
         self._log_limit(change, answer, age_ms)
