Bench: the processes of bench/cpu.py start with all others

It ended after 20 s with a timeout: since members wait 15 s for leases of an earlier run, its processes held no keys in time. Like the harness of the tests, it now says that all members start together.

--- a/bench/cpu.py
+++ b/bench/cpu.py
@@ -16,6 +16,7 @@
 from functools import partial
 
 import click
+from msgspec.structs import replace
 
 from bench.measure import MICROS
 from plantaingrade.eventlog import EventLog
@@ -98,6 +99,8 @@
         # An EventLog is not thread-safe, so each thread gets its own.
         sink = os.open(os.devnull, os.O_WRONLY)
         log = EventLog(place.settings.name, self.clock, sink)
+        # Otherwise it would wait for leases of a previous run.
+        place.settings = replace(place.settings, starts_with_all=True)
         self.hosts.append(Host(self, place, log))
 
     async def async_kill(self, place: Node) -> None:
