Members take turns to change a key map once changes contend

Cause: all members change one map row by compare-and-set; of changes sent from one version only one succeeds. Moves that fail give up after 0.4 s with their keys released.

Change: after a conflict, or two changes by others within 0.3 s, a member asks the first owner in key order for its turn before it plans its change. Turns are advice: conditions of the write are unchanged.

--- /dev/null
+++ b/plantaingrade/holds/change_order.py
@@ -0,0 +1,114 @@
+"""Wait before changes of the map, so that members don't fail each other."""
+
+import asyncio
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from plantaingrade.clock import Clock
+from plantaingrade.holds.backoff import ConflictBackoff
+from plantaingrade.holds.changes import Change
+from plantaingrade.holds.contention import Contention
+from plantaingrade.holds.turns import TurnRank
+from plantaingrade.keyspace.directory import KeyMaps
+from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.peers.entity import Member
+from plantaingrade.peers.turn_taking import Turn, TurnTaking
+
+
+class ChangeOrder:
+    """Takes turns for the changes of one member, or backs off without them."""
+
+    __slots__ = (
+        '_clock',
+        '_contention',
+        '_is_refused',
+        '_own_version',
+        '_pause_until',
+        '_rank',
+        '_service',
+        '_turn',
+        'backoff',
+        'turns',
+    )
+
+    def __init__(
+        self, member: Member, maps: KeyMaps, turns: TurnTaking, clock: Clock
+    ) -> None:
+        """Take the turns of a member for its changes."""
+        self._service = member.service
+        self._clock = clock
+        self._contention = Contention()
+        self._rank = TurnRank.UNSERVED
+        self._turn: Turn | None = None
+        # Whether a turn was asked for in vain since the last conflict.
+        self._is_refused = False
+        self._own_version = 0
+        # Time until which a change without a turn is not retried.
+        self._pause_until = 0.0
+        self.turns = turns
+        self.backoff = ConflictBackoff(random.Random(member.boot))
+        maps.listen(self._on_map)
+
+    @contextmanager
+    def attempt(self, rank: TurnRank) -> Iterator[None]:
+        """Return the turn at the end of a commit, if one was taken."""
+        self._rank = rank
+        self._is_refused = False
+        try:
+            yield
+        finally:
+            self._end_turn()
+
+    async def async_wait(self, change: Change | None, ends: float) -> bool:
+        """Wait for a turn if the change needs one; return whether it did.
+
+        The change must then be planned again, from the newest map.
+        """
+        if change is None or change.key_map is None:
+            return False
+        now = self._clock.now()
+        if self._has_turn(now) or self._is_refused:
+            return False
+        if not self._contention.is_likely(now):
+            return False
+        self._end_turn()
+        left_s = max(0.0, ends - now)
+        self._turn = await self.turns.async_take(self._rank, left_s)
+        self._is_refused = self._turn is None
+        if self._is_refused:
+            pause_s = min(self._pause_until, ends) - self._clock.now()
+            await asyncio.sleep(max(0.0, pause_s))
+        return True
+
+    def on_conflict(self, change: Change, sent_at: float) -> None:
+        """Back off after a conflict unless the retry gets a turn.
+
+        With a turn a member retries at once, from the map that the conflict
+        has returned.
+        """
+        if change.key_map is None:
+            return
+        now = self._clock.now()
+        self._contention.on_conflict(now)
+        if not self._has_turn(now):
+            self._pause_until = now + self.backoff.on_conflict(now - sent_at)
+            self._is_refused = False
+
+    def on_committed(self, version: int) -> None:
+        """Record the version of a map changed by this member."""
+        self.backoff.on_success()
+        self._own_version = version
+
+    def _has_turn(self, now: float) -> bool:
+        return self._turn is not None and now < self._turn.until
+
+    def _end_turn(self) -> None:
+        turn = self._turn
+        self._turn = None
+        if turn is not None:
+            self.turns.give_back(turn)
+
+    def _on_map(self, service: str, key_map: KeyMap) -> None:
+        if service == self._service and key_map.version != self._own_version:
+            self._contention.on_change(self._clock.now())
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -31,6 +31,7 @@
 from plantaingrade.keyspace.entity import Assignment, KeyRange
 from plantaingrade.peers.entity import Member, Token
 from plantaingrade.peers.map_relay import MapRelay
+from plantaingrade.peers.turn_taking import NoTurns, TurnTaking
 from plantaingrade.store.interface import Store
 
 CHANGE_LIMIT_S = 1.0
@@ -46,6 +47,7 @@
     relay: MapRelay
     witnesses: Witnesses
     on_joined: Callable[[], None]
+    turns: TurnTaking = NoTurns()
 
 
 class HoldCoordinator:
@@ -78,6 +80,7 @@
             maps,
             member,
             witnesses,
+            links.turns,
             clock,
             log,
             starts_with_all=starts_with_all,
--- a/plantaingrade/holds/own_rows.py
+++ b/plantaingrade/holds/own_rows.py
@@ -4,9 +4,14 @@
 from itertools import count
 
 from plantaingrade.holds.entity import Witness
-from plantaingrade.holds.lease import MemberRow
+from plantaingrade.holds.lease import (
+    MemberRow,
+    UnreadableLeaseError,
+    decode_member_row,
+)
 from plantaingrade.holds.times import LeaseTimes
 from plantaingrade.peers.entity import Member
+from plantaingrade.store.entity import Row
 
 
 class OwnRowFactory:
@@ -49,3 +54,11 @@
             base_until_s=now_s + base_s,
             witnesses=self._witnesses,
         )
+
+
+def decode_own_row(row: Row, name: str) -> MemberRow | None:
+    """Return a member's own row as stored; None if it is unreadable."""
+    try:
+        return decode_member_row(name, row.body, row.version)
+    except UnreadableLeaseError:
+        return None
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable
 
 from msgspec.structs import replace
@@ -16,7 +15,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.availability import StoreAvailability
-from plantaingrade.holds.backoff import ConflictBackoff
+from plantaingrade.holds.change_order import ChangeOrder
 from plantaingrade.holds.changes import (
     RENEWAL,
     Change,
@@ -30,14 +29,9 @@
     RETRY_S,
 )
 from plantaingrade.holds.epochs import MemberEpochs
-from plantaingrade.holds.lease import (
-    MemberRow,
-    UnreadableLeaseError,
-    decode_member_row,
-    placeholder_row,
-)
+from plantaingrade.holds.lease import MemberRow, placeholder_row
 from plantaingrade.holds.migration import find_unconfirmed_transfers
-from plantaingrade.holds.own_rows import OwnRowFactory
+from plantaingrade.holds.own_rows import OwnRowFactory, decode_own_row
 from plantaingrade.holds.rows import (
     KEY_MAP,
     KEY_MEMBER,
@@ -51,10 +45,12 @@
     make_epoch_start_write,
     make_transaction,
 )
+from plantaingrade.holds.turns import TurnRank
 from plantaingrade.holds.witnesses import Witnesses
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import NO_MAP, KeyMap
 from plantaingrade.peers.entity import Member
+from plantaingrade.peers.turn_taking import TurnTaking
 from plantaingrade.store.entity import (
     Committed,
     Conflict,
@@ -78,13 +74,6 @@
     return CommitResult.FAILED if is_late else CommitResult.NOT_WANTED
 
 
-def _decode_own(row: Row, name: str) -> MemberRow | None:
-    try:
-        return decode_member_row(name, row.body, row.version)
-    except UnreadableLeaseError:
-        return None
-
-
 class Registry:
     """Reads and changes the rows of one service."""
 
@@ -104,6 +93,7 @@
         'is_migrating',
         'is_waiting',
         'member',
+        'order',
         'own_row',
         'rows',
         'term',
@@ -115,6 +105,7 @@
         maps: KeyMaps,
         member: Member,
         witnesses: Witnesses,
+        turns: TurnTaking,
         clock: Clock,
         log: EventLog,
         *,
@@ -132,7 +123,8 @@
         self._maps = maps
         self._clock = clock
         self._log = log
-        self.backoff = ConflictBackoff(random.Random(member.boot))
+        self.order = ChangeOrder(member, maps, turns, clock)
+        self.backoff = self.order.backoff
         self.rows = MemberRows(member, maps, log)
         self.epochs = MemberEpochs(
             store.epochs,
@@ -265,7 +257,9 @@
             attempt = CommitAttempt(
                 self.epochs.current, now + limit_s, now + contended_s
             )
-            return await self._async_attempt(plan, attempt)
+            is_deferrable = self.accepts_keys and contended_s < limit_s
+            with self.order.attempt(TurnRank(is_deferrable)):
+                return await self._async_attempt(plan, attempt)
 
     async def async_leave(self) -> None:
         """Remove the own row once no key is owned any more."""
@@ -288,21 +282,30 @@
         commit_result = None
         while commit_result is None:
             now = self._clock.now()
-            if self._store.epochs.newest != attempt.epoch:
-                return self._abandon_attempt(attempt.sent_by_id)
-            if self.is_migrating and not self.has_lease(now):
-                return self._lose_lease(
-                    'lease of an earlier epoch ended before migration'
-                )
+            ended = self._end_outdated(attempt, now)
+            if ended is not None:
+                return ended
             is_late = now > attempt.ends
             change = None if is_late else plan(self)
             if change is None and not attempt.sent_by_id:
                 return _result_unsent(is_late=is_late)
-            commit_result = await self._async_send(
-                self._make_write(change), attempt
-            )
+            if not await self.order.async_wait(change, attempt.ends):
+                write = self._make_write(change)
+                commit_result = await self._async_send(write, attempt)
         return commit_result
 
+    def _end_outdated(
+        self, attempt: CommitAttempt, now: float
+    ) -> CommitResult | None:
+        """End an attempt that can't continue in this epoch of the store."""
+        if self._store.epochs.newest != attempt.epoch:
+            return self._abandon_attempt(attempt.sent_by_id)
+        if self.is_migrating and not self.has_lease(now):
+            return self._lose_lease(
+                'lease of an earlier epoch ended before migration'
+            )
+        return None
+
     def _make_write(self, change: Change | None) -> SentWrite:
         """Return the write to send; without a change, a barrier."""
         row = self._own_row_factory.make(
@@ -335,7 +338,7 @@
         if isinstance(outcome, EpochEnded):
             return None
         if isinstance(outcome, Conflict):
-            await self._async_back_off(write, attempt, sent_at)
+            self.order.on_conflict(write.change, sent_at)
             return None
         attempt.has_only_conflicts = False
         self._log.write(
@@ -346,16 +349,6 @@
         await asyncio.sleep(RETRY_S)
         return None
 
-    async def _async_back_off(
-        self, write: SentWrite, attempt: CommitAttempt, sent_at: float
-    ) -> None:
-        """Wait after a conflict, so that other members can change the map."""
-        if write.change.key_map is None:
-            return
-        now = self._clock.now()
-        pause_s = self.backoff.on_conflict(now - sent_at)
-        await asyncio.sleep(max(0.0, min(pause_s, attempt.ends - now)))
-
     def _apply_outcome(
         self,
         write: SentWrite,
@@ -451,7 +444,7 @@
         for lapsed in change.removed:
             self.rows.by_name.pop(lapsed.member.name, None)
         if change.key_map is not None:
-            self.backoff.on_success()
+            self.order.on_committed(version)
             self.change_base = write.base
             key_map = change.key_map.at_version(version)
             self._maps.update_if_newer(self.member.service, key_map)
@@ -490,7 +483,7 @@
             return None
         if found is None:
             return self._lose_lease('own row removed')
-        own = _decode_own(found, self.member.name)
+        own = decode_own_row(found, self.member.name)
         if own is None:
             self.rows.unreadable.log_once(found, 'Own row unreadable.')
         if own is None and self.is_joined:
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -34,11 +34,15 @@
     Notification,
     ServerCrashed,
     Token,
+    TurnAnswer,
+    TurnEnded,
+    TurnRequest,
     Welcome,
 )
 from plantaingrade.peers.map_follower import MapFollower
 from plantaingrade.peers.own_row import OwnRow
 from plantaingrade.peers.service_rows import ServiceRows
+from plantaingrade.peers.turns import MapTurns
 from plantaingrade.peers.witnesses import PeerWitnesses
 from plantaingrade.store.interface import Store
 
@@ -95,6 +99,7 @@
         'has_joined',
         'map_follower',
         'own',
+        'turns',
         'witnesses',
     )
 
@@ -127,6 +132,9 @@
         self.capacity_queries = CapacityQueries(
             own, self._announcer.endpoint, clock, hooks.free_capacity_of
         )
+        self.turns = MapTurns(
+            own, directory, maps, self._announcer.endpoint.send, clock, log
+        )
         self._rows = ServiceRows(
             own,
             store,
@@ -318,14 +326,8 @@
 
     def _on_datagram(self, message: Datagram) -> None:
         match message:
-            case Hello(member) if member.has_valid_address():
-                self._welcome(member)
-            case Welcome(member):
-                self._on_welcome(member)
-            case Introduced(member):
-                self._add_member(member)
-            case Goodbye():
-                self._on_goodbye(message)
+            case Hello() | Welcome() | Introduced() | Goodbye():
+                self._on_presence(message)
             case MapChanged():
                 self.map_follower.on_changed(message)
             case ServerCrashed(digests):
@@ -336,15 +338,27 @@
                 self._on_load(message)
             case CapacityRequest() | CapacityResponse():
                 self.capacity_queries.on_datagram(message)
+            case TurnRequest() | TurnAnswer() | TurnEnded():
+                self.turns.on_datagram(message)
+
+    def _on_presence(
+        self, message: Hello | Welcome | Introduced | Goodbye
+    ) -> None:
+        match message:
+            case Hello(member) if member.has_valid_address():
+                self._welcome(member)
+            case Welcome(member):
+                self._add_member(member)
+                self._announcer.on_welcome(member.name)
+            case Introduced(member):
+                self._add_member(member)
+            case Goodbye():
+                self._on_goodbye(message)
 
     def _on_goodbye(self, goodbye: Goodbye) -> None:
         self._directory.remove(goodbye.name, goodbye.boot)
         self._log.write('member-left', member=goodbye.name, boot=goodbye.boot)
 
-    def _on_welcome(self, member: Member) -> None:
-        self._add_member(member)
-        self._announcer.on_welcome(member.name)
-
     def _on_load(self, report: LoadReport) -> None:
         load = Load(report.share, report.work_s, report.slots)
         self._loads.record(report.name, load, self._clock.now())
--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -165,6 +165,44 @@
     failed: int = 0
 
 
+class TurnRequest(Message):
+    """Asks for a turn to change the map of a service.
+
+    Answers go to ``address`` and repeat ``number``. Lower ranks come first.
+    """
+
+    service: str
+    name: str
+    address: str
+    number: int
+    rank: int
+
+
+class TurnAnswer(Message):
+    """Grants a turn, or tells how many others come before.
+
+    ``ahead`` is None if the turn is granted. ``version`` is the newest version
+    of the map known to the member that grants turns.
+    """
+
+    name: str
+    number: int
+    version: int
+    ahead: int | None = None
+
+
+class TurnEnded(Message):
+    """Returns a turn, or withdraws its request.
+
+    ``version`` is the newest version of the map known to the sender.
+    """
+
+    service: str
+    name: str
+    number: int
+    version: int
+
+
 class Introduced(Message):
     """Announces a member to those that its hello has not reached."""
 
@@ -202,6 +240,9 @@
     | ServerCrashed
     | CapacityRequest
     | CapacityResponse
+    | TurnRequest
+    | TurnAnswer
+    | TurnEnded
 )
 
 
--- /dev/null
+++ b/plantaingrade/peers/turns.py
@@ -0,0 +1,269 @@
+"""Take turns with the other members of a service, by datagram."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from itertools import count
+
+from plantaingrade.clock import Clock
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.turns import MAX_REPEAT_S, TURN_LIMIT_S
+from plantaingrade.keyspace.directory import KeyMaps
+from plantaingrade.keyspace.entity import KeyMap
+from plantaingrade.peers.directory import Directory
+from plantaingrade.peers.entity import (
+    Member,
+    TurnAnswer,
+    TurnEnded,
+    TurnRequest,
+)
+from plantaingrade.peers.turn_giver import TurnGiver
+from plantaingrade.peers.turn_taking import Turn
+
+TurnMessage = TurnRequest | TurnAnswer | TurnEnded
+SendTurnMessage = Callable[[TurnMessage, str], None]
+
+# A round trip between availability zones takes 3 ms, and a process that is
+# busy needs some tens of milliseconds more.
+ANSWER_TIMEOUT_S = 0.04
+# Unanswered requests after which a member changes the map without a turn.
+MAX_UNANSWERED = 2
+# A member that did not answer is not asked for turns for this long.
+SILENT_PAUSE_S = 2.0
+# Time from one grant of a turn to the next.
+TURN_S = 0.02
+# Longest wait for the map of the turn before. A change from an older map fails
+# and returns the newest one, which takes about as long.
+MAP_WAIT_S = 0.015
+
+
+class TurnWait:
+    """One request for a turn, and what has been answered so far."""
+
+    __slots__ = ('ahead', 'answer', 'granted', 'number', 'unanswered')
+
+    def __init__(self, number: int) -> None:
+        """Start without an answer."""
+        self.number = number
+        self.granted = asyncio.Event()
+        self.answer: TurnAnswer | None = None
+        self.ahead = 0
+        self.unanswered = 0
+
+    def on_answer(self, answer: TurnAnswer) -> None:
+        """Record an answer."""
+        self.unanswered = 0
+        if answer.ahead is not None:
+            self.ahead = answer.ahead
+            return
+        self.answer = answer
+        self.granted.set()
+
+    def rest_s(self) -> float:
+        """Return how much longer a waiting member need not ask again.
+
+        A member that grants turns may be lost meanwhile, so it asks again at
+        about the time of its turn.
+        """
+        if self.unanswered:
+            return 0.0
+        return min(MAX_REPEAT_S, self.ahead * TURN_S)
+
+
+class MapTurns:
+    """The turns of one member, taken from another one or granted to others.
+
+    All members ask the first owner in the order of keys. If their maps or their
+    suspicions differ they may ask two, and their changes conflict as without
+    turns.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_directory',
+        '_expected_at',
+        '_log',
+        '_map_changed',
+        '_maps',
+        '_numbers',
+        '_own',
+        '_send_datagram',
+        '_silent_until',
+        '_taken_number',
+        '_wait',
+        'giver',
+        'taken',
+        'unanswered',
+        'waited_s',
+    )
+
+    def __init__(
+        self,
+        own: Member,
+        directory: Directory,
+        maps: KeyMaps,
+        send: SendTurnMessage,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        """Take turns for one member; ``send`` sends to an address."""
+        self._own = own
+        self._directory = directory
+        self._maps = maps
+        self._send_datagram = send
+        self._clock = clock
+        self._log = log
+        self._numbers = count(1)
+        self._wait: TurnWait | None = None
+        self._silent_until: dict[str, float] = {}
+        self._taken_number = 0
+        self._expected_at = 0.0
+        self._map_changed = asyncio.Event()
+        # Turns that were granted to this member, those asked for without an
+        # answer, and the total wait of both in seconds.
+        self.taken = 0
+        self.unanswered = 0
+        self.waited_s = 0.0
+        self.giver = TurnGiver(own, self._send, self._version, clock, log)
+        maps.listen(self._on_map)
+
+    async def async_take(self, rank: int, limit_s: float) -> Turn | None:
+        """Wait for a turn; return None if nobody grants one in time."""
+        started_at = self._clock.now()
+        wait = TurnWait(next(self._numbers))
+        self._wait = wait
+        try:
+            turn = await self._async_take(wait, rank, started_at + limit_s)
+        finally:
+            self._wait = None
+            self.waited_s += self._clock.now() - started_at
+        if turn is not None:
+            self.taken += 1
+            self._taken_number = turn.number
+            await self._async_wait_for_map(turn.version)
+        return turn
+
+    def give_back(self, turn: Turn) -> None:
+        """End a turn after its change has been committed or has failed."""
+        self._end(turn.giver, turn.number)
+
+    def expected_wait_s(self) -> float:
+        """Return how long a turn would take by the last answer, in seconds."""
+        return max(0.0, self._expected_at - self._clock.now())
+
+    def on_datagram(self, message: TurnMessage) -> None:
+        """Handle a message of another member, or of this one."""
+        match message:
+            case TurnRequest():
+                self.giver.on_request(message)
+            case TurnEnded():
+                self.giver.on_ended(message)
+            case TurnAnswer():
+                self._on_answer(message)
+
+    async def _async_take(
+        self, wait: TurnWait, rank: int, ends: float
+    ) -> Turn | None:
+        giver = None
+        try:
+            while not wait.granted.is_set() and self._clock.now() < ends:
+                giver = self._find_giver()
+                if giver is None or self._is_silent(wait, giver):
+                    break
+                self._ask(giver, wait, rank)
+                await self._async_wait(wait.granted, ANSWER_TIMEOUT_S, ends)
+                await self._async_wait(wait.granted, wait.rest_s(), ends)
+        finally:
+            if wait.answer is None and giver is not None:
+                self._end(giver.name, wait.number)
+        if wait.answer is None:
+            return None
+        until = self._clock.now() + TURN_LIMIT_S
+        return Turn(wait.answer.name, wait.number, wait.answer.version, until)
+
+    def _find_giver(self) -> Member | None:
+        """Return the first owner in the order of keys that may answer."""
+        now = self._clock.now()
+        for assignment in self._maps.find(self._own.service).assignments:
+            name = assignment.owner
+            if name == self._own.name:
+                return self._own
+            member = self._directory.find(name)
+            is_skipped = (
+                self._directory.is_suspect(name, now)
+                or self._silent_until.get(name, 0.0) > now
+            )
+            if member is not None and not is_skipped:
+                return member
+        return None
+
+    def _ask(self, giver: Member, wait: TurnWait, rank: int) -> None:
+        wait.unanswered += 1
+        own = self._own
+        request = TurnRequest(
+            own.service, own.name, own.address, wait.number, rank
+        )
+        self._send(request, giver.address)
+
+    def _is_silent(self, wait: TurnWait, giver: Member) -> bool:
+        """Return whether a member has left too many requests unanswered."""
+        if wait.unanswered < MAX_UNANSWERED:
+            return False
+        self._silent_until[giver.name] = self._clock.now() + SILENT_PAUSE_S
+        self.unanswered += 1
+        self._expected_at = 0.0
+        self._log.write('turn-unanswered', member=giver.name)
+        return True
+
+    def _on_answer(self, answer: TurnAnswer) -> None:
+        """Record an answer; return a turn that is not waited for any more."""
+        wait = self._wait
+        if wait is not None and wait.number == answer.number:
+            ahead_s = TURN_S * (answer.ahead or 0)
+            self._expected_at = self._clock.now() + ahead_s
+            wait.on_answer(answer)
+        elif answer.ahead is None and answer.number != self._taken_number:
+            self._end(answer.name, answer.number)
+
+    def _end(self, giver: str, number: int) -> None:
+        member = self._directory.find(giver)
+        if giver == self._own.name:
+            member = self._own
+        if member is None:
+            return
+        own = self._own
+        ended = TurnEnded(own.service, own.name, number, self._version())
+        self._send(ended, member.address)
+
+    def _send(self, message: TurnMessage, address: str) -> None:
+        """Send a message, which may be to this member itself."""
+        if address == self._own.address:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.on_datagram, message)
+        else:
+            self._send_datagram(message, address)
+
+    def _version(self) -> int:
+        return self._maps.find(self._own.service).version
+
+    async def _async_wait_for_map(self, version: int) -> None:
+        """Wait briefly for the map that the turn before has left."""
+        ends = self._clock.now() + MAP_WAIT_S
+        while self._version() < version and self._clock.now() < ends:
+            self._map_changed.clear()
+            await self._async_wait(self._map_changed, MAP_WAIT_S, ends)
+
+    async def _async_wait(
+        self, event: asyncio.Event, wait_s: float, ends: float
+    ) -> None:
+        """Wait for an event, within a limit in seconds and until a time."""
+        limit_s = min(wait_s, ends - self._clock.now())
+        if limit_s <= 0:
+            return
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await event.wait()
+
+    def _on_map(self, service: str, _: KeyMap) -> None:
+        if service == self._own.service:
+            self._map_changed.set()
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -216,7 +216,12 @@
             self._orders,
             self._clock,
             self._log,
-            MemberLinks(self._peers, self._peers.witnesses, self._on_joined),
+            MemberLinks(
+                self._peers,
+                self._peers.witnesses,
+                self._on_joined,
+                self._peers.turns,
+            ),
             starts_with_all=settings.starts_with_all,
         )
         self._maps.listen(lambda service, _: self.holds.on_map(service))
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -34,7 +34,10 @@
 from plantaingrade.holds.rows import KEY_MAP
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap, KeyRange
+from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member, Token
+from plantaingrade.peers.turn_taking import NoTurns
+from plantaingrade.peers.turns import MapTurns, TurnMessage
 from plantaingrade.store.clock import StoreClock
 from plantaingrade.store.entity import (
     Changes,
@@ -63,6 +66,8 @@
 SERVICE = 'cases'
 CALL_S = 0.01
 CALL_LIMIT_S = 1.0
+# A datagram between availability zones, and a busy process.
+MESSAGE_S = 0.003
 # The store's clock differs from those of instances.
 STORE_CLOCK_OFFSET_S = 777.0
 INSTANCE_BITS = 32
@@ -98,6 +103,8 @@
         self.reports_epochs = True
         # Time that the part of the store needs for one transaction.
         self.turn_s = 0.0
+        # One-way delay to the store.
+        self.call_s = CALL_S
         self._free_at = 0.0
 
     def snapshot(self) -> RowsSnapshot:
@@ -174,6 +181,8 @@
         self.is_refusing = False
         self.late_s = 3.0
         self.commits = 0
+        # Commits that change the map.
+        self.changes = 0
         self.reads = 0
 
     async def async_commit(
@@ -183,8 +192,9 @@
         if transaction.epoch < self.epochs.newest:
             return EpochEnded(self.epochs.newest)
         self.commits += 1
+        self.changes += _changes_map(transaction)
         sent_at = _now()
-        await asyncio.sleep(CALL_S)
+        await asyncio.sleep(self.rows.call_s)
         await self.rows.async_take_turn()
         fault = self._fault_of(transaction)
         match fault:
@@ -205,7 +215,7 @@
             outcome = Committed(self.rows.latest_version, now_s)
         else:
             outcome = Conflict(self.rows.expected_rows(transaction), now_s)
-        await asyncio.sleep(CALL_S)
+        await asyncio.sleep(self.rows.call_s)
         self._note(epoch)
         if transaction.epoch < self.epochs.newest:
             return EpochEnded(self.epochs.newest)
@@ -216,7 +226,7 @@
         """Return all rows."""
         self.reads += 1
         sent_at = _now()
-        await asyncio.sleep(CALL_S)
+        await asyncio.sleep(self.rows.call_s)
         if self.is_unavailable:
             await asyncio.sleep(CALL_LIMIT_S)
             return NotDone(StoreFailure.NOT_REACHED)
@@ -229,7 +239,7 @@
         outcome = RangeRead(
             versioned_rows, self.rows.latest_version, _store_now()
         )
-        await asyncio.sleep(CALL_S)
+        await asyncio.sleep(self.rows.call_s)
         self._note(outcome.epoch)
         if outcome.epoch < self.epochs.newest:
             return NotDone(StoreFailure.OUTDATED)
@@ -252,8 +262,7 @@
             return Fault.SILENT
         if self.is_refusing:
             return Fault.BUSY
-        changes_map = any(put.name.key == KEY_MAP for put in transaction.puts)
-        if self.faults and changes_map:
+        if self.faults and _changes_map(transaction):
             return self.faults.popleft()
         return Fault.NONE
 
@@ -457,7 +466,7 @@
                 member.name != self._own and member.name not in skipped
             )
             if is_notified and self._cluster.is_delivered():
-                member.maps.update_if_newer(service, after)
+                self._cluster.notify(member, after)
 
     async def async_send_handover(
         self,
@@ -475,6 +484,41 @@
                     member.holds.expect_handover(token)
 
 
+class FakeTurnNetwork:
+    """Carries the messages about turns; some are late, lost or ignored."""
+
+    def __init__(self) -> None:
+        """Start without members."""
+        self.directory = Directory()
+        self.turns_by_address: dict[str, MapTurns] = {}
+        # Members whose process is stopped for a while or cut off.
+        self.unreachable: set[str] = set()
+        self.is_lost: Callable[[TurnMessage], bool] = lambda _: False
+        self.sent = 0
+
+    def connect(self, member: Member, maps: KeyMaps, log: EventLog) -> MapTurns:
+        """Connect a new run of a member."""
+
+        def send(message: TurnMessage, address: str) -> None:
+            if member.address not in self.unreachable:
+                self._send(message, address)
+
+        self.directory.add(member)
+        turns = MapTurns(member, self.directory, maps, send, LoopClock(), log)
+        self.turns_by_address[member.address] = turns
+        return turns
+
+    def _send(self, message: TurnMessage, address: str) -> None:
+        self.sent += 1
+        if not self.is_lost(message):
+            loop = asyncio.get_running_loop()
+            loop.call_later(MESSAGE_S, self._deliver, message, address)
+
+    def _deliver(self, message: TurnMessage, address: str) -> None:
+        if address not in self.unreachable:
+            self.turns_by_address[address].on_datagram(message)
+
+
 class FakeWitnesses:
     """Witnesses among the other members; messages may be lost."""
 
@@ -530,9 +574,13 @@
 class FakeCluster:
     """Members of one service around shared rows."""
 
-    def __init__(self, seed: int = 0) -> None:
-        """Start without members."""
+    def __init__(
+        self, seed: int = 0, turns: FakeTurnNetwork | None = None
+    ) -> None:
+        """Start without members; without ``turns`` they take none."""
         self.rows = FakeRows()
+        self.turns = turns
+        self.message_s = 0.0
         self.members: list[FakeMember] = []
         self.lost_message_share = 0.0
         self.servers: list[FakeServer] = []
@@ -547,6 +595,16 @@
         """Return whether the next message is delivered."""
         return self._random.random() >= self.lost_message_share
 
+    def notify(self, member: FakeMember, key_map: KeyMap) -> None:
+        """Deliver a changed map, at once or after ``message_s``."""
+        if not self.message_s:
+            member.maps.update_if_newer(SERVICE, key_map)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.message_s, member.maps.update_if_newer, SERVICE, key_map
+        )
+
     def decide(self, witness: Witness, question: WitnessRequest) -> bool:
         """Return the answer of a witness, false if that run has ended."""
         for member in self.members:
@@ -662,7 +720,11 @@
         store = store or FakeStore(self.rows)
         store.clock = StoreClock()
         store.epochs = StoreEpochs()
-        identity = Member(name, SERVICE, 'a', '', f'b{self._boots}')
+        address = f'10.0.0.{len(self.members)}:7' if self.turns else ''
+        for known in self.members:
+            if known.name == name:
+                address = known.holds.registry.member.address
+        identity = Member(name, SERVICE, 'a', address, f'b{self._boots}')
         maps = KeyMaps()
         life = IncarnationTracker()
         life.on_identified(server.instance, _now())
@@ -677,7 +739,14 @@
             orders,
             LoopClock(),
             self._log,
-            MemberLinks(relay, witnesses, lambda: None),
+            MemberLinks(
+                relay,
+                witnesses,
+                lambda: None,
+                self.turns.connect(identity, maps, self._log)
+                if self.turns
+                else NoTurns(),
+            ),
             starts_with_all=starts_with_all,
         )
         maps.listen(lambda service, _: holds.on_map(service))
@@ -699,6 +768,10 @@
     ]
 
 
+def _changes_map(transaction: Transaction) -> bool:
+    return any(put.name.key == KEY_MAP for put in transaction.puts)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
--- a/tests/peers/test_malformed.py
+++ b/tests/peers/test_malformed.py
@@ -35,6 +35,9 @@
     Offer,
     OfferReply,
     Token,
+    TurnAnswer,
+    TurnEnded,
+    TurnRequest,
     Welcome,
 )
 from plantaingrade.store.entity import (
@@ -75,6 +78,9 @@
     (CODEC, Introduced(OTHER)),
     (CODEC, Forwarded(CHANGE, ('s@3',))),
     (CODEC, Forwarded(Introduced(OTHER), ())),
+    (CODEC, TurnRequest('s', 's@2', OTHER.address, 1, 0)),
+    (CODEC, TurnAnswer('s@2', 1, 7, 3)),
+    (CODEC, TurnEnded('s', 's@2', 1, 7)),
     (HANDOVER_CODEC, Handover(CHANGE, (Token(KeyRange(0, 9), 't'),))),
     (OFFER_CODEC, Offer('s@2', 's', 0.9, 0.3, 0.02)),
     (REPLY_CODEC, OfferReply(True, 0.5, 0.01, 4)),
