Turns survive lost messages, and moves that come too late end at once

Change: a turn ends also with the announcement of its change; a grant is repeated after 40 ms; a member without an answer of the store returns its turn; members ask the same one, whatever connections failed. A move that evens out load ends at once if its turn would come after its limit, and isn't begun while the expected wait exceeds 0.2 s. Transfers that become ready while their member waits join its change.

--- a/plantaingrade/holds/change_order.py
+++ b/plantaingrade/holds/change_order.py
@@ -7,7 +7,7 @@
 
 from plantaingrade.clock import Clock
 from plantaingrade.holds.backoff import ConflictBackoff
-from plantaingrade.holds.changes import Change
+from plantaingrade.holds.changes import Change, CommitAttempt
 from plantaingrade.holds.contention import Contention
 from plantaingrade.holds.turns import TurnRank
 from plantaingrade.keyspace.directory import KeyMaps
@@ -60,10 +60,13 @@
         finally:
             self._end_turn()
 
-    async def async_wait(self, change: Change | None, ends: float) -> bool:
+    async def async_wait(
+        self, change: Change | None, attempt: CommitAttempt
+    ) -> bool:
         """Wait for a turn if the change needs one; return whether it did.
 
-        The change must then be planned again, from the newest map.
+        The change must then be planned again, from the newest map. If too many
+        others come before, a change that can be deferred is given up at once.
         """
         if change is None or change.key_map is None:
             return False
@@ -73,12 +76,12 @@
         if not self._contention.is_likely(now):
             return False
         self._end_turn()
-        left_s = max(0.0, ends - now)
-        self._turn = await self.turns.async_take(self._rank, left_s)
+        self._turn = await self.turns.async_take(
+            self._rank, max(0.0, attempt.ends - now)
+        )
         self._is_refused = self._turn is None
         if self._is_refused:
-            pause_s = min(self._pause_until, ends) - self._clock.now()
-            await asyncio.sleep(max(0.0, pause_s))
+            await self._async_go_without(attempt)
         return True
 
     def on_conflict(self, change: Change, sent_at: float) -> None:
@@ -95,11 +98,25 @@
             self._pause_until = now + self.backoff.on_conflict(now - sent_at)
             self._is_refused = False
 
+    def on_unanswered(self) -> None:
+        """Return the turn while the store does not answer."""
+        self._end_turn()
+
     def on_committed(self, version: int) -> None:
         """Record the version of a map changed by this member."""
         self.backoff.on_success()
         self._own_version = version
 
+    async def _async_go_without(self, attempt: CommitAttempt) -> None:
+        """Back off, or give up a change that would come too late."""
+        now = self._clock.now()
+        is_deferrable = self._rank is TurnRank.DEFERRABLE
+        if is_deferrable and now + self.turns.expected_wait_s() > attempt.ends:
+            attempt.give_up_contended()
+            return
+        pause_s = min(self._pause_until, attempt.ends) - now
+        await asyncio.sleep(max(0.0, pause_s))
+
     def _has_turn(self, now: float) -> bool:
         return self._turn is not None and now < self._turn.until
 
--- a/plantaingrade/holds/changes.py
+++ b/plantaingrade/holds/changes.py
@@ -72,5 +72,9 @@
         """Return the local time until which the change is retried."""
         return self.contended_until if self.has_only_conflicts else self.until
 
+    def give_up_contended(self) -> None:
+        """Retry no more because of changes by others."""
+        self.contended_until = float('-inf')
+
 
 RENEWAL = Change()
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -289,7 +289,7 @@
             change = None if is_late else plan(self)
             if change is None and not attempt.sent_by_id:
                 return _result_unsent(is_late=is_late)
-            if not await self.order.async_wait(change, attempt.ends):
+            if not await self.order.async_wait(change, attempt):
                 write = self._make_write(change)
                 commit_result = await self._async_send(write, attempt)
         return commit_result
@@ -340,6 +340,7 @@
         if isinstance(outcome, Conflict):
             self.order.on_conflict(write.change, sent_at)
             return None
+        self.order.on_unanswered()
         attempt.has_only_conflicts = False
         self._log.write(
             'store-write-open',
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from msgspec import Struct
 
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.changes import CommitResult
+from plantaingrade.holds.changes import Change, CommitResult
 from plantaingrade.holds.granter import Granter
 from plantaingrade.holds.joint_transfers import (
     RangeTransfer,
@@ -25,6 +26,8 @@
 # well stay: requests for keys that are being transferred wait no longer than
 # this.
 CONTENDED_LIMIT_S = 0.4
+# Longest expected wait for a turn with which a move of such keys begins.
+MAX_TURN_WAIT_S = 0.2
 
 
 class ReadyTransfer(Struct, eq=False):
@@ -102,10 +105,10 @@
 
         Fails if one of the ranges is already being transferred.
 
-        Nothing is released while the store is unavailable: nobody would serve
-        the keys until it is back.
+        Nothing is released while the store is unavailable, or while the change
+        would wait long for its turn: nobody would serve the keys meanwhile.
         """
-        if not self._registry.availability.is_available:
+        if not self._registry.availability.is_available or self._is_crowded():
             return False
         moving = self._granter.moving
         if any(each.overlap(other) for each in keys for other in moving):
@@ -161,17 +164,22 @@
         try:
             async with self._committing:
                 if ready.outcome is None:
-                    await self._async_commit_all(list(self._ready))
+                    await self._async_commit_ready()
         finally:
             if ready in self._ready:
                 self._ready.remove(ready)
         return ready
 
-    async def _async_commit_all(self, batch: list[ReadyTransfer]) -> None:
-        transfers = [each.transfer for each in batch]
-        waited_s = self._clock.now() - min(each.released_at for each in batch)
+    async def _async_commit_ready(self) -> None:
+        """Commit all transfers that are ready when their change is sent.
+
+        Some become ready only while the change waits for its turn.
+        """
+        batch = list(self._ready)
+        waited_s = self._clock.now() - batch[0].released_at
+
         committed = await self._registry.async_commit(
-            lambda registry: plan_transfers(registry, transfers),
+            partial(self._plan, batch),
             MOVE_LIMIT_S,
             contended_limit_s=max(0.0, self._contended_limit_s() - waited_s),
         )
@@ -183,8 +191,22 @@
             if each in self._ready:
                 self._ready.remove(each)
         if committed is CommitResult.DONE:
+            transfers = [each.transfer for each in batch]
             self._broadcast(before, after, transfers)
 
+    def _plan(
+        self, batch: list[ReadyTransfer], registry: Registry
+    ) -> Change | None:
+        """Plan a batch, to which those that are ready by now are added."""
+        batch.extend(each for each in self._ready if each not in batch)
+        return plan_transfers(registry, [each.transfer for each in batch])
+
+    def _is_crowded(self) -> bool:
+        """Return whether keys that could as well stay should not move now."""
+        registry = self._registry
+        wait_s = registry.order.turns.expected_wait_s()
+        return registry.accepts_keys and wait_s > MAX_TURN_WAIT_S
+
     def _contended_limit_s(self) -> float:
         is_leaving = not self._registry.accepts_keys
         return MOVE_LIMIT_S if is_leaving else CONTENDED_LIMIT_S
--- a/plantaingrade/holds/turns.py
+++ b/plantaingrade/holds/turns.py
@@ -41,12 +41,13 @@
 class TurnQueue:
     """First come, first served within a rank; one member at a time."""
 
-    __slots__ = ('_arrivals', '_granted', '_granted_at', '_waiting', 'lapsed')
+    __slots__ = ('_arrivals', '_granted_at', '_waiting', 'granted', 'lapsed')
 
     def __init__(self) -> None:
         """Start without any request."""
         self._arrivals = 0
-        self._granted: WaitingTurn | None = None
+        # The turn granted last, until it ends.
+        self.granted: WaitingTurn | None = None
         self._granted_at = 0.0
         self._waiting: dict[str, WaitingTurn] = {}
         # Turns that were not returned in time.
@@ -74,31 +75,31 @@
     def end(self, name: str, number: int) -> None:
         """End a turn, or withdraw its request."""
         if self.is_granted(name, number):
-            self._granted = None
+            self.granted = None
         known = self._waiting.get(name)
         if known is not None and known.number == number:
             self._waiting.pop(name)
 
     def is_granted(self, name: str, number: int) -> bool:
         """Return whether this turn has been granted and has not ended."""
-        granted = self._granted
+        granted = self.granted
         if granted is None:
             return False
         return granted.name == name and granted.number == number
 
     def advance(self, now: float) -> WaitingTurn | None:
         """Grant the next turn if none is granted; return it if so."""
-        if self._granted is not None:
+        if self.granted is not None:
             if now < self._granted_at + TURN_LIMIT_S:
                 return None
             self.lapsed += 1
-            self._granted = None
+            self.granted = None
         self._remove_silent(now)
         if not self._waiting:
             return None
         following = min(self._waiting.values(), key=_place)
         self._waiting.pop(following.name)
-        self._granted = following
+        self.granted = following
         self._granted_at = now
         return following
 
@@ -110,7 +111,7 @@
         earlier = sum(
             _place(each) < _place(own) for each in self._waiting.values()
         )
-        return earlier + (self._granted is not None)
+        return earlier + (self.granted is not None)
 
     def _remove_silent(self, now: float) -> None:
         self._waiting = {
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -330,6 +330,7 @@
                 self._on_presence(message)
             case MapChanged():
                 self.map_follower.on_changed(message)
+                self.turns.giver.on_changed(message)
             case ServerCrashed(digests):
                 self._hooks.on_crash(digests)
             case Forwarded(notification):
--- a/plantaingrade/peers/turn_giver.py
+++ b/plantaingrade/peers/turn_giver.py
@@ -5,8 +5,9 @@
 
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.turns import TURN_LIMIT_S, TurnQueue, WaitingTurn
+from plantaingrade.holds.turns import TurnQueue, WaitingTurn
 from plantaingrade.peers.entity import (
+    MapChanged,
     Member,
     TurnAnswer,
     TurnEnded,
@@ -14,6 +15,10 @@
     is_valid_address,
 )
 
+# A turn that has not been returned after this time is granted once more, as the
+# grant or the answer to it may be lost. A change takes half as long.
+REPEAT_S = 0.04
+
 SendAnswer = Callable[[TurnAnswer, str], None]
 
 
@@ -25,6 +30,7 @@
 
     __slots__ = (
         '_clock',
+        '_granted_version',
         '_log',
         '_own',
         '_queue',
@@ -51,6 +57,8 @@
         self._queue = TurnQueue()
         # The newest version that a member has reported with its turn.
         self._version = 0
+        # The newest version when the last turn was granted.
+        self._granted_version = 0
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -84,6 +92,20 @@
         self._queue.end(ended.name, ended.number)
         self._grant_next()
 
+    def on_changed(self, change: MapChanged) -> None:
+        """End a turn when its change is announced.
+
+        The message that returns the turn may be lost.
+        """
+        if change.service != self._own.service:
+            return
+        granted = self._queue.granted
+        is_newer = change.version > self._granted_version
+        if granted is not None and granted.name == change.source and is_newer:
+            self._version = max(self._version, change.version)
+            self._queue.end(granted.name, granted.number)
+            self._grant_next()
+
     def _grant_next(self) -> None:
         granted = self._advance()
         if granted is not None:
@@ -95,6 +117,7 @@
         if self._queue.lapsed > lapsed:
             self._log.write('turn-lapsed', map_version=self._version)
         if granted is not None:
+            self._granted_version = self._newest_version()
             self._set_timer()
         return granted
 
@@ -102,9 +125,23 @@
         if self._timer is not None:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(TURN_LIMIT_S, self._grant_next)
+        self._timer = loop.call_later(REPEAT_S, self._check)
+
+    def _check(self) -> None:
+        """Repeat the grant of a turn, or grant the next one.
+
+        A member answers a repeated grant if it has returned the turn already.
+        """
+        granted = self._queue.granted
+        self._grant_next()
+        if granted is not None and granted is self._queue.granted:
+            self._answer(granted.address, granted.number, None)
+            self._set_timer()
+
+    def _newest_version(self) -> int:
+        return max(self._version, self._version_of_map())
 
     def _answer(self, address: str, number: int, ahead: int | None) -> None:
-        version = max(self._version, self._version_of_map())
+        version = self._newest_version()
         answer = TurnAnswer(self._own.name, number, version, ahead)
         self._send(answer, address)
--- a/plantaingrade/peers/turns.py
+++ b/plantaingrade/peers/turns.py
@@ -7,7 +7,7 @@
 
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.turns import MAX_REPEAT_S, TURN_LIMIT_S
+from plantaingrade.holds.turns import MAX_REPEAT_S, TURN_LIMIT_S, TurnRank
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap
 from plantaingrade.peers.directory import Directory
@@ -29,7 +29,7 @@
 # Unanswered requests after which a member changes the map without a turn.
 MAX_UNANSWERED = 2
 # A member that did not answer is not asked for turns for this long.
-SILENT_PAUSE_S = 2.0
+SILENT_PAUSE_S = 1.0
 # Time from one grant of a turn to the next.
 TURN_S = 0.02
 # Longest wait for the map of the turn before. A change from an older map fails
@@ -40,48 +40,79 @@
 class TurnWait:
     """One request for a turn, and what has been answered so far."""
 
-    __slots__ = ('ahead', 'answer', 'granted', 'number', 'unanswered')
+    __slots__ = (
+        'ahead',
+        'answered',
+        'expected_at',
+        'granted',
+        'is_deferrable',
+        'number',
+        'unanswered',
+        'until',
+        'winning',
+    )
 
-    def __init__(self, number: int) -> None:
-        """Start without an answer."""
+    def __init__(self, number: int, rank: int, until: float) -> None:
+        """Wait until a local time; start without an answer."""
         self.number = number
+        self.is_deferrable = rank == TurnRank.DEFERRABLE
+        self.until = until
+        self.answered = asyncio.Event()
         self.granted = asyncio.Event()
-        self.answer: TurnAnswer | None = None
+        # The answer that grants the turn.
+        self.winning: TurnAnswer | None = None
         self.ahead = 0
+        # Local time of the turn by the last answer.
+        self.expected_at = 0.0
         self.unanswered = 0
 
-    def on_answer(self, answer: TurnAnswer) -> None:
+    def on_asked(self) -> None:
+        """Record that a request has been sent."""
+        self.unanswered += 1
+        self.answered.clear()
+
+    def on_answer(self, answer: TurnAnswer, now: float) -> None:
         """Record an answer."""
         self.unanswered = 0
-        if answer.ahead is not None:
-            self.ahead = answer.ahead
-            return
-        self.answer = answer
-        self.granted.set()
+        self.ahead = answer.ahead or 0
+        self.expected_at = now + self.ahead * TURN_S
+        self.answered.set()
+        if answer.ahead is None:
+            self.winning = answer
+            self.granted.set()
 
-    def rest_s(self) -> float:
-        """Return how much longer a waiting member need not ask again.
+    def is_open(self, now: float) -> bool:
+        """Return whether to go on waiting.
 
-        A member that grants turns may be lost meanwhile, so it asks again at
-        about the time of its turn.
+        A turn that can be deferred is not waited for if it comes too late.
+        """
+        if self.granted.is_set() or now >= self.until:
+            return False
+        return not self.is_deferrable or self.expected_at <= self.until
+
+    def repeat_s(self) -> float:
+        """Return how long a waiting member need not ask again.
+
+        The member that grants turns may be lost meanwhile, so it is asked again
+        at about the time of the turn.
         """
         if self.unanswered:
             return 0.0
-        return min(MAX_REPEAT_S, self.ahead * TURN_S)
+        return max(ANSWER_TIMEOUT_S, min(MAX_REPEAT_S, self.ahead * TURN_S))
 
 
 class MapTurns:
     """The turns of one member, taken from another one or granted to others.
 
-    All members ask the first owner in the order of keys. If their maps or their
-    suspicions differ they may ask two, and their changes conflict as without
-    turns.
+    All members ask the first owner in the order of keys. If their maps differ
+    they may ask two, and their changes conflict as without turns.
     """
 
     __slots__ = (
         '_clock',
         '_directory',
         '_expected_at',
+        '_held',
         '_log',
         '_map_changed',
         '_maps',
@@ -89,7 +120,6 @@
         '_own',
         '_send_datagram',
         '_silent_until',
-        '_taken_number',
         '_wait',
         'giver',
         'taken',
@@ -116,7 +146,7 @@
         self._numbers = count(1)
         self._wait: TurnWait | None = None
         self._silent_until: dict[str, float] = {}
-        self._taken_number = 0
+        self._held: Turn | None = None
         self._expected_at = 0.0
         self._map_changed = asyncio.Event()
         # Turns that were granted to this member, those asked for without an
@@ -130,21 +160,23 @@
     async def async_take(self, rank: int, limit_s: float) -> Turn | None:
         """Wait for a turn; return None if nobody grants one in time."""
         started_at = self._clock.now()
-        wait = TurnWait(next(self._numbers))
+        until = started_at + limit_s
+        wait = TurnWait(next(self._numbers), rank, until)
         self._wait = wait
         try:
-            turn = await self._async_take(wait, rank, started_at + limit_s)
+            turn = await self._async_take(wait, rank)
         finally:
             self._wait = None
             self.waited_s += self._clock.now() - started_at
         if turn is not None:
             self.taken += 1
-            self._taken_number = turn.number
+            self._held = turn
             await self._async_wait_for_map(turn.version)
         return turn
 
     def give_back(self, turn: Turn) -> None:
         """End a turn after its change has been committed or has failed."""
+        self._held = None
         self._end(turn.giver, turn.number)
 
     def expected_wait_s(self) -> float:
@@ -161,50 +193,54 @@
             case TurnAnswer():
                 self._on_answer(message)
 
-    async def _async_take(
-        self, wait: TurnWait, rank: int, ends: float
-    ) -> Turn | None:
+    async def _async_take(self, wait: TurnWait, rank: int) -> Turn | None:
         giver = None
         try:
-            while not wait.granted.is_set() and self._clock.now() < ends:
+            while wait.is_open(self._clock.now()):
                 giver = self._find_giver()
                 if giver is None or self._is_silent(wait, giver):
                     break
-                self._ask(giver, wait, rank)
-                await self._async_wait(wait.granted, ANSWER_TIMEOUT_S, ends)
-                await self._async_wait(wait.granted, wait.rest_s(), ends)
+                await self._async_ask(giver, wait, rank)
         finally:
-            if wait.answer is None and giver is not None:
+            if wait.winning is None and giver is not None:
                 self._end(giver.name, wait.number)
-        if wait.answer is None:
+        answer = wait.winning
+        if answer is None:
             return None
         until = self._clock.now() + TURN_LIMIT_S
-        return Turn(wait.answer.name, wait.number, wait.answer.version, until)
+        return Turn(answer.name, answer.number, answer.version, until)
+
+    async def _async_ask(
+        self, giver: Member, wait: TurnWait, rank: int
+    ) -> None:
+        """Ask once; wait until the turn is granted or it is time to repeat."""
+        wait.on_asked()
+        own = self._own
+        request = TurnRequest(
+            own.service, own.name, own.address, wait.number, rank
+        )
+        self._send(request, giver.address)
+        await self._async_wait(wait.answered, ANSWER_TIMEOUT_S, wait.until)
+        if wait.is_open(self._clock.now()):
+            await self._async_wait(wait.granted, wait.repeat_s(), wait.until)
 
     def _find_giver(self) -> Member | None:
-        """Return the first owner in the order of keys that may answer."""
+        """Return the first owner in the order of keys that may answer.
+
+        Suspicions after failed connections differ from member to member, and so
+        would the members asked: only those that left a request for a turn
+        unanswered are skipped.
+        """
         now = self._clock.now()
         for assignment in self._maps.find(self._own.service).assignments:
             name = assignment.owner
             if name == self._own.name:
                 return self._own
             member = self._directory.find(name)
-            is_skipped = (
-                self._directory.is_suspect(name, now)
-                or self._silent_until.get(name, 0.0) > now
-            )
-            if member is not None and not is_skipped:
+            if member is not None and self._silent_until.get(name, 0.0) <= now:
                 return member
         return None
 
-    def _ask(self, giver: Member, wait: TurnWait, rank: int) -> None:
-        wait.unanswered += 1
-        own = self._own
-        request = TurnRequest(
-            own.service, own.name, own.address, wait.number, rank
-        )
-        self._send(request, giver.address)
-
     def _is_silent(self, wait: TurnWait, giver: Member) -> bool:
         """Return whether a member has left too many requests unanswered."""
         if wait.unanswered < MAX_UNANSWERED:
@@ -219,12 +255,15 @@
         """Record an answer; return a turn that is not waited for any more."""
         wait = self._wait
         if wait is not None and wait.number == answer.number:
-            ahead_s = TURN_S * (answer.ahead or 0)
-            self._expected_at = self._clock.now() + ahead_s
-            wait.on_answer(answer)
-        elif answer.ahead is None and answer.number != self._taken_number:
+            wait.on_answer(answer, self._clock.now())
+            self._expected_at = wait.expected_at
+        elif answer.ahead is None and not self._holds(answer.number):
+            # It was withdrawn, or returned by a message that was lost.
             self._end(answer.name, answer.number)
 
+    def _holds(self, number: int) -> bool:
+        return self._held is not None and self._held.number == number
+
     def _end(self, giver: str, number: int) -> None:
         member = self._directory.find(giver)
         if giver == self._own.name:
