Turns tell their wait by the measured pace; gauges of turns

Cause: members waited for 0.4 s in vain where turns took longer than the 20 ms that each of them reckoned with.

Change: the member that grants turns answers with the expected wait by the mean duration of its turns. Gauges turns_taken, turns_unanswered, turns_wait_seconds, turns_lapsed.

--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -179,16 +179,16 @@
 
 
 class TurnAnswer(Message):
-    """Grants a turn, or tells how many others come before.
+    """Grants a turn, or tells how long it takes until then.
 
-    ``ahead`` is None if the turn is granted. ``version`` is the newest version
-    of the map known to the member that grants turns.
+    ``wait_ms`` is None if the turn is granted. ``version`` is the newest
+    version of the map known to the member that grants turns.
     """
 
     name: str
     number: int
     version: int
-    ahead: int | None = None
+    wait_ms: int | None = None
 
 
 class TurnEnded(Message):
--- a/plantaingrade/peers/turn_giver.py
+++ b/plantaingrade/peers/turn_giver.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from plantaingrade.clock import Clock
+from plantaingrade.const import MS_PER_S
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.turns import TurnQueue, WaitingTurn
 from plantaingrade.peers.entity import (
@@ -80,16 +81,18 @@
             name, request.address, number, request.rank, self._clock.now()
         )
         self._advance()
-        is_granted = self._queue.is_granted(name, number)
-        ahead = None if is_granted else self._queue.count_ahead(name)
-        self._answer(request.address, number, ahead)
+        wait_ms = None
+        if not self._queue.is_granted(name, number):
+            wait_s = self._queue.expected_wait_s(name)
+            wait_ms = round(wait_s * MS_PER_S)
+        self._answer(request.address, number, wait_ms)
 
     def on_ended(self, ended: TurnEnded) -> None:
         """Grant the next turn once one has been returned."""
         if ended.service != self._own.service:
             return
         self._version = max(self._version, ended.version)
-        self._queue.end(ended.name, ended.number)
+        self._queue.end(ended.name, ended.number, self._clock.now())
         self._grant_next()
 
     def on_changed(self, change: MapChanged) -> None:
@@ -103,7 +106,7 @@
         is_newer = change.version > self._granted_version
         if granted is not None and granted.name == change.source and is_newer:
             self._version = max(self._version, change.version)
-            self._queue.end(granted.name, granted.number)
+            self._queue.end(granted.name, granted.number, self._clock.now())
             self._grant_next()
 
     def _grant_next(self) -> None:
@@ -141,7 +144,7 @@
     def _newest_version(self) -> int:
         return max(self._version, self._version_of_map())
 
-    def _answer(self, address: str, number: int, ahead: int | None) -> None:
+    def _answer(self, address: str, number: int, wait_ms: int | None) -> None:
         version = self._newest_version()
-        answer = TurnAnswer(self._own.name, number, version, ahead)
+        answer = TurnAnswer(self._own.name, number, version, wait_ms)
         self._send(answer, address)
--- a/plantaingrade/sidecar/gauges.py
+++ b/plantaingrade/sidecar/gauges.py
@@ -8,6 +8,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.holds.registry import Registry
+from plantaingrade.peers.turns import MapTurns
 from plantaingrade.requests.server_path import ServerPath
 from plantaingrade.sidecar.metrics import Metrics
 
@@ -20,12 +21,14 @@
     config: ConfigFollower
     registry: Registry
     server_path: ServerPath
+    turns: MapTurns
     clock: Clock
 
 
 def register_gauges(metrics: Metrics, parts: GaugeSources) -> None:
     """Register the gauges of a process."""
     _register_limits(metrics, parts.queue.limits, parts.clock)
+    _register_turns(metrics, parts.turns)
     queue, registry, clock = parts.queue, parts.registry, parts.clock
     register = metrics.register_gauge
     register('slots_running', 'Requests at the server.', lambda: queue.running)
@@ -52,6 +55,30 @@
     )
 
 
+def _register_turns(metrics: Metrics, turns: MapTurns) -> None:
+    register = metrics.register_gauge
+    register(
+        'turns_taken',
+        'Turns to change the key map that this process was granted.',
+        lambda: turns.taken,
+    )
+    register(
+        'turns_unanswered',
+        'Turns to change the key map that nobody granted in time.',
+        lambda: turns.unanswered,
+    )
+    register(
+        'turns_wait_seconds',
+        'Total wait for turns to change the key map.',
+        lambda: turns.waited_s,
+    )
+    register(
+        'turns_lapsed',
+        'Turns granted by this process that were not returned in time.',
+        lambda: turns.giver.lapsed,
+    )
+
+
 def _register_limits(
     metrics: Metrics, limits: ServerLimits, clock: Clock
 ) -> None:
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -380,6 +380,7 @@
                 self._config,
                 self.holds.registry,
                 self._server_path,
+                self._peers.turns,
                 self._clock,
             ),
         )
