--- a/plantaingrade/peers/turn_giver.py
+++ b/plantaingrade/peers/turn_giver.py
@@ -115,10 +115,11 @@
             self._answer(granted.address, granted.number, None)
 
     def _advance(self) -> WaitingTurn | None:
+        before = self._queue.granted
         lapsed = self._queue.lapsed
         granted = self._queue.advance(self._clock.now())
-        if self._queue.lapsed > lapsed:
-            self._log.write('turn-lapsed', map_version=self._version)
+        if before is not None and self._queue.lapsed > lapsed:
+            self._log.write('turn-lapsed', member=before.name)
         if granted is not None:
             self._granted_version = self._newest_version()
             self._set_timer()
