--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -1,12 +1,12 @@
 """Discover the other processes and keep all key maps up to date."""
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
+from contextlib import suppress
 
-from msgspec import Struct
 from msgspec.structs import replace
 
-from plantaingrade.balance.entity import FreeCapacity, Load
+from plantaingrade.balance.entity import Load
 from plantaingrade.balance.peer_loads import PeerLoads
 from plantaingrade.clock import Clock
 from plantaingrade.codec import Codec, MalformedMessageError
@@ -14,7 +14,6 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap
-from plantaingrade.operators.desired_state import DesiredState
 from plantaingrade.peers.announcer import Announcer
 from plantaingrade.peers.calls import PeerCalls
 from plantaingrade.peers.capacity_queries import CapacityQueries
@@ -39,6 +38,7 @@
     TurnRequest,
     Welcome,
 )
+from plantaingrade.peers.hooks import PeerHooks
 from plantaingrade.peers.map_follower import MapFollower
 from plantaingrade.peers.own_row import OwnRow
 from plantaingrade.peers.service_rows import ServiceRows
@@ -50,6 +50,9 @@
 PATH_HANDOVER = '/-/handed'
 HELLO_PAUSES_S = (0.2, 0.4, 0.8, 1.6, 3.2)
 JOIN_RETRY_S = 0.25
+# Longest wait of a member with keys for its own row, before it reads the
+# others. Members that start together write their rows one after another.
+OWN_ROW_WAIT_S = 0.5
 # After a lost map datagram, a redirect corrects the map. What that misses is
 # corrected by this periodic read of the store.
 REFRESH_S = 20.0
@@ -61,23 +64,6 @@
 LOOK_UP_PAUSE_S = 1.0
 
 
-class PeerHooks(Struct, frozen=True):
-    """Callbacks of the coordinator.
-
-    ``services`` returns the names of all configured services.
-    ``on_desired_state`` receives the operators' request for the own server, and
-    ``on_crash`` the digests of the requests that another member's server was
-    running when it crashed. ``free_capacity_of`` returns how soon the own
-    server could run a request of a kind and priority, or None if it accepts no
-    requests.
-    """
-
-    services: Callable[[], Iterable[str]]
-    on_desired_state: Callable[[DesiredState], None]
-    on_crash: Callable[[tuple[str, ...]], None]
-    free_capacity_of: Callable[[str, int], FreeCapacity | None]
-
-
 class PeerCoordinator:
     """Represent one member among the other processes."""
 
@@ -92,7 +78,9 @@
         '_looked_up_names',
         '_lookup_task',
         '_maps',
+        '_has_read',
         '_own_row',
+        '_own_row_written',
         '_rows',
         '_store',
         'capacity_queries',
@@ -145,6 +133,9 @@
             log,
         )
         self._own_row: OwnRow | None = None
+        self._own_row_written = asyncio.Event()
+        # Whether the other members have been read, or are being read.
+        self._has_read = False
         self._looked_up_names: set[str] = set()
         self._lookup_task: asyncio.Task[None] | None = None
 
@@ -154,12 +145,21 @@
         return self._announcer.endpoint
 
     async def async_join(self, *, is_keyed: bool) -> None:
-        """Register this member and read the others, retrying until done."""
+        """Register this member and read the others, retrying until done.
+
+        A member that reads the rows after it has written its own either finds
+        another member there, or is found by it.
+        """
         self._directory.add(self.own)
-        if not is_keyed:
+        if is_keyed:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(OWN_ROW_WAIT_S):
+                    await self._own_row_written.wait()
+        else:
             self._own_row = OwnRow(self.own, self._store, self._log)
             while not await self._own_row.async_write():
                 await asyncio.sleep(JOIN_RETRY_S)
+        self._has_read = True
         while not await self.async_refresh():
             await asyncio.sleep(JOIN_RETRY_S)
         self.has_joined = True
@@ -171,15 +171,20 @@
         while True:
             await asyncio.sleep(self._refresh_pause_s())
             self._looked_up_names.clear()
-            await self.async_refresh()
+            await self._rows.async_read(self._hooks.shared_reads)
             self._announcer.send_hello()
 
     async def async_introduce(self) -> None:
         """Introduce this member to those that started before its row stood.
 
         A member with keys that waits to join has no row for many seconds, and
-        who starts meanwhile would meet it at its next refresh only.
+        who starts meanwhile would meet it at its next refresh only. A member
+        that joins at once has not read the others yet, and introduces itself
+        when it has.
         """
+        self._own_row_written.set()
+        if not self._has_read:
+            return
         await self.async_refresh()
         await self._async_send_hellos()
 
--- a/plantaingrade/sidecar/gauges.py
+++ b/plantaingrade/sidecar/gauges.py
@@ -8,6 +8,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.holds.registry import Registry
+from plantaingrade.http.pipeline import EarlyTotals
 from plantaingrade.peers.turns import MapTurns
 from plantaingrade.requests.server_path import ServerPath
 from plantaingrade.sidecar.metrics import Metrics
@@ -22,14 +23,16 @@
     registry: Registry
     server_path: ServerPath
     turns: MapTurns
+    early: EarlyTotals
     clock: Clock
 
 
 def register_gauges(metrics: Metrics, parts: GaugeSources) -> None:
     """Register the gauges of a process."""
     _register_limits(metrics, parts.queue.limits, parts.clock)
-    _register_turns(metrics, parts.turns)
-    queue, registry, clock = parts.queue, parts.registry, parts.clock
+    _register_read_ahead(metrics, parts.early)
+    _register_keys(metrics, parts)
+    queue = parts.queue
     register = metrics.register_gauge
     register('slots_running', 'Requests at the server.', lambda: queue.running)
     register('slots_waiting', 'Requests in the queue.', lambda: queue.waiting)
@@ -48,15 +51,16 @@
         'Version of the configuration in force.',
         lambda: parts.config.version,
     )
+
+
+def _register_keys(metrics: Metrics, parts: GaugeSources) -> None:
+    registry, turns, clock = parts.registry, parts.turns, parts.clock
+    register = metrics.register_gauge
     register(
         'lease_left_seconds',
         'Time left of the own lease.',
         lambda: registry.lease_until - clock.now(),
     )
-
-
-def _register_turns(metrics: Metrics, turns: MapTurns) -> None:
-    register = metrics.register_gauge
     register(
         'turns_taken',
         'Turns to change the key map that this process was granted.',
@@ -79,6 +83,20 @@
     )
 
 
+def _register_read_ahead(metrics: Metrics, early: EarlyTotals) -> None:
+    register = metrics.register_gauge
+    register(
+        'requests_read_ahead',
+        'Pipelined requests that began before their turn.',
+        lambda: early.requests,
+    )
+    register(
+        'answers_held_bytes',
+        'Bytes of answers to pipelined requests whose turn is not yet.',
+        lambda: early.held_bytes,
+    )
+
+
 def _register_limits(
     metrics: Metrics, limits: ServerLimits, clock: Clock
 ) -> None:
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -61,6 +61,7 @@
     make_version,
     number_of,
 )
+from plantaingrade.store.interface import Committer
 from tests.virtual import LoopClock
 
 SERVICE = 'cases'
@@ -708,6 +709,10 @@
         self.servers.append(server)
         return server
 
+    def make_shared_renewals(self, name: str, store: FakeStore) -> Committer:
+        """Return what renews a member's lease, by default the member itself."""
+        return store
+
     def _make(
         self,
         name: str,
@@ -743,6 +748,7 @@
                 relay,
                 witnesses,
                 lambda: None,
+                self.make_shared_renewals(name, store),
                 self.turns.connect(identity, maps, self._log)
                 if self.turns
                 else NoTurns(),
--- a/tests/holds/test_many_moves.py
+++ b/tests/holds/test_many_moves.py
@@ -13,6 +13,7 @@
 from plantaingrade.holds.const import RELEASE_TIMEOUT_S
 from plantaingrade.keyspace.entity import KEY_COUNT, KeyRange
 from tests.holds.fakes import MESSAGE_S, FakeCluster, FakeTurnNetwork
+from tests.holds.test_shared_renewals import SharingCluster
 from tests.virtual import run
 
 MEMBERS = 70
@@ -66,7 +67,8 @@
 async def async_move_all(
     turns: FakeTurnNetwork | None, pause_s: float
 ) -> MoveStats:
-    cluster = FakeCluster(turns=turns)
+    cluster = SharingCluster()
+    cluster.turns = turns
     cluster.rows.turn_s = TRANSACTION_S
     cluster.rows.call_s = MESSAGE_S
     cluster.message_s = MESSAGE_S
