--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -32,6 +32,7 @@
 from plantaingrade.keyspace.entity import Assignment, KeyRange
 from plantaingrade.peers.entity import Member, Token
 from plantaingrade.peers.map_relay import MapRelay
+from plantaingrade.peers.turn_taking import NoTurns, TurnTaking
 from plantaingrade.store.interface import Committer, Store
 
 CHANGE_LIMIT_S = 1.0
@@ -49,6 +50,7 @@
     witnesses: Witnesses
     on_joined: Callable[[], None]
     shared_renewals: Committer | None = None
+    turns: TurnTaking = NoTurns()
 
 
 class HoldCoordinator:
@@ -81,6 +83,7 @@
             maps,
             member,
             witnesses,
+            links.turns,
             clock,
             log,
             starts_with_all=starts_with_all,
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -1,13 +1,12 @@
 """Discover the other processes and keep all key maps up to date."""
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
 from contextlib import suppress
 
-from msgspec import Struct
 from msgspec.structs import replace
 
-from plantaingrade.balance.entity import FreeCapacity, Load
+from plantaingrade.balance.entity import Load
 from plantaingrade.balance.peer_loads import PeerLoads
 from plantaingrade.clock import Clock
 from plantaingrade.codec import Codec, MalformedMessageError
@@ -15,7 +14,6 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap
-from plantaingrade.operators.desired_state import DesiredState
 from plantaingrade.peers.announcer import Announcer
 from plantaingrade.peers.calls import PeerCalls
 from plantaingrade.peers.capacity_queries import CapacityQueries
@@ -35,13 +33,18 @@
     Notification,
     ServerCrashed,
     Token,
+    TurnAnswer,
+    TurnEnded,
+    TurnRequest,
     Welcome,
 )
+from plantaingrade.peers.hooks import PeerHooks
 from plantaingrade.peers.map_follower import MapFollower
 from plantaingrade.peers.own_row import OwnRow
 from plantaingrade.peers.service_rows import ServiceRows
+from plantaingrade.peers.turns import MapTurns
 from plantaingrade.peers.witnesses import PeerWitnesses
-from plantaingrade.store.interface import RowReader, Store
+from plantaingrade.store.interface import Store
 
 HANDOVER_CODEC = Codec(Handover)
 PATH_HANDOVER = '/-/handed'
@@ -61,25 +64,6 @@
 LOOK_UP_PAUSE_S = 1.0
 
 
-class PeerHooks(Struct, frozen=True):
-    """Callbacks of the coordinator.
-
-    ``services`` returns the names of all configured services.
-    ``on_desired_state`` receives the operators' request for the own server, and
-    ``on_crash`` the digests of the requests that another member's server was
-    running when it crashed. ``free_capacity_of`` returns how soon the own
-    server could run a request of a kind and priority, or None if it accepts no
-    requests. ``shared_reads`` reads rows together with other members, which may
-    be some seconds old; without it, each read is an own one.
-    """
-
-    services: Callable[[], Iterable[str]]
-    on_desired_state: Callable[[DesiredState], None]
-    on_crash: Callable[[tuple[str, ...]], None]
-    free_capacity_of: Callable[[str, int], FreeCapacity | None]
-    shared_reads: RowReader | None = None
-
-
 class PeerCoordinator:
     """Represent one member among the other processes."""
 
@@ -103,6 +87,7 @@
         'has_joined',
         'map_follower',
         'own',
+        'turns',
         'witnesses',
     )
 
@@ -135,6 +120,9 @@
         self.capacity_queries = CapacityQueries(
             own, self._announcer.endpoint, clock, hooks.free_capacity_of
         )
+        self.turns = MapTurns(
+            own, directory, maps, self._announcer.endpoint.send, clock, log
+        )
         self._rows = ServiceRows(
             own,
             store,
@@ -343,16 +331,11 @@
 
     def _on_datagram(self, message: Datagram) -> None:
         match message:
-            case Hello(member) if member.has_valid_address():
-                self._welcome(member)
-            case Welcome(member):
-                self._on_welcome(member)
-            case Introduced(member):
-                self._add_member(member)
-            case Goodbye():
-                self._on_goodbye(message)
+            case Hello() | Welcome() | Introduced() | Goodbye():
+                self._on_presence(message)
             case MapChanged():
                 self.map_follower.on_changed(message)
+                self.turns.giver.on_changed(message)
             case ServerCrashed(digests):
                 self._hooks.on_crash(digests)
             case Forwarded(notification):
@@ -361,15 +344,27 @@
                 self._on_load(message)
             case CapacityRequest() | CapacityResponse():
                 self.capacity_queries.on_datagram(message)
+            case TurnRequest() | TurnAnswer() | TurnEnded():
+                self.turns.on_datagram(message)
+
+    def _on_presence(
+        self, message: Hello | Welcome | Introduced | Goodbye
+    ) -> None:
+        match message:
+            case Hello(member) if member.has_valid_address():
+                self._welcome(member)
+            case Welcome(member):
+                self._add_member(member)
+                self._announcer.on_welcome(member.name)
+            case Introduced(member):
+                self._add_member(member)
+            case Goodbye():
+                self._on_goodbye(message)
 
     def _on_goodbye(self, goodbye: Goodbye) -> None:
         self._directory.remove(goodbye.name, goodbye.boot)
         self._log.write('member-left', member=goodbye.name, boot=goodbye.boot)
 
-    def _on_welcome(self, member: Member) -> None:
-        self._add_member(member)
-        self._announcer.on_welcome(member.name)
-
     def _on_load(self, report: LoadReport) -> None:
         load = Load(report.share, report.work_s, report.slots)
         self._loads.record(report.name, load, self._clock.now())
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -220,6 +220,7 @@
                 self._peers.witnesses,
                 self._on_joined,
                 self._store_access.shared_renewals,
+                self._peers.turns,
             ),
             starts_with_all=settings.starts_with_all,
         )
@@ -385,6 +386,7 @@
                 self._config,
                 self.holds.registry,
                 self._server_path,
+                self._peers.turns,
                 self._read_ahead.totals,
                 self._clock,
             ),
