Store calls: some members wait for the configuration on behalf of the others

Change: from 24 members on, two members of each zone wait at the store, for 5 s at a time. The others ask these and one of each other zone in turn, for a second each, and get the changed rows at once. One that refuses (its own wait failed or is overdue, or it lacks older changes) is passed over at once; after one that gives no answer, or when all refuse, a member waits at the store by itself for 10 s. Versions, epochs, full reads and hints are as before. Fewer members wait as before.

Weighed: each its own wait (as before); a heartbeat of watchers by datagram, with the change sent to all (lost datagrams, and what a silent watcher means has to be decided by everyone anyway); one watcher per zone.

--- a/plantaingrade/store/entity.py
+++ b/plantaingrade/store/entity.py
@@ -120,6 +120,13 @@
     part: str
 
 
+class ChangesWanted(Struct, frozen=True):
+    """Request for the changes of a table after a version."""
+
+    table: str
+    after: int
+
+
 class RangeRead(Message):
     """Consistent snapshot of the rows of one part of a table."""
 
@@ -133,7 +140,7 @@
         return epoch_of(self.version)
 
 
-class Changes(Struct, frozen=True):
+class Changes(Message):
     """Rows changed since a version; the next call continues at ``version``."""
 
     rows: tuple[Row, ...]
@@ -141,7 +148,7 @@
     now_s: float
 
 
-class HistoryGone(Struct, frozen=True):
+class HistoryGone(Message):
     """The changes since that version are gone; the rows must be read."""
 
 
--- a/plantaingrade/store/interface.py
+++ b/plantaingrade/store/interface.py
@@ -21,19 +21,15 @@
         """Apply a transaction."""
 
 
-class RowReader(Protocol):
-    """Reads rows."""
-
-    async def async_read(self, table: str, part: str) -> ReadOutcome:
-        """Return all rows of one part of a table."""
-
-
-class Store(Committer, RowReader, Protocol):
+class Store(Committer, Protocol):
     """Versioned rows that are changed by transactions."""
 
     clock: StoreClock
     epochs: StoreEpochs
 
+    async def async_read(self, table: str, part: str) -> ReadOutcome:
+        """Return all rows of one part of a table."""
+
     async def async_follow(
         self, table: str, after: int, wait_s: float
     ) -> FeedOutcome:
