Lab: servers that share their instances, hot keys of one kind of requests

A deployment may say that a share of a service's servers works slower at any moment, drawn anew after each interval, and that hot keys are those of one kind of requests.

--- a/lab/callers.py
+++ b/lab/callers.py
@@ -120,6 +120,7 @@
             return None
         for index, hot in enumerate(self._simulation.deployment.hot):
             is_on = hot.at_s <= at_s < hot.at_s + hot.for_s
+            is_on = is_on and hot.kind in {'', kind.name}
             if is_on and self._random.random() < hot.share:
                 first = (index + 1) * KEY_COUNT // 5
                 return first + self._random.randrange(hot.keys)
--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -29,6 +29,17 @@
     hop_ms: float = 0.6
 
 
+class Noise(Table, frozen=True):
+    """Work that takes longer by a factor at a share of the servers at a time.
+
+    Which servers these are is drawn anew after each interval.
+    """
+
+    share: float
+    times: float
+    every_ms: float
+
+
 class Service(Table, frozen=True):
     """Servers that do the same work; they get the speeds in rotation."""
 
@@ -37,6 +48,7 @@
     slots: int
     speeds: list[float] = field(default_factory=lambda: [1.0])
     is_keyed: bool = False
+    noise: Noise | None = None
 
 
 class Call(Table, frozen=True):
@@ -67,12 +79,16 @@
 
 
 class HotKeys(Table, frozen=True):
-    """Adjacent keys that receive a share of all requests with a key."""
+    """Adjacent keys that receive a share of all requests with a key.
+
+    With a ``kind``, they receive that share of the requests of this kind only.
+    """
 
     at_s: float
     for_s: float
     share: float
     keys: int
+    kind: str = ''
 
 
 class Slowdown(Table, frozen=True):
@@ -168,7 +184,7 @@
     """Return references to services and kinds that are not defined."""
     services = {each.get('name') for each in tables.get('service', ())}
     kinds = {each.get('name') for each in tables.get('kind', ())}
-    mistakes = []
+    mistakes = _find_unknown_hot_kinds(tables, kinds)
     for table in ('kind', 'slow', 'down'):
         for index, each in enumerate(tables.get(table, ())):
             service = each.get('service')
@@ -181,6 +197,17 @@
     return mistakes
 
 
+def _find_unknown_hot_kinds(
+    tables: dict[str, Any], kinds: set[str]
+) -> list[tuple[str, int, str]]:
+    mistakes = []
+    for index, each in enumerate(tables.get('hot', ())):
+        kind = each.get('kind')
+        if kind and kind not in kinds:
+            mistakes.append(('hot', index, f'no kind {kind!r}'))
+    return mistakes
+
+
 def _validate(table: Any, kind: type[Table]) -> str:
     try:
         msgspec.convert(table, kind)
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -3,8 +3,10 @@
 import asyncio
 import random
 
+from lab.deployment import Service
 from lab.simulation import Instance, Simulation
 from plantaingrade.backends.incarnation import IncarnationState
+from plantaingrade.const import MS_PER_S
 
 
 class FaultInjector:
@@ -21,8 +23,21 @@
         await asyncio.gather(
             *(self._async_slow(each) for each in deployment.slow),
             *(self._async_down(each) for each in deployment.down),
+            *(self._async_add_noise(each) for each in deployment.service),
         )
 
+    async def _async_add_noise(self, service: Service) -> None:
+        """Draw the servers whose work takes longer after each interval."""
+        noise = service.noise
+        if noise is None:
+            return
+        while True:
+            for instance in self._simulation.instances:
+                if instance.service is service:
+                    is_slow = self._random.random() < noise.share
+                    instance.noise = noise.times if is_slow else 1.0
+            await asyncio.sleep(noise.every_ms / MS_PER_S)
+
     async def _async_slow(self, slow) -> None:
         await asyncio.sleep(slow.at_s)
         chosen = self._draw(slow.service, slow.share)
--- a/lab/simulation.py
+++ b/lab/simulation.py
@@ -167,6 +167,7 @@
         self.member = Member(name, service.name, zone, f'{name}:1', name)
         self.loads = PeerLoads()
         self.slowdown = 1.0
+        self.noise = 1.0
         self.random = random.Random(f'{name}/{simulation.seed}')
         self.peers = LabPeers(self)
 
@@ -255,7 +256,8 @@
         self, kind: RequestKind, routed: RoutedRequest
     ) -> Outcome:
         scale = self.random.lognormvariate(-(kind.spread**2) / 2, kind.spread)
-        work_s = kind.work_ms / MS_PER_S * scale * self.slowdown / self.speed
+        slowdown = self.slowdown * self.noise
+        work_s = kind.work_ms / MS_PER_S * scale * slowdown / self.speed
         await asyncio.sleep(work_s / 2)
         for call in kind.calls:
             count = sum(
