Keys move by how long work lasts at a server, not by its pace of the moment

Cause: demand and the speed of a server were taken from averages of seven samples, a quarter of a second on a busy server. Where a fifth of the servers work at a third of their speed for 0.4 s at a time, their keys left and came back. Demand and the speed that loads are compared by now go by averages over four seconds; admission and free capacity keep the quick ones. A server that stays four times slower is known within two seconds.

Ruled out: dividing by the pace that a server tells (not all tell it; the mean is what its keys get).

--- a/plantaingrade/admission/estimate.py
+++ b/plantaingrade/admission/estimate.py
@@ -2,6 +2,8 @@
 
 import math
 
+from plantaingrade.admission.lasting import LastingWork
+
 # Weight of a new sample. The speed of a server may change suddenly by a factor
 # of several, and a busy server yields about 20 samples per second: with a
 # half-life of 7 samples the estimate follows within a second.
@@ -13,12 +15,13 @@
 class WorkEstimate:
     """Exponentially smoothed duration of each class of work, in seconds."""
 
-    __slots__ = ('_mean_s', '_mean_s_by_kind')
+    __slots__ = ('_mean_s', '_mean_s_by_kind', 'lasting')
 
     def __init__(self) -> None:
         """Create an estimate without samples."""
         self._mean_s_by_kind: dict[str, float] = {}
         self._mean_s: float | None = None
+        self.lasting = LastingWork()
 
     def observe(self, kind: str, duration_s: float) -> None:
         """Add the duration of one piece of work."""
@@ -31,6 +34,16 @@
         """Return the expected duration of a class of work."""
         return self._mean_s_by_kind.get(kind, self.mean_s())
 
+    def lasting_s(self, kind: str) -> float:
+        """Return the duration of a class apart from the pace of the moment."""
+        lasting_s = self.lasting.expected_s(kind)
+        return self.expected_s(kind) if lasting_s is None else lasting_s
+
+    def lasting_mean_s(self) -> float:
+        """Return the mean duration apart from the pace of the moment."""
+        mean_s = self.lasting.mean_s()
+        return self.mean_s() if mean_s is None else mean_s
+
     def longest_s(self) -> float:
         """Return the expected duration of the longest class of work."""
         return max(self._mean_s_by_kind.values(), default=0.0)
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -267,7 +267,7 @@
 
     def _record_demand(self, routed: RoutedRequest, key: int) -> None:
         """Record the work that a request needs, whatever its outcome."""
-        work_s = self._gate.queue.estimate.expected_s(routed.kind)
+        work_s = self._gate.queue.estimate.lasting_s(routed.kind)
         self._hooks.observe(key, work_s)
 
     def _needs_hold(self, routed: RoutedRequest) -> bool:
@@ -336,7 +336,9 @@
         self._failures.observe(self._tracker.instance, outcome, now)
         if not isinstance(outcome, NotRun):
             took_s = now - began
-            self._gate.queue.estimate.observe(routed.kind, took_s)
+            estimate = self._gate.queue.estimate
+            estimate.observe(routed.kind, took_s)
+            estimate.lasting.observe(routed.kind, took_s, now)
         return outcome
 
     async def _async_exchange(
