Moves of keys run side by side; a long request no longer holds up the others

Cause: a member waited for all its moves of one round, and each for the server's longest running request on its keys, up to seconds. An overloaded server then gave away nothing more: in the lab one stayed at twice its slots for four seconds beside 200 free ones. Moves now run in tasks of their own; what is on its way counts as gone when the next ones are planned.

A member that has accepted work is remembered with it. The comparisons of loads are in a module of their own, and the offers and transfers too.

Tests: test_policy imports work_to_move from its new module.

--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -17,6 +17,7 @@
 )
 from plantaingrade.balance.entity import Load, Move
 from plantaingrade.balance.meter import LoadMeter
+from plantaingrade.balance.mover import KeyMover, OfferClient
 from plantaingrade.balance.policy import assign_ranges, choose_moves
 from plantaingrade.balance.service_peers import (
     ASSUMED_LOAD,
@@ -30,13 +31,6 @@
 from plantaingrade.peers.entity import Member, Offer, OfferReply
 
 
-class OfferClient(Protocol):
-    """Sends offers of keys to other members."""
-
-    async def async_offer(self, target: str, offer: Offer) -> OfferReply | None:
-        """Offer work to a member; return None if there is no reply."""
-
-
 class LoadPublisher(Protocol):
     """Publishes the load of this member."""
 
@@ -65,17 +59,24 @@
         self._life = life
         self._queue = queue
         self._peers = peers
-        self._offer_client = offer_client
         self._publisher = publisher
         self._clock = clock
         self._log = log
         self._meter = LoadMeter()
         self._reservations: list[tuple[float, float]] = []
         self._published_at = 0.0
-        self._paused_until = 0.0
         self._owned_since: dict[KeyRange, float] = {}
         self._random = random.Random(own.boot)
-        self._backoff = MoveBackoff(self._random)
+        self._mover = KeyMover(
+            own,
+            holds,
+            peers.loads,
+            offer_client,
+            MoveBackoff(self._random),
+            self._meter.forget,
+            clock,
+            log,
+        )
         self.is_leaving = False
         self.is_drained = False
 
@@ -151,7 +152,7 @@
             if self.is_leaving:
                 await self.async_evacuate()
             else:
-                await self._async_rebalance()
+                self._rebalance()
 
     async def async_evacuate(self) -> None:
         """Transfer all ranges to the least loaded members.
@@ -180,66 +181,30 @@
             )
         )
 
-    async def _async_rebalance(self) -> None:
-        own = self.load()
+    def _rebalance(self) -> None:
         now = self._clock.now()
+        own = self.load()
         if own.share < IDLE_LOAD:
             self._publish_load(own, now)
             return
-        if now < self._paused_until or self._peers.must_yield(now):
+        if self._mover.is_paused(now) or self._peers.must_yield(now):
             return
+        moves = self._plan(own, now)
+        if moves:
+            self._mover.start(own, moves)
+
+    def _plan(self, own: Load, now: float) -> list[Move]:
+        """Plan moves of the keys that stay here, by the load of those."""
         loads = {
             name: load
             for name, load in self._peers.receivers(now).items()
             if load is not ASSUMED_LOAD
         }
-        moves = choose_moves(
-            own, loads, self._movable_ranges(now), self._meter.by_key(now)
-        )
-        if not moves:
-            return
-        transfers = await asyncio.gather(
-            *(self._async_move(own, move) for move in moves)
-        )
-        # Keys are served during this pause, but not while a map change waits.
-        turn_pause_s = self._holds.registry.backoff.deferral_s()
-        pause_s = self._backoff.on_moves(
-            transfers.count(True), transfers.count(False)
-        )
-        self._paused_until = self._clock.now() + max(turn_pause_s, pause_s)
-
-    async def _async_move(self, own: Load, move: Move) -> bool | None:
-        """Return whether the transfer succeeded, or None if not attempted."""
-        offer = Offer(
-            self._own.name,
-            self._own.service,
-            own.share,
-            move.work,
-            own.work_s,
-        )
-        reply = await self._offer_client.async_offer(move.target, offer)
-        if reply is None:
-            self._peers.loads.forget(move.target)
-            return None
-        now = self._clock.now()
-        reported = Load(reply.share, reply.work_s, reply.slots)
-        self._peers.loads.record(move.target, reported, now)
-        self._log.write(
-            'move-offered',
-            first=move.keys.first,
-            last=move.keys.last,
-            work=round(move.work, 3),
-            own=round(own.share, 2),
-            other=round(reply.share, 2),
-            to=move.target,
-            accepted=reply.is_accepted,
-        )
-        if not reply.is_accepted:
-            return None
-        is_done = await self._holds.async_transfer([move.keys], move.target)
-        if is_done:
-            self._meter.forget(move.keys)
-        return is_done
+        key_loads = self._meter.by_key(now)
+        outgoing_share = self._mover.outgoing_work(key_loads) / own.slots
+        staying = Load(own.share - outgoing_share, own.work_s, own.slots)
+        ranges = self._mover.staying(self._movable_ranges(now))
+        return choose_moves(staying, loads, ranges, key_loads)
 
     def _own_ranges(self) -> list[KeyRange]:
         key_map = self._holds.registry.key_map
--- a/plantaingrade/balance/policy.py
+++ b/plantaingrade/balance/policy.py
@@ -7,24 +7,21 @@
 are.
 """
 
-import math
 from collections.abc import Mapping, Sequence
 
+from plantaingrade.balance.comparison import (
+    min_significant_difference,
+    work_to_move,
+)
 from plantaingrade.balance.const import (
     MAX_MOVES,
-    MIN_LOAD_DIFFERENCE,
     MIN_LOAD_TO_MOVE,
     MIN_MOVED_LOAD,
     MIN_MOVED_SHARE,
-    MOVED_DIFFERENCE_FRACTION,
-    WINDOW_S,
 )
 from plantaingrade.balance.entity import KeyLoad, Load, Move
 from plantaingrade.keyspace.entity import KeyRange
 
-# The expected range of ``n`` samples of a normal distribution, in standard
-# deviations, is about this factor times ``sqrt(ln n)``: 2.7 for 7, 4.7 for 67.
-EXTREMES_FACTOR = 2.2
 # Among runs of keys with at least this fraction of the wanted work, the one
 # with the fewest keys is preferred.
 ENOUGH_FRACTION = 0.6
@@ -81,32 +78,6 @@
     return Move(keys, target, work)
 
 
-def min_significant_difference(own: Load, peer_count: int) -> float:
-    """Return the smallest load difference that is not sampling noise.
-
-    A load is measured over a window and varies with the number of requests in
-    it. Among members with equal load, the difference between the highest and
-    the lowest sample grows with the number of members.
-    """
-    deviation = math.sqrt(
-        own.share * own.work_s / (max(1, own.slots) * WINDOW_S)
-    )
-    extremes_factor = EXTREMES_FACTOR * math.sqrt(math.log(max(1, peer_count)))
-    return max(MIN_LOAD_DIFFERENCE, deviation * extremes_factor)
-
-
-def work_to_move(own: Load, peer: Load) -> float:
-    """Return the work to move to a peer, in own slot seconds per second.
-
-    Moving ``w`` lowers the own share by ``w / own.slots`` and raises the peer's
-    share by ``w * ratio / peer.slots``, where ``ratio`` relates their speeds.
-    """
-    ratio = peer.work_s / own.work_s if own.work_s > 0 else 1.0
-    effect = 1 / max(1, own.slots) + ratio / max(1, peer.slots)
-    difference = own.share - peer.share
-    return MOVED_DIFFERENCE_FRACTION * difference / effect
-
-
 def densest_run(
     ranges: Sequence[KeyRange],
     key_loads: Sequence[KeyLoad],
--- a/plantaingrade/holds/backoff.py
+++ b/plantaingrade/holds/backoff.py
@@ -36,6 +36,11 @@
         self._random = random_source
         self._window_s = 0.0
 
+    @property
+    def is_contended(self) -> bool:
+        """Return whether changes have conflicted lately."""
+        return self._window_s > 0
+
     def on_success(self) -> None:
         """Halve the window after a change that succeeded."""
         self._window_s /= 2
--- a/tests/balance/test_coordinator.py
+++ b/tests/balance/test_coordinator.py
@@ -10,7 +10,11 @@
 from plantaingrade.admission.estimate import WorkEstimate
 from plantaingrade.admission.slots import SlotQueue
 from plantaingrade.backends.incarnation import IncarnationTracker
-from plantaingrade.balance.const import MIN_OWNED_S, POLL_INTERVAL_S
+from plantaingrade.balance.const import (
+    MAX_MOVES,
+    MIN_OWNED_S,
+    POLL_INTERVAL_S,
+)
 from plantaingrade.balance.coordinator import BalanceCoordinator
 from plantaingrade.balance.entity import Load
 from plantaingrade.balance.peer_loads import PeerLoads
@@ -32,9 +36,13 @@
 
 
 class FakeHolds:
-    """Fake holds with one range at first; transferred keys are removed."""
+    """Fake holds with one range at first; transferred keys are removed.
 
-    def __init__(self) -> None:
+    The first transfer lasts for ``first_release_s`` seconds.
+    """
+
+    def __init__(self, first_release_s: float = 0.0) -> None:
+        self.first_release_s = first_release_s
         self.ranges = [KeyRange(0, 65_535)]
         self.moved_at: list[float] = []
         self.registry = SimpleNamespace(
@@ -53,6 +61,8 @@
 
     async def async_transfer(self, keys: list[KeyRange], _: str) -> bool:
         self.moved_at.append(asyncio.get_running_loop().time())
+        if len(self.moved_at) == 1:
+            await asyncio.sleep(self.first_release_s)
         for moved in keys:
             self.ranges = [
                 rest for each in self.ranges for rest in each.without(moved)
@@ -109,9 +119,10 @@
     hot_s: float,
     turns: ConflictBackoff | None = None,
     calm_load: float = 0.0,
+    first_release_s: float = 0.0,
 ) -> list[float]:
     """Return when ranges were moved, in seconds since the hot range began."""
-    holds = FakeHolds()
+    holds = FakeHolds(first_release_s)
     holds.registry.backoff = turns or holds.registry.backoff
 
     async def scenario() -> float:
@@ -172,6 +183,20 @@
     assert moved_at[0] <= POLL_INTERVAL_S + 0.1
 
 
+def test_long_release_does_not_delay_other_moves() -> None:
+    """A server stays overloaded until its longest request has ended."""
+    moved_at = simulate(calm_s=5.0, hot_s=1.0, first_release_s=3.0)
+    assert sum(time < 1 for time in moved_at) > MAX_MOVES
+
+
+def test_moves_wait_for_others_while_map_changes_conflict() -> None:
+    """Moves that start at the same time make each other's map change fail."""
+    turns = ConflictBackoff(random.Random(1))
+    turns.on_conflict(1.0)
+    moved_at = simulate(5.0, 0.5, turns, first_release_s=3.0)
+    assert len(set(moved_at)) == 1
+
+
 @pytest.mark.parametrize('is_waiting', [False, True])
 def test_process_waiting_to_join_receives_no_keys(is_waiting) -> None:
     """Keys are unserved until leases of an earlier epoch have ended."""
--- a/tests/balance/test_policy.py
+++ b/tests/balance/test_policy.py
@@ -4,6 +4,7 @@
 
 from pytest import approx
 
+from plantaingrade.balance.comparison import work_to_move
 from plantaingrade.balance.const import MIN_LOAD_DIFFERENCE, WINDOW_S
 from plantaingrade.balance.entity import KeyLoad, Load
 from plantaingrade.balance.meter import LoadMeter
@@ -12,7 +13,6 @@
     choose_move,
     choose_moves,
     densest_run,
-    work_to_move,
 )
 from plantaingrade.keyspace.entity import KeyRange
 
