The measured load follows a sudden change within half a second

Cause: keys moved by the mean over 1.5 s. A group that turned hot appeared a third as hot half a second later, so too few of its keys left; one that had cooled still appeared hot, and its keys moved in vain. If the requests of the last 0.4 s differ from those of the window by four standard deviations, the older ones are dropped.

--- a/plantaingrade/balance/const.py
+++ b/plantaingrade/balance/const.py
@@ -38,3 +38,8 @@
 MIN_OWNED_S = 1.0
 # Maximum number of ranges per server; each costs one renewal per second.
 MAX_RANGES = 40
+# Time whose requests are compared with those of the whole window.
+RECENT_S = 0.4
+# Standard deviations from which they show a change of the load. A hundred
+# servers compare five times a second, so that strays of three are frequent.
+SIGNIFICANT_DEVIATIONS = 4.0
--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -183,6 +183,7 @@
 
     def _rebalance(self) -> None:
         now = self._clock.now()
+        self._meter.adapt(now)
         own = self.load()
         if own.share < IDLE_LOAD:
             self._publish_load(own, now)
--- a/plantaingrade/balance/meter.py
+++ b/plantaingrade/balance/meter.py
@@ -1,8 +1,14 @@
 """Measurement of the work requested for each key of a server."""
 
+import math
 from collections import Counter, deque
 
-from plantaingrade.balance.const import MIN_WINDOW_S, WINDOW_S
+from plantaingrade.balance.const import (
+    MIN_WINDOW_S,
+    RECENT_S,
+    SIGNIFICANT_DEVIATIONS,
+    WINDOW_S,
+)
 from plantaingrade.balance.entity import KeyLoad
 from plantaingrade.keyspace.entity import KeyRange
 
@@ -43,6 +49,23 @@
             for key in sorted(work_by_key)
         ]
 
+    def adapt(self, now: float) -> None:
+        """Drop older samples if requests have become more or fewer suddenly.
+
+        Keys would otherwise move by an average of the load before and after the
+        change: too few of a group that turns hot, too many once it has cooled.
+        """
+        self._expire(now)
+        began = now - RECENT_S
+        if not self._samples or self._samples[0][0] >= began:
+            return
+        usual = len(self._samples) * RECENT_S / self._window_s(now)
+        deviation = abs(self._count_since(began) - usual)
+        if deviation <= SIGNIFICANT_DEVIATIONS * math.sqrt(usual):
+            return
+        while self._samples and self._samples[0][0] < began:
+            self._total_work_s -= self._samples.popleft()[2]
+
     def forget(self, keys: KeyRange) -> None:
         """Drop the samples of keys transferred to another server."""
         self._samples = deque(
@@ -50,6 +73,14 @@
         )
         self._total_work_s = sum(each[2] for each in self._samples)
 
+    def _count_since(self, began: float) -> int:
+        count = 0
+        for at, _, _ in reversed(self._samples):
+            if at < began:
+                break
+            count += 1
+        return count
+
     def _window_s(self, now: float) -> float:
         """Return the time over which the current samples were collected.
 
