A key hotter than any server goes to the fastest one

Cause: one key with three times the work of a server stayed where it was, since no receiver's room held it; on a slow server its callers got a third of what the fastest can do. If one key needs more than all slots, it moves to the fastest server, if that is faster by a quarter and stays less loaded than this one. The speeds are those that last, so it doesn't wander between equals: with the momentary ones it moved twice in five seconds, each time half a second without service. The other keys leave its server as they leave any overloaded one; when it cools, it stays. A line key-isolating has the figures that decided it.

--- a/plantaingrade/balance/const.py
+++ b/plantaingrade/balance/const.py
@@ -38,6 +38,11 @@
 MIN_OWNED_S = 1.0
 # Maximum number of ranges per server; each costs one renewal per second.
 MAX_RANGES = 40
+# Work of one key, as a share of the slots, from which no balancing of the other
+# keys can relieve its server.
+MIN_ISOLATED_SHARE = 1.0
+# Ratio of speeds from which a hot key is worth the interruption of a move.
+MIN_SPEED_GAIN = 1.25
 # Time whose requests are compared with those of the whole window.
 RECENT_S = 0.4
 # Standard deviations from which they show a change of the load. A hundred
--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -18,13 +18,15 @@
 from plantaingrade.balance.entity import Load, Move
 from plantaingrade.balance.meter import LoadMeter
 from plantaingrade.balance.mover import KeyMover, OfferClient
-from plantaingrade.balance.policy import assign_ranges, choose_moves
+from plantaingrade.balance.planning import MovePlan, plan_moves
+from plantaingrade.balance.policy import assign_ranges
 from plantaingrade.balance.service_peers import (
     ASSUMED_LOAD,
     LEAVING_SHARE,
     ServicePeers,
 )
 from plantaingrade.clock import Clock
+from plantaingrade.const import MS_PER_S
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator
 from plantaingrade.keyspace.entity import KeyRange
@@ -190,11 +192,13 @@
             return
         if self._mover.is_paused(now) or self._peers.must_yield(now):
             return
-        moves = self._plan(own, now)
-        if moves:
-            self._mover.start(own, moves)
+        plan = self._plan(own, now)
+        if plan.isolated is not None:
+            self._log_isolation(own, plan.isolated)
+        if plan.moves:
+            self._mover.start(own, plan.moves)
 
-    def _plan(self, own: Load, now: float) -> list[Move]:
+    def _plan(self, own: Load, now: float) -> MovePlan:
         """Plan moves of the keys that stay here, by the load of those."""
         loads = {
             name: load
@@ -205,7 +209,18 @@
         outgoing_share = self._mover.outgoing_work(key_loads) / own.slots
         staying = Load(own.share - outgoing_share, own.work_s, own.slots)
         ranges = self._mover.staying(self._movable_ranges(now))
-        return choose_moves(staying, loads, ranges, key_loads)
+        return plan_moves(staying, loads, ranges, key_loads)
+
+    def _log_isolation(self, own: Load, move: Move) -> None:
+        self._log.write(
+            'key-isolating',
+            key=move.keys.first,
+            work=round(move.work, 2),
+            own=round(own.share, 2),
+            slots=own.slots,
+            work_ms=round(own.work_s * MS_PER_S, 1),
+            to=move.target,
+        )
 
     def _own_ranges(self) -> list[KeyRange]:
         key_map = self._holds.registry.key_map
