A server gets no more bytes at a time than it crashed with

Cause: a server crashes if the requests that it holds exceed its memory, and only slots bounded what it was sent; the same bodies would crash the next one as well. What fits goes past what has to wait. Without a crash nothing changes.

--- a/plantaingrade/admission/entity.py
+++ b/plantaingrade/admission/entity.py
@@ -18,7 +18,8 @@
     """A request for a slot.
 
     ``kind`` is its class of work, ``deadline`` the time by which it must be
-    answered, and ``due`` the time at which its latency objective ends.
+    answered, and ``due`` the time at which its latency objective ends. ``size``
+    is the length of its body in bytes.
     """
 
     kind: str
@@ -28,6 +29,7 @@
     queue: WaitingQueue = WaitingQueue.IN_TIME
     is_waiting: bool = False
     started_at: float = 0.0
+    size: int = 0
 
 
 class Start(Struct, frozen=True):
--- a/plantaingrade/admission/server_limits.py
+++ b/plantaingrade/admission/server_limits.py
@@ -1,4 +1,4 @@
-"""All rate limits of the local backend server; performs no I/O.
+"""All limits of the local backend server; performs no I/O.
 
 Load that this answers to: a server tells that it takes far fewer requests than
 are asked of it. Callers that are refused return when the rate has room for
@@ -7,17 +7,19 @@
 
 from plantaingrade.admission.cold import ColdAllowance
 from plantaingrade.admission.named import NamedAllowance
+from plantaingrade.admission.server_bytes import ServerBytes
 
 
 class ServerLimits:
     """Limits of a server that is cold, names a limit, or both."""
 
-    __slots__ = ('_next_turn_at', 'cold', 'named')
+    __slots__ = ('_next_turn_at', 'cold', 'memory', 'named')
 
     def __init__(self) -> None:
         """Create limits that are not in force."""
         self.cold = ColdAllowance()
         self.named = NamedAllowance()
+        self.memory = ServerBytes()
         self._next_turn_at = 0.0
 
     def admits(
--- a/plantaingrade/admission/slots.py
+++ b/plantaingrade/admission/slots.py
@@ -121,24 +121,27 @@
 
     def release(self, ticket: Ticket, now: float) -> list[Decision]:
         """Free the slot of a ticket; return decisions on waiting tickets."""
-        self._running_tickets.pop(ticket, None)
+        if ticket in self._running_tickets:
+            self._running_tickets.pop(ticket)
+            self.limits.memory.remove(ticket.size)
         return self.fill(now)
 
     def fill(self, now: float) -> list[Decision]:
         """Assign free slots to waiting tickets."""
         decisions: list[Decision] = []
-        ticket = self._find_next()
+        ticket = self._find_next(now)
         while ticket is not None and self._may_start(ticket, now):
             decisions.append(self._start(ticket, now))
-            ticket = self._find_next()
+            ticket = self._find_next(now)
         return decisions
 
     def next_fill_s(self, now: float) -> float | None:
         """Return the delay until ``fill`` must run if no slot is released.
 
-        Returns None if no ticket waits or all slots are in use.
+        Returns None if no ticket waits, all slots are in use or the server has
+        no memory for the next one.
         """
-        ticket = self._find_next()
+        ticket = self._find_next(now)
         if ticket is None or self.running >= self.slots:
             return None
         return max(
@@ -215,6 +218,7 @@
         ticket.started_at = now
         self._running_tickets[ticket] = None
         self.limits.spend(now)
+        self.limits.memory.add(ticket.size)
         if ticket.queue is WaitingQueue.IN_TIME:
             work_s = self.estimate.expected_s(ticket.kind)
             self._rate.observe(work_s, now)
@@ -223,6 +227,8 @@
     def _may_start(self, ticket: Ticket, now: float) -> bool:
         if self.running >= self.slots:
             return False
+        if not self.limits.memory.admits(ticket.size, now):
+            return False
         share = self._reserve_share(ticket.kind, ticket.priority, now)
         return self.limits.admits(self.running, now, reserve_share=share)
 
@@ -251,13 +257,24 @@
         heapq.heappush(self._heap_by_queue[queue], entry)
         return Wait(ticket, timeout_at)
 
-    def _find_next(self) -> Ticket | None:
-        """Return the ticket that gets the next slot, if any waits."""
+    def _find_next(self, now: float) -> Ticket | None:
+        """Return the ticket that gets the next slot, if any waits.
+
+        Tickets that the server has no memory for hold up no others.
+        """
+        admits = self.limits.memory.admits
         for heap in self._heap_by_queue.values():
             while heap and not heap[0][-1].is_waiting:
                 heapq.heappop(heap)
-            if heap:
+            if heap and admits(heap[0][-1].size, now):
                 return heap[0][-1]
+            admitted = [
+                entry
+                for entry in heap
+                if entry[-1].is_waiting and admits(entry[-1].size, now)
+            ]
+            if admitted:
+                return min(admitted)[-1]
         return None
 
     def _queue_priority(self, kind: str, priority: int) -> int:
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -150,6 +150,10 @@
             self._failures.rate(self._tracker.instance, now),
         )
 
+    def expected_work_s(self, kind: str) -> float:
+        """Return how long the server works on a request of a class."""
+        return self._gate.queue.estimate.expected_s(kind)
+
     def on_new_incarnation(self) -> None:
         """Close the connections to the previous incarnation of the server.
 
@@ -241,7 +245,13 @@
             refusal = await self._async_wait_for_hold(routed)
         if refusal is not None:
             return refusal
-        ticket = Ticket(routed.kind, routed.priority, routed.until, routed.due)
+        ticket = Ticket(
+            routed.kind,
+            routed.priority,
+            routed.until,
+            routed.due,
+            size=len(routed.caller.body),
+        )
         try:
             async with self._gate.slot(ticket):
                 return await self._async_run(routed)
@@ -262,9 +272,20 @@
         digests = self._crashes.on_down(self._clock.now())
         if digests:
             self._log.write('server-crashed', ran=digests)
+            self._learn_bytes()
             self.record_crash(digests)
             self._hooks.on_crash(digests)
 
+    def _learn_bytes(self) -> None:
+        memory = self._gate.queue.limits.memory
+        learned = memory.on_crash(self._clock.now())
+        if learned is not None:
+            self._log.write(
+                'server-bytes-limited',
+                limit=learned.limit,
+                at_crash=learned.at_crash,
+            )
+
     def _record_demand(self, routed: RoutedRequest, key: int) -> None:
         """Record the work that a request needs, whatever its outcome."""
         work_s = self._gate.queue.estimate.expected_s(routed.kind)
@@ -373,6 +394,8 @@
         """Read the response, and update the crash detection by its outcome."""
         digest = fingerprint(routed)
         self._crashes.on_sent(digest)
+        memory = self._gate.queue.limits.memory
+        at_server = memory.running
         outcome = None
         try:
             outcome = await self._async_read(routed, channel, instance)
@@ -381,8 +404,10 @@
             match outcome:
                 case Answered():
                     self._crashes.on_answered(digest, now)
+                    memory.on_answer(at_server)
                 case Unknown(reason=UnknownReason.BROKEN):
                     self._crashes.on_broken(digest, now)
+                    memory.on_broken(now)
                 case _:
                     self._crashes.on_inconclusive(digest)
         return outcome
