Long bodies take turns on the link of their receiver; one budget of bytes a process

Ruled out: bytes unsent in the sender's socket (0), the queue for slots (0 waiting), processor time (0.08 of 0.43 cores).

Change: a body of 16 KB and more waits at its sender until the receiver lets it in, which refuses at once what can't arrive in time; the wait is part of the free capacity that others ask for; times count from the arrival of the head; before a request goes on its connection is looked at. Bytes held for callers and other processes, unread answers too, come out of one budget that follows the configured memory: back-pressure first, refusal second, dynamic thresholds by account. A reader that takes nothing for 10 s is cut off.

tests/sidecar/test_bodies.py sets the limit by its new name; as strict as before.

--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -8,6 +8,7 @@
     SO_KEEPALIVE,
     SO_LINGER,
     SOL_SOCKET,
+    TCP_INFO,
     TCP_KEEPCNT,
     TCP_KEEPIDLE,
     TCP_KEEPINTVL,
@@ -36,6 +37,9 @@
 # A dead connection is detected within three seconds.
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBE_COUNT = 2
+# The first byte of the system's information on a connection is its state.
+TCP_ESTABLISHED = 1
+NO_REMOTE = ('', 0)
 NO_LINGER = struct.pack('ii', 1, 0)
 
 
@@ -62,6 +66,7 @@
         'is_last_response',
         'last_byte_at',
         'on_closed',
+        'remote',
         'transport',
     )
 
@@ -69,6 +74,8 @@
         """Create a connection in the role of client or server."""
         self.http = Connection(role, MAX_HEAD_BYTES)
         self.transport: Any = None
+        # Address and port of the peer.
+        self.remote = NO_REMOTE
         self.closed = False
         self.is_last_response = False
         self._broken = False
@@ -86,6 +93,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self.transport = transport
+        peer = transport.get_extra_info('peername') or NO_REMOTE
+        self.remote = peer[:2]
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Parse bytes, and pause reading while too many are unread."""
@@ -194,10 +203,37 @@
         if self._writable is not None:
             await self._writable
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes the system has not taken over yet."""
+        if self.closed or self.transport.is_closing():
+            return 0
+        return self.transport.get_write_buffer_size()
+
+    async def async_wait_sent(self, limit_s: float) -> None:
+        """Wait until no bytes are unsent, or for at most ``limit_s``."""
+        if not self.unsent_bytes:
+            return
+        # With a limit of zero the transport reports when all is sent.
+        self.transport.set_write_buffer_limits(high=0)
+        if self._writable is not None:
+            await asyncio.wait((self._writable,), timeout=limit_s)
+
     def expect_another_response(self) -> None:
         """Read another response after one that belongs to another request."""
         self.http.expect_another_response()
 
+    def is_peer_gone(self) -> bool:
+        """Return whether the peer has closed or reset the connection.
+
+        This process may not have read that yet: a busy process finds a request
+        and the end of its connection at the same time.
+        """
+        if self.closed or self.transport.is_closing():
+            return True
+        sock = self.transport.get_extra_info('socket')
+        return sock.getsockopt(IPPROTO_TCP, TCP_INFO, 1)[0] != TCP_ESTABLISHED
+
     def has_unread_input(self) -> bool:
         """Return whether bytes of a further message have arrived."""
         return self.http.has_unread
--- a/plantaingrade/http/exchange.py
+++ b/plantaingrade/http/exchange.py
@@ -1,5 +1,6 @@
 """One request and its complete response on a client connection."""
 
+import asyncio
 from collections.abc import Callable
 
 from msgspec import Struct
@@ -14,6 +15,10 @@
     Response,
 )
 
+STATUS_CONTINUE = 100
+# Sent while a request waits for the turn of its body.
+STATUS_PROCESSING = 102
+FIRST_SIGN_S = 0.5
 ResponsePredicate = Callable[[Response], bool]
 
 
@@ -42,6 +47,40 @@
     channel.send(EndOfMessage())
 
 
+async def async_send_in_turn(
+    channel: Channel,
+    method: bytes,
+    target: bytes,
+    headers: tuple[tuple[bytes, bytes], ...],
+    body: bytes,
+) -> Response | None:
+    """Send a request whose receiver says when it takes the body.
+
+    Return the head of the final response if it comes before that. A receiver
+    that gives no sign for ``FIRST_SIGN_S`` is of a version that gives none, and
+    the body is sent.
+
+    Raises:
+        ChannelClosedError: the connection ended before the body was sent.
+    """
+    channel.send(Request(method, target, headers))
+    channel.flush()
+    try:
+        async with asyncio.timeout(FIRST_SIGN_S):
+            sign = await channel.next_event()
+    except TimeoutError:
+        sign = InformationalResponse(STATUS_CONTINUE)
+    while isinstance(sign, InformationalResponse):
+        if sign.status_code == STATUS_CONTINUE:
+            channel.send(Data(body))
+            channel.send(EndOfMessage())
+            return None
+        sign = await channel.next_event()
+    if isinstance(sign, Response):
+        return sign
+    raise ChannelClosedError('Connection closed before the body was sent.')
+
+
 async def read_response(
     channel: Channel,
     accept: ResponsePredicate,
--- a/plantaingrade/platform/settings.py
+++ b/plantaingrade/platform/settings.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import json
+import math
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -134,6 +135,8 @@
             'platform.platform.rowBytes', int, DEFAULT_ROW_BYTES
         ),
         starts_with_all=reader.take('self.bootstrap', _flag, False),
+        memory_mb=reader.take('self.limits.memoryMb', _size, 0.0),
+        link_mbps=reader.take('self.limits.linkMbps', _size, 0.0),
     )
 
 
@@ -184,6 +187,13 @@
     raise ValueError(f'{raw!r} is not a boolean')
 
 
+def _size(raw: Any) -> float:
+    size = float(raw)
+    if not math.isfinite(size) or size < 0:
+        raise ValueError(f'{raw!r} is not a size')
+    return size
+
+
 def _ip(raw: Any) -> str:
     return str(ipaddress.ip_address(raw))
 
--- a/plantaingrade/requests/const.py
+++ b/plantaingrade/requests/const.py
@@ -32,8 +32,14 @@
 # Retry-After while the owner of a key is unreachable: a process that was killed
 # is back within a second, and is tried once in this interval.
 UNREACHABLE_RETRY_AFTER_S = 0.5
-# Memory for all buffered request bodies, of 200 MB on small instances.
-MAX_BODIES_BYTES = 67_108_864
+# Bytes that a process may hold if its memory is not known: a quarter of the
+# memory of small instances.
+MAX_BODIES_BYTES = 50_000_000
+# Time for which a request waits for memory before it is refused: most requests
+# are answered within it, and its caller still has time to go elsewhere.
+BODY_WAIT_S = 0.5
+# A peer that has not read any of its answer for this long is cut off.
+UNREAD_ANSWER_S = 10.0
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -63,6 +63,7 @@
         NotRunReason.QUEUE_FULL,
         NotRunReason.TOO_LATE,
         NotRunReason.RATE_LIMITED,
+        NotRunReason.LINK_FULL,
     )
 )
 # Other servers tried after one was full. Each try costs a hop, and if the whole
--- a/plantaingrade/requests/entity.py
+++ b/plantaingrade/requests/entity.py
@@ -34,6 +34,7 @@
     UNREACHABLE = 'process-unreachable'
     LEAVING = 'process-leaving'
     NO_BUFFER_BUDGET = 'no-room-for-body'
+    LINK_FULL = 'link-full'
     CRASHES = 'crashes-servers'
 
 
--- a/plantaingrade/requests/hop.py
+++ b/plantaingrade/requests/hop.py
@@ -11,6 +11,7 @@
 from plantaingrade.const import MS_PER_S, PERCENT
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.http.messages import Request
+from plantaingrade.requests.body_turns import needs_turn
 from plantaingrade.requests.entity import (
     Answer,
     Answered,
@@ -31,6 +32,8 @@
 HEADER_OWNER = b'w'
 HEADER_LOAD = b'l'
 HEADER_LEAVING = b'x'
+# The sender waits with the body until it is told to send it.
+HEADER_TURN = b't'
 MARK_IDEMPOTENT = 'i'
 MARK_NON_IDEMPOTENT = 'o'
 MARK_NOT_RUN = 'n'
@@ -50,6 +53,7 @@
         HEADER_OWNER,
         HEADER_LOAD,
         HEADER_LEAVING,
+        HEADER_TURN,
     )
 )
 HOP_HEADERS = OWN_HEADERS | {
@@ -112,6 +116,8 @@
     if caller.body:
         length = str(len(caller.body)).encode()
         headers.append((b'content-length', length))
+    if needs_turn(len(caller.body)):
+        headers.append((HEADER_TURN, b''))
     return tuple(headers)
 
 
@@ -159,6 +165,11 @@
     return routed, known
 
 
+def wants_turn(headers: Headers) -> bool:
+    """Return whether the sender waits with the body until its turn."""
+    return any(name == HEADER_TURN for name, _ in headers)
+
+
 def encode_leaving(incarnation: ServerIncarnation | None) -> Headers:
     """Return the header that names an incarnation of a server as leaving.
 
--- a/plantaingrade/requests/peer_path.py
+++ b/plantaingrade/requests/peer_path.py
@@ -8,18 +8,27 @@
 from plantaingrade.balance.peer_loads import PeerLoads
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
-from plantaingrade.http.channel import ChannelClosedError
-from plantaingrade.http.exchange import read_response, send_request
+from plantaingrade.http.channel import Channel, ChannelClosedError
+from plantaingrade.http.client import read_body
+from plantaingrade.http.exchange import (
+    FullResponse,
+    async_send_in_turn,
+    read_response,
+    send_request,
+)
 from plantaingrade.http.messages import Response
 from plantaingrade.http.pool import ConnectFailedError, Pool
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member
+from plantaingrade.requests.body_turns import needs_turn
 from plantaingrade.requests.const import (
     DEFAULT_RETRY_AFTER_S,
     PEER_GRACE_S,
 )
 from plantaingrade.requests.entity import (
     Answer,
+    CallerRequest,
+    Headers,
     NotRun,
     NotRunReason,
     Outcome,
@@ -102,16 +111,16 @@
             *encode_hop(routed, known, self._clock.now()),
             *encode_leaving(self._leaving.find(member.name)),
         )
-        caller = routed.caller
         try:
-            send_request(
-                channel, caller.method, caller.target, headers, caller.body
-            )
+            head = await self._async_send(channel, routed.caller, headers)
         except ChannelClosedError:
             channel.abort()
             return NotRun(NotRunReason.PEER_DOWN, DEFAULT_RETRY_AFTER_S)
+        except BaseException:
+            channel.abort()
+            raise
         try:
-            whole = await read_response(channel, lambda _: True)
+            whole = await _async_read(channel, head)
         except ChannelClosedError:
             channel.abort()
             self._mark_unreachable(member, 'connection broken')
@@ -122,6 +131,16 @@
         self._pool.release(member.address, channel)
         return self._apply_answer(member, whole.head, whole.body)
 
+    async def _async_send(
+        self, channel: Channel, caller: CallerRequest, headers: Headers
+    ) -> Response | None:
+        """Send a request; return the head of an answer that comes before it."""
+        request = (caller.method, caller.target, headers, caller.body)
+        if needs_turn(len(caller.body)):
+            return await async_send_in_turn(channel, *request)
+        send_request(channel, *request)
+        return None
+
     def _apply_answer(
         self, member: Member, head: Response, body: bytes
     ) -> Outcome:
@@ -144,3 +163,10 @@
         self._pool.close_idle(member.address)
         if self._directory.on_unreachable(member.name, self._clock.now()):
             self._log.write('member-unreachable', member=member.name, why=why)
+
+
+async def _async_read(channel: Channel, head: Response | None) -> FullResponse:
+    """Return the whole response, whose head may have been read."""
+    if head is None:
+        return await read_response(channel, lambda _: True)
+    return FullResponse(head, await read_body(channel))
--- a/plantaingrade/sidecar/endpoints.py
+++ b/plantaingrade/sidecar/endpoints.py
@@ -3,17 +3,16 @@
 They serve callers, peers, the local backend server and the platform.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from plantaingrade.backends.report import (
     Farewell,
     Heartbeat,
 )
-from plantaingrade.balance.entity import Load
 from plantaingrade.clock import Clock
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.eventlog import EventLog
-from plantaingrade.http.channel import Channel
+from plantaingrade.http.channel import Channel, ChannelClosedError
 from plantaingrade.http.client import read_body
 from plantaingrade.http.const import BODILESS_STATUSES
 from plantaingrade.http.messages import (
@@ -24,7 +23,7 @@
     Response,
     State,
 )
-from plantaingrade.requests.bodies import BufferBudget
+from plantaingrade.requests.bodies import BufferBudget, account_of
 from plantaingrade.requests.const import (
     DEFAULT_RETRY_AFTER_S,
     STATUS_BAD_GATEWAY,
@@ -43,7 +42,6 @@
     NotRun,
     NotRunReason,
     Outcome,
-    RoutedRequest,
     Unknown,
     UnknownReason,
 )
@@ -52,16 +50,7 @@
     BufferBudgetExceededError,
     MalformedRequestError,
 )
-from plantaingrade.requests.hop import (
-    KnownVersions,
-    decode_hop,
-    decode_leaving,
-    encode_leaving,
-    encode_load,
-    encode_outcome,
-)
-from plantaingrade.requests.server_path import ServerPath
-from plantaingrade.sidecar.server_watch import ServerWatch
+from plantaingrade.requests.held_bytes import Account, Side
 
 STATUS_OK = 200
 STATUS_HEAD_TOO_LARGE = 431
@@ -74,6 +63,50 @@
 DecodeReport = Callable[[Request, bytes], Heartbeat | Farewell | None]
 
 
+NO_ROOM = NotRun(NotRunReason.NO_BUFFER_BUDGET, DEFAULT_RETRY_AFTER_S)
+
+
+def log_no_room(
+    log: EventLog,
+    raw: Request,
+    account: Account,
+    budget: BufferBudget,
+    error: BufferBudgetExceededError,
+) -> None:
+    """Log a request that the memory of this process has no room for."""
+    host, most = budget.held.largest()
+    log.write(
+        'no-room-for-body',
+        why=str(error),
+        side=account.side.value,
+        account=account.host,
+        length=declared_length(raw),
+        held=budget.used_bytes,
+        limit=budget.limit,
+        most=most,
+        most_by=host,
+    )
+
+
+def require_sender(
+    log: EventLog, channel: Channel, account: Account, caller: CallerRequest
+) -> None:
+    """Check that whoever sent a request still waits for its answer.
+
+    Raises:
+        ChannelClosedError: the sender has left.
+    """
+    if not channel.is_peer_gone():
+        return
+    log.write(
+        'request-withdrawn',
+        id=caller.request_id.decode('ascii', 'replace'),
+        side=account.side.value,
+        account=account.host,
+    )
+    raise ChannelClosedError('The sender left before its request was read.')
+
+
 def send_answer(channel: Channel, answer: Answer) -> None:
     """Send a complete answer."""
     headers = list(answer.headers)
@@ -101,7 +134,8 @@
         '_coordinator',
         '_decode',
         '_answer_headers',
-        '_buffer_budget',
+        '_log',
+        'buffer_budget',
         'is_closed',
         'limits',
     )
@@ -112,9 +146,12 @@
         decode: DecodeRequest,
         answer_headers: AnswerHeaders,
         clock: Clock,
+        budget: BufferBudget,
+        log: EventLog,
     ) -> None:
-        """Serve requests with a coordinator."""
-        self._buffer_budget = BufferBudget()
+        """Serve requests with a coordinator, within a budget of memory."""
+        self.buffer_budget = budget
+        self._log = log
         self.is_closed = False
         self._coordinator = coordinator
         self._decode = decode
@@ -123,24 +160,33 @@
         self.limits = None
 
     async def async_handle(self, raw: Request, channel: Channel) -> None:
-        """Serve one request."""
+        """Serve one request, and wait until its caller has read the answer."""
+        account = account_of(Side.CALLERS, channel)
+        await self._async_handle(raw, channel, account)
+        await self.buffer_budget.async_flush(channel, account)
+
+    async def _async_handle(
+        self, raw: Request, channel: Channel, account: Account
+    ) -> None:
         arrived = self._clock.now()
         refused = self._refuse_by_length(raw)
         if refused:
             send_answer(channel, Answer(refused, (), b''))
             return
         limit = None if self.limits is None else self.limits.max_body_bytes
+        declared = declared_length(raw)
         try:
-            async with self._buffer_budget.read_body(channel, limit) as body:
+            async with self.buffer_budget.read_body(
+                channel, limit, account, declared
+            ) as body:
                 caller = self._decode(raw, body, arrived)
+                require_sender(self._log, channel, account, caller)
                 await self._async_answer(caller, channel)
         except BodyTooLongError:
             send_answer(channel, Answer(STATUS_TOO_LARGE, (), b''))
-        except BufferBudgetExceededError:
-            refusal = NotRun(
-                NotRunReason.NO_BUFFER_BUDGET, DEFAULT_RETRY_AFTER_S
-            )
-            send_answer(channel, _to_answer(refusal))
+        except BufferBudgetExceededError as error:
+            log_no_room(self._log, raw, account, self.buffer_budget, error)
+            send_answer(channel, _to_answer(NO_ROOM))
         except MalformedRequestError:
             send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
 
@@ -169,12 +215,16 @@
         )
         if head + len(raw.target) > self.limits.max_header_bytes:
             return STATUS_HEAD_TOO_LARGE
-        length = dict(pairs).get(b'content-length', b'0')
-        if length.isdigit() and int(length) > self.limits.max_body_bytes:
+        if declared_length(raw) > self.limits.max_body_bytes:
             return STATUS_TOO_LARGE
         return 0
 
 
+def declared_length(raw: Request) -> int:
+    length = dict(raw.headers).get(b'content-length', b'')
+    return int(length) if length.isdigit() else 0
+
+
 def _to_answer(outcome: Outcome | NoRoute) -> Answer:
     """Return the answer to a caller for an outcome."""
     match outcome:
@@ -192,78 +242,6 @@
             return Answer(STATUS_BAD_GATEWAY, (), b'')
 
 
-class PeerEndpoint:
-    """Serves requests of other processes."""
-
-    __slots__ = (
-        '_clock',
-        '_control',
-        '_load',
-        '_on_known',
-        '_server',
-        '_server_watch',
-        '_service',
-    )
-
-    def __init__(
-        self,
-        service: str,
-        server: ServerPath,
-        server_watch: ServerWatch,
-        clock: Clock,
-        control: Callable[[Request, bytes], Awaitable[Answer]],
-        load: Callable[[], Load],
-        on_known: Callable[[KnownVersions], None],
-    ) -> None:
-        """Serve with the local server, and other paths with ``control``.
-
-        Each answer includes ``load``; ``on_known`` is called with the versions
-        of configuration and map that a sender uses.
-        """
-        self._server_watch = server_watch
-        self._load = load
-        self._on_known = on_known
-        self._service = service
-        self._server = server
-        self._clock = clock
-        self._control = control
-
-    async def async_handle(self, raw: Request, channel: Channel) -> None:
-        """Serve one request."""
-        body = await read_body(channel)
-        if raw.target.startswith(b'/-/'):
-            send_answer(channel, await self._control(raw, body))
-            return
-        try:
-            routed, known = decode_hop(raw, body, self._clock.now())
-        except PlantaingradeError:
-            send_answer(channel, Answer(STATUS_BAD_REQUEST, (), b''))
-            return
-        self._on_known(known)
-        told_leaving = decode_leaving(raw.headers)
-        if told_leaving is not None:
-            self._server_watch.notices.on_peer_notice(told_leaving)
-        outcome = await self._async_serve(routed, known.key_map)
-        answer = encode_outcome(outcome)
-        headers = (
-            *answer.headers,
-            encode_load(self._load()),
-            *encode_leaving(self._server_watch.leaving_incarnation),
-        )
-        send_answer(channel, Answer(answer.status, headers, answer.body))
-
-    async def _async_serve(
-        self, routed: RoutedRequest, map_version: int
-    ) -> Outcome:
-        """Serve a request if it is for the service of this process.
-
-        The address may have belonged to a process of another service before.
-        """
-        if routed.service != self._service:
-            return NotRun(NotRunReason.OTHER_SERVICE)
-        return await self._server.async_serve(routed, map_version)
-
-
 class ReadinessEndpoint:
     """Reports to the platform whether this process accepts work."""
 
--- a/plantaingrade/sidecar/gauges.py
+++ b/plantaingrade/sidecar/gauges.py
@@ -8,7 +8,9 @@
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.holds.registry import Registry
+from plantaingrade.requests.held_bytes import Side
 from plantaingrade.requests.server_path import ServerPath
+from plantaingrade.sidecar.instance_bytes import InstanceBytes
 from plantaingrade.sidecar.metrics import Metrics
 
 
@@ -20,12 +22,14 @@
     config: ConfigFollower
     registry: Registry
     server_path: ServerPath
+    held: InstanceBytes
     clock: Clock
 
 
 def register_gauges(metrics: Metrics, parts: GaugeSources) -> None:
     """Register the gauges of a process."""
     _register_limits(metrics, parts.queue.limits, parts.clock)
+    _register_bytes(metrics, parts.held, parts.queue.limits, parts.clock)
     queue, registry, clock = parts.queue, parts.registry, parts.clock
     register = metrics.register_gauge
     register('slots_running', 'Requests at the server.', lambda: queue.running)
@@ -71,3 +75,49 @@
         'Requests that the server accepts per second; 0 without a limit.',
         lambda: limits.named.per_s or 0.0,
     )
+
+
+def _register_bytes(
+    metrics: Metrics, held: InstanceBytes, limits: ServerLimits, clock: Clock
+) -> None:
+    register = metrics.register_gauge
+    budget = held.budget
+    turns = held.turn_gate.turns
+    register(
+        'turns_arriving_bytes',
+        'Bytes of long bodies of other processes that are on their way.',
+        lambda: turns.arriving_bytes,
+    )
+    register(
+        'turns_waiting',
+        'Long bodies of other processes that wait for their turn.',
+        lambda: turns.waiting,
+    )
+    register(
+        'held_bytes_callers',
+        'Bytes of requests and unread answers of callers.',
+        lambda: budget.held.held_by(Side.CALLERS),
+    )
+    register(
+        'held_bytes_peers',
+        'Bytes of requests and unread answers of other processes.',
+        lambda: budget.held.held_by(Side.PEERS),
+    )
+    register(
+        'held_bytes_peak',
+        'Most bytes held at a time since the start.',
+        lambda: budget.held.peak_bytes,
+    )
+    register(
+        'held_bytes_limit', 'Bytes that may be held.', lambda: budget.limit
+    )
+    register(
+        'server_bytes_running',
+        'Bytes of requests at the server.',
+        lambda: limits.memory.running,
+    )
+    register(
+        'server_bytes_limit',
+        'Bytes that the server gets at a time, learned from a crash; 0 if not.',
+        lambda: limits.memory.limit_at(clock.now()) or 0.0,
+    )
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -18,7 +18,7 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator, MemberLinks
 from plantaingrade.http.pool import split_address
-from plantaingrade.http.server import HttpServer, RequestHandler
+from plantaingrade.http.server import HttpServer
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.operators.api import OperatorApi
 from plantaingrade.peers.calls import PeerCalls
@@ -46,14 +46,15 @@
 from plantaingrade.sidecar.endpoints import (
     CallerEndpoint,
     MetricsEndpoint,
-    PeerEndpoint,
     ReadinessEndpoint,
     ReportEndpoint,
     refuse_malformed,
 )
 from plantaingrade.sidecar.evacuation import ServerEvacuation
 from plantaingrade.sidecar.gauges import GaugeSources, register_gauges
+from plantaingrade.sidecar.instance_bytes import InstanceBytes
 from plantaingrade.sidecar.metrics import Metrics
+from plantaingrade.sidecar.peer_endpoint import PeerEndpoint
 from plantaingrade.sidecar.pools import Pools
 from plantaingrade.sidecar.server_watch import (
     IncarnationHooks,
@@ -158,6 +159,7 @@
         self._direct_store = self._adapter.make_store(self._pools.store)
         self._direct_store.epochs.listen(self._on_store_epoch)
         self._orders = self._adapter.make_orders(self._pools.orders)
+        self._bytes = InstanceBytes.from_settings(settings, self._clock)
         self._maps = KeyMaps()
         self._directory = Directory()
         self._metrics = Metrics()
@@ -195,8 +197,8 @@
                 self._service_names,
                 lambda desired: self._operators.apply_desired_state(desired),
                 lambda digests: self._server_path.record_crash(digests),
-                lambda kind, priority: self._server_path.free_capacity(
-                    kind, priority
+                lambda kind, priority: self._bytes.delay(
+                    self._server_path.free_capacity(kind, priority), kind
                 ),
             ),
         )
@@ -329,6 +331,8 @@
             self._adapter.decode_request,
             self._adapter.answer_headers,
             self._clock,
+            self._bytes.budget,
+            self._log,
         )
         self._operators = OperatorApi(
             self._own,
@@ -360,6 +364,8 @@
             ).async_handle,
             self._balance.load,
             self._on_known,
+            self._bytes,
+            self._log,
         )
         self._readiness_endpoint = ReadinessEndpoint(lambda: self.is_ready)
         self._report_endpoint = ReportEndpoint(
@@ -374,6 +380,7 @@
                 self._config,
                 self.holds.registry,
                 self._server_path,
+                self._bytes,
                 self._clock,
             ),
         )
@@ -413,9 +420,7 @@
             await self._async_serve(address, serve)
         await self._peers.endpoint.async_open(*split_address(peers_bind))
 
-    async def _async_serve(
-        self, address: str, serve: RequestHandler
-    ) -> HttpServer:
+    async def _async_serve(self, address: str, serve) -> HttpServer:
         server = HttpServer(
             self._clock, serve, refuse_malformed, INTERNAL_IDLE_S
         )
--- a/plantaingrade/sidecar/settings.py
+++ b/plantaingrade/sidecar/settings.py
@@ -73,7 +73,9 @@
 
     ``backend`` is the address of the local backend server and ``service`` the
     service it belongs to. ``starts_with_all`` is set for a process that starts
-    when the whole system starts for the first time.
+    when the whole system starts for the first time. ``memory_mb`` is the memory
+    that the process may use, in MB, and ``link_mbps`` the rate of its link, in
+    Mbit/s; each is 0 if it is not known.
     """
 
     name: str
@@ -86,3 +88,5 @@
     bounds: Bounds
     max_row_bytes: int
     starts_with_all: bool = False
+    memory_mb: float = 0.0
+    link_mbps: float = 0.0
--- a/tests/platform/test_template.py
+++ b/tests/platform/test_template.py
@@ -14,6 +14,7 @@
     'zone': 'a',
     'bootstrap': True,
     'ip': '10.1.0.38',
+    'limits': {'cpuShare': 0.43, 'memoryMb': 200, 'linkMbps': 5.0},
     'service': 'cases',
     'appAddr': '10.1.0.38:8145',
     'listenAddrs': {
@@ -52,6 +53,7 @@
     assert settings.store == '10.200.1.7:8142'
     assert settings.listeners.peers == '10.1.0.38:7380'
     assert settings.starts_with_all
+    assert settings.memory_mb == 200
     assert settings.bounds.cold_slack == 8
     assert settings.bounds.evacuate_s == 5
 
--- a/tests/sidecar/test_bodies.py
+++ b/tests/sidecar/test_bodies.py
@@ -17,7 +17,7 @@
             node = await harness.async_add(PLAIN)
             await harness.async_until(lambda: node.process.is_ready)
             if limit is not None:
-                node.process._caller_endpoint._buffer_budget._limit = limit
+                node.process._caller_endpoint.buffer_budget.limit = limit
             host, port = node.callers.split(':')
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(raw)
