--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -5,13 +5,9 @@
 from collections.abc import Callable
 from socket import (
     IPPROTO_TCP,
-    SO_KEEPALIVE,
     SO_LINGER,
     SOL_SOCKET,
     TCP_INFO,
-    TCP_KEEPCNT,
-    TCP_KEEPIDLE,
-    TCP_KEEPINTVL,
 )
 from typing import Any
 
@@ -20,7 +16,11 @@
 from plantaingrade.clock import Clock
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.http.connection import NEED_DATA, Connection
-from plantaingrade.http.const import MAX_HEAD_BYTES, MAX_UNREAD_BYTES
+from plantaingrade.http.const import (
+    MAX_FURTHER_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_UNREAD_BYTES,
+)
 from plantaingrade.http.messages import (
     EndOfMessage,
     InformationalResponse,
@@ -33,10 +33,6 @@
 from plantaingrade.http.writer import CLOSE_HEADER
 
 MAX_UNSENT_CHUNKS = 4
-# TCP keepalive of an idle connection, in whole seconds as the system requires.
-# A dead connection is detected within three seconds.
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBE_COUNT = 2
 # The first byte of the system's information on a connection is its state.
 TCP_ESTABLISHED = 1
 NO_REMOTE = ('', 0)
@@ -66,6 +62,7 @@
         'is_last_response',
         'last_byte_at',
         'on_closed',
+        'on_further',
         'remote',
         'transport',
     )
@@ -89,6 +86,8 @@
         self._request_task: asyncio.Task[Any] | None = None
         # Called when the connection was closed by the peer or broke.
         self.on_closed: Callable[[], None] | None = None
+        # Called when parts of a request behind the current one have arrived.
+        self.on_further: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -101,8 +100,12 @@
         self.last_byte_at = self._clock.now()
         self._unread += len(data)
         if not self.closed:
-            self.http.receive(data)
-        if self._unread > MAX_UNREAD_BYTES and not self._paused:
+            self.http.receive(data, self.last_byte_at)
+        limit = MAX_UNREAD_BYTES
+        if self.on_further is not None and self.http.has_message_ahead:
+            limit = MAX_FURTHER_BYTES
+            self.on_further()
+        if self._unread > limit and not self._paused:
             self._paused = True
             self.transport.pause_reading()
         self._wake()
@@ -154,6 +157,7 @@
         while True:
             event = self._parse()
             if event is not NEED_DATA:
+                self._check_further(event)
                 return event
             if self.closed:
                 raise ChannelClosedError('Connection closed by the peer.')
@@ -196,12 +200,18 @@
             self.transport.write(b''.join(self._unsent))
         self._unsent.clear()
 
+    @property
+    def is_writing_paused(self) -> bool:
+        """Return whether the peer reads more slowly than is written."""
+        return self._writable is not None
+
     async def drain(self) -> None:
         """Wait until the transport accepts more data from a slow peer."""
         if len(self._unsent) > MAX_UNSENT_CHUNKS:
             self.flush()
         if self._writable is not None:
-            await self._writable
+            # A waiter that gives up must not cancel the future of the others.
+            await asyncio.wait((self._writable,))
 
     @property
     def unsent_bytes(self) -> int:
@@ -210,15 +220,6 @@
             return 0
         return self.transport.get_write_buffer_size()
 
-    async def async_wait_sent(self, limit_s: float) -> None:
-        """Wait until no bytes are unsent, or for at most ``limit_s``."""
-        if not self.unsent_bytes:
-            return
-        # With a limit of zero the transport reports when all is sent.
-        self.transport.set_write_buffer_limits(high=0)
-        if self._writable is not None:
-            await asyncio.wait((self._writable,), timeout=limit_s)
-
     def expect_another_response(self) -> None:
         """Read another response after one that belongs to another request."""
         self.http.expect_another_response()
@@ -238,18 +239,6 @@
         """Return whether bytes of a further message have arrived."""
         return self.http.has_unread
 
-    def enable_tcp_keepalive(self) -> None:
-        """Enable TCP keepalive probes while the connection is idle.
-
-        If a network device drops the state of the connection, no end notices
-        and a read would wait forever.
-        """
-        sock = self.transport.get_extra_info('socket')
-        sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-        sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
-        sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-        sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
-
     def is_reusable(self) -> bool:
         """Return whether another request may be sent.
 
@@ -302,6 +291,12 @@
                 'Invalid or incomplete response.'
             ) from error
 
+    def _check_further(self, event: Any) -> None:
+        is_end = isinstance(event, EndOfMessage)
+        if self.on_further is not None and is_end:
+            if self.http.has_message_ahead:
+                self.on_further()
+
     def _mark_closed(self) -> None:
         if self.closed:
             self._wake()
--- a/plantaingrade/requests/bodies.py
+++ b/plantaingrade/requests/bodies.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager, contextmanager, suppress
 
 from msgspec import Struct
 
@@ -152,7 +152,7 @@
         unsent = channel.unsent_bytes
         while unsent:
             with self.holding(unsent, account):
-                await channel.async_wait_sent(UNREAD_ANSWER_S)
+                await _async_wait_sent(channel)
             left = channel.unsent_bytes
             if left >= unsent:
                 channel.abort()
@@ -191,3 +191,12 @@
         if max_bytes is not None and size > max_bytes:
             raise BodyTooLongError('Request body exceeds the size limit.')
         yield chunk
+
+
+async def _async_wait_sent(channel: Channel) -> None:
+    """Wait until no bytes are unsent, or for at most ``UNREAD_ANSWER_S``."""
+    # With a limit of zero the transport reports when all is sent.
+    channel.transport.set_write_buffer_limits(high=0)
+    with suppress(TimeoutError):
+        async with asyncio.timeout(UNREAD_ANSWER_S):
+            await channel.drain()
--- a/plantaingrade/sidecar/endpoints.py
+++ b/plantaingrade/sidecar/endpoints.py
@@ -168,7 +168,7 @@
     async def _async_handle(
         self, raw: Request, channel: Channel, account: Account
     ) -> None:
-        arrived = self._clock.now()
+        arrived = raw.arrived or self._clock.now()
         refused = self._refuse_by_length(raw)
         if refused:
             send_answer(channel, Answer(refused, (), b''))
--- a/plantaingrade/sidecar/gauges.py
+++ b/plantaingrade/sidecar/gauges.py
@@ -2,12 +2,14 @@
 
 from msgspec import Struct
 
+from plantaingrade.admission.server_bytes import ServerBytes
 from plantaingrade.admission.server_limits import ServerLimits
 from plantaingrade.admission.slots import SlotQueue
 from plantaingrade.balance.coordinator import BalanceCoordinator
 from plantaingrade.clock import Clock
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.holds.registry import Registry
+from plantaingrade.http.pipeline import EarlyTotals
 from plantaingrade.requests.held_bytes import Side
 from plantaingrade.requests.server_path import ServerPath
 from plantaingrade.sidecar.instance_bytes import InstanceBytes
@@ -23,13 +25,14 @@
     registry: Registry
     server_path: ServerPath
     held: InstanceBytes
+    early: EarlyTotals
     clock: Clock
 
 
 def register_gauges(metrics: Metrics, parts: GaugeSources) -> None:
     """Register the gauges of a process."""
     _register_limits(metrics, parts.queue.limits, parts.clock)
-    _register_bytes(metrics, parts.held, parts.queue.limits, parts.clock)
+    _register_bytes(metrics, parts.held, parts.early)
     queue, registry, clock = parts.queue, parts.registry, parts.clock
     register = metrics.register_gauge
     register('slots_running', 'Requests at the server.', lambda: queue.running)
@@ -56,9 +59,24 @@
     )
 
 
+def _register_read_ahead(metrics: Metrics, early: EarlyTotals) -> None:
+    register = metrics.register_gauge
+    register(
+        'requests_read_ahead',
+        'Pipelined requests that began before their turn.',
+        lambda: early.requests,
+    )
+    register(
+        'answers_held_bytes',
+        'Bytes of answers to pipelined requests whose turn is not yet.',
+        lambda: early.held_bytes,
+    )
+
+
 def _register_limits(
     metrics: Metrics, limits: ServerLimits, clock: Clock
 ) -> None:
+    _register_server_bytes(metrics, limits.memory, clock)
     register = metrics.register_gauge
     register(
         'server_cold',
@@ -78,8 +96,9 @@
 
 
 def _register_bytes(
-    metrics: Metrics, held: InstanceBytes, limits: ServerLimits, clock: Clock
+    metrics: Metrics, held: InstanceBytes, early: EarlyTotals
 ) -> None:
+    _register_read_ahead(metrics, early)
     register = metrics.register_gauge
     budget = held.budget
     turns = held.turn_gate.turns
@@ -111,13 +130,19 @@
     register(
         'held_bytes_limit', 'Bytes that may be held.', lambda: budget.limit
     )
+
+
+def _register_server_bytes(
+    metrics: Metrics, memory: ServerBytes, clock: Clock
+) -> None:
+    register = metrics.register_gauge
     register(
         'server_bytes_running',
         'Bytes of requests at the server.',
-        lambda: limits.memory.running,
+        lambda: memory.running,
     )
     register(
         'server_bytes_limit',
         'Bytes that the server gets at a time, learned from a crash; 0 if not.',
-        lambda: limits.memory.limit_at(clock.now()) or 0.0,
+        lambda: memory.limit_at(clock.now()) or 0.0,
     )
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -18,9 +18,9 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator, MemberLinks
 from plantaingrade.http.pool import split_address
-from plantaingrade.http.server import HttpServer
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.operators.api import OperatorApi
+from plantaingrade.operators.queries import LocalState
 from plantaingrade.peers.calls import PeerCalls
 from plantaingrade.peers.coordinator import PeerCoordinator, PeerHooks
 from plantaingrade.peers.directory import Directory
@@ -40,7 +40,6 @@
     CONFIG_POLL_S,
     FINISH_FRACTION,
     INITIAL_SLOTS,
-    INTERNAL_IDLE_S,
 )
 from plantaingrade.sidecar.control import ControlHandler
 from plantaingrade.sidecar.endpoints import (
@@ -48,14 +47,15 @@
     MetricsEndpoint,
     ReadinessEndpoint,
     ReportEndpoint,
-    refuse_malformed,
 )
 from plantaingrade.sidecar.evacuation import ServerEvacuation
 from plantaingrade.sidecar.gauges import GaugeSources, register_gauges
+from plantaingrade.sidecar.http_servers import HttpServers
 from plantaingrade.sidecar.instance_bytes import InstanceBytes
 from plantaingrade.sidecar.metrics import Metrics
 from plantaingrade.sidecar.peer_endpoint import PeerEndpoint
 from plantaingrade.sidecar.pools import Pools
+from plantaingrade.sidecar.read_ahead import make_read_ahead
 from plantaingrade.sidecar.server_watch import (
     IncarnationHooks,
     OwnServer,
@@ -63,7 +63,7 @@
 )
 from plantaingrade.sidecar.settings import InstanceSettings, ProcessOptions
 from plantaingrade.sidecar.shutdown import GracefulShutdown
-from plantaingrade.store.relay import RelayedStore, RelayHandler
+from plantaingrade.sidecar.store_access import StoreAccess
 
 BOOT_BYTES = 4
 _LOGGER = logging.getLogger(__name__)
@@ -88,7 +88,7 @@
         self._clock = clock
         self._log = log
         self._tasks: set[asyncio.Task[None]] = set()
-        self._servers: list[HttpServer] = []
+        self._servers = HttpServers(clock)
         self._is_shutting_down = False
         self._build_state()
         self._build_paths()
@@ -113,8 +113,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for server in self._servers:
-            await server.async_close()
+        await self._servers.async_close()
         self._peers.endpoint.close()
         self._orders.close()
         self._pools.close()
@@ -129,8 +128,7 @@
     async def async_shut_down(self) -> None:
         """Shut down within the platform's grace period."""
         self._is_shutting_down = True
-        for server in self._servers:
-            server.end_connections()
+        self._servers.end_connections()
         await self._shutdown.async_run()
 
     @property
@@ -141,7 +139,7 @@
     @property
     def busy(self) -> int:
         """Return how many requests are being served."""
-        return sum(server.active_requests for server in self._servers)
+        return self._servers.busy
 
     def _build_state(self) -> None:
         settings = self._settings
@@ -184,6 +182,14 @@
             self._clock,
             self._log,
         )
+        self._store_access = StoreAccess.from_parts(
+            self._own,
+            self._direct_store,
+            self._directory,
+            self._calls,
+            self._clock,
+            self._log,
+        )
         self._peers = PeerCoordinator(
             self._own,
             self._directory,
@@ -195,29 +201,28 @@
             self._loads,
             PeerHooks(
                 self._service_names,
-                lambda desired: self._operators.apply_desired_state(desired),
+                lambda desired: self._operators.desired_states.apply(desired),
                 lambda digests: self._server_path.record_crash(digests),
                 lambda kind, priority: self._bytes.delay(
                     self._server_path.free_capacity(kind, priority), kind
                 ),
+                self._store_access.shared_reads,
             ),
         )
-        store = RelayedStore(
-            self._direct_store,
-            self._calls,
-            self._calls.relays,
-            self._clock,
-            self._log,
-        )
         self.holds = HoldCoordinator(
-            store,
+            self._store_access.relayed,
             self._maps,
             self._own,
             self._tracker,
             self._orders,
             self._clock,
             self._log,
-            MemberLinks(self._peers, self._peers.witnesses, self._on_joined),
+            MemberLinks(
+                self._peers,
+                self._peers.witnesses,
+                self._on_joined,
+                self._store_access.shared_renewals,
+            ),
             starts_with_all=settings.starts_with_all,
         )
         self._maps.listen(lambda service, _: self.holds.on_map(service))
@@ -334,21 +339,27 @@
             self._bytes.budget,
             self._log,
         )
-        self._operators = OperatorApi(
-            self._own,
-            self._directory,
-            self._maps,
-            self._loads,
-            self._config,
+        self._read_ahead = make_read_ahead(
+            self._requests,
+            self._caller_endpoint.buffer_budget,
+            self._adapter.decode_request,
+            self._log,
+        )
+        self._operators = OperatorApi.from_state(
+            LocalState(
+                self._own,
+                self._directory,
+                self._maps,
+                self._loads,
+                self._config,
+                self._clock,
+            ),
             self.holds,
             self._calls,
             self._direct_store,
-            self._clock,
+            lambda: self._tracker.current,
+            self._server_evacuation.on_desired_state,
         )
-        self._operators.set_desired_state_callback(
-            self._server_evacuation.on_desired_state
-        )
-        self._operators.set_incarnation_source(lambda: self._tracker.current)
         self._peer_endpoint = PeerEndpoint(
             self._settings.service,
             self._server_path,
@@ -359,7 +370,7 @@
                 self.holds,
                 self._balance,
                 self._config,
-                RelayHandler(self._direct_store),
+                self._store_access.relay_handler,
                 self._operators,
             ).async_handle,
             self._balance.load,
@@ -381,6 +392,7 @@
                 self.holds.registry,
                 self._server_path,
                 self._bytes,
+                self._read_ahead.totals,
                 self._clock,
             ),
         )
@@ -398,13 +410,15 @@
 
     async def _async_listen(self) -> None:
         listeners = self._settings.listeners
-        self._caller_server = await self._async_serve(
-            listeners.callers, self._caller_endpoint.async_handle
+        caller_server = await self._servers.async_listen(
+            listeners.callers,
+            self._caller_endpoint.async_handle,
+            self._read_ahead,
         )
         applier = ConfigApplier(
             self._own.service,
             self._settings.bounds,
-            self._caller_server,
+            caller_server,
             self._caller_endpoint,
             self._limits.cold,
         )
@@ -417,17 +431,9 @@
             listeners.metrics: self._metrics_endpoint.async_handle,
         }
         for address, serve in serve_by_address.items():
-            await self._async_serve(address, serve)
+            await self._servers.async_listen(address, serve)
         await self._peers.endpoint.async_open(*split_address(peers_bind))
 
-    async def _async_serve(self, address: str, serve) -> HttpServer:
-        server = HttpServer(
-            self._clock, serve, refuse_malformed, INTERNAL_IDLE_S
-        )
-        await server.async_listen(*split_address(address))
-        self._servers.append(server)
-        return server
-
     def _start(self, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -491,7 +497,7 @@
         self._log.write('store-epoch', epoch=epoch, before=before)
         if self._peers.has_joined:
             self._start(self._peers.async_begin_epoch())
-            self._start(self._operators.async_restore_desired_states())
+            self._start(self._operators.desired_states.async_restore_all())
 
     def _on_joined(self) -> None:
         self._start(self._peers.async_introduce())
