--- a/tests/requests/test_bodies.py
+++ b/tests/requests/test_bodies.py
@@ -150,7 +150,7 @@
             got = 0
             while reads and got < len(LONG):
                 got += len(await reader.read(1_000_000))
-                await asyncio.sleep(0.001)
+                await asyncio.sleep(0.01)
             await async_until(lambda: endpoint.budget.used_bytes == 0)
             assert (got >= len(LONG)) == is_whole
             writer.close()
