--- a/tests/guards.py
+++ b/tests/guards.py
@@ -374,6 +374,34 @@
         'try:',
         'tests/platform/test_store.py',
     ),
+    Guard(
+        'a request whose sender has left goes no further',
+        'plantaingrade/sidecar/endpoints.py',
+        'if not channel.is_peer_gone():',
+        'if True:',
+        'tests/sidecar/test_withdrawn.py',
+    ),
+    Guard(
+        'one account does not take all of the budget',
+        'plantaingrade/requests/held_bytes.py',
+        'if left >= 0 and held <= max(left, MIN_ACCOUNT_BYTES):',
+        'if left >= 0:',
+        'tests/requests/test_held_bytes.py',
+    ),
+    Guard(
+        'long bodies arrive one after the other',
+        'plantaingrade/requests/body_turns.py',
+        'return self.arriving_bytes + turn.size <= self._rate * WINDOW_S',
+        'return True',
+        'tests/requests/test_body_turns.py',
+    ),
+    Guard(
+        'a server gets no more bytes than it crashed with',
+        'plantaingrade/admission/server_bytes.py',
+        'return limit is None or self.running + size <= limit',
+        'return True',
+        'tests/admission/test_server_bytes.py',
+    ),
 )
 
 
