--- a/plantaingrade/sidecar/gauges.py
+++ b/plantaingrade/sidecar/gauges.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from plantaingrade.admission.server_bytes import ServerBytes
 from plantaingrade.admission.server_limits import ServerLimits
 from plantaingrade.admission.slots import SlotQueue
 from plantaingrade.balance.coordinator import BalanceCoordinator
@@ -10,7 +11,9 @@
 from plantaingrade.holds.registry import Registry
 from plantaingrade.http.pipeline import EarlyTotals
 from plantaingrade.peers.turns import MapTurns
+from plantaingrade.requests.held_bytes import Side
 from plantaingrade.requests.server_path import ServerPath
+from plantaingrade.sidecar.instance_bytes import InstanceBytes
 from plantaingrade.sidecar.metrics import Metrics
 
 
@@ -23,6 +26,7 @@
     registry: Registry
     server_path: ServerPath
     turns: MapTurns
+    held: InstanceBytes
     early: EarlyTotals
     clock: Clock
 
@@ -30,7 +34,7 @@
 def register_gauges(metrics: Metrics, parts: GaugeSources) -> None:
     """Register the gauges of a process."""
     _register_limits(metrics, parts.queue.limits, parts.clock)
-    _register_read_ahead(metrics, parts.early)
+    _register_bytes(metrics, parts.held, parts.early)
     _register_keys(metrics, parts)
     queue = parts.queue
     register = metrics.register_gauge
@@ -100,6 +104,7 @@
 def _register_limits(
     metrics: Metrics, limits: ServerLimits, clock: Clock
 ) -> None:
+    _register_server_bytes(metrics, limits.memory, clock)
     register = metrics.register_gauge
     register(
         'server_cold',
@@ -116,3 +121,56 @@
         'Requests that the server accepts per second; 0 without a limit.',
         lambda: limits.named.per_s or 0.0,
     )
+
+
+def _register_bytes(
+    metrics: Metrics, held: InstanceBytes, early: EarlyTotals
+) -> None:
+    _register_read_ahead(metrics, early)
+    register = metrics.register_gauge
+    budget = held.budget
+    turns = held.turn_gate.turns
+    register(
+        'turns_arriving_bytes',
+        'Bytes of long bodies of other processes that are on their way.',
+        lambda: turns.arriving_bytes,
+    )
+    register(
+        'turns_waiting',
+        'Long bodies of other processes that wait for their turn.',
+        lambda: turns.waiting,
+    )
+    register(
+        'held_bytes_callers',
+        'Bytes of requests and unread answers of callers.',
+        lambda: budget.held.held_by(Side.CALLERS),
+    )
+    register(
+        'held_bytes_peers',
+        'Bytes of requests and unread answers of other processes.',
+        lambda: budget.held.held_by(Side.PEERS),
+    )
+    register(
+        'held_bytes_peak',
+        'Most bytes held at a time since the start.',
+        lambda: budget.held.peak_bytes,
+    )
+    register(
+        'held_bytes_limit', 'Bytes that may be held.', lambda: budget.limit
+    )
+
+
+def _register_server_bytes(
+    metrics: Metrics, memory: ServerBytes, clock: Clock
+) -> None:
+    register = metrics.register_gauge
+    register(
+        'server_bytes_running',
+        'Bytes of requests at the server.',
+        lambda: memory.running,
+    )
+    register(
+        'server_bytes_limit',
+        'Bytes that the server gets at a time, learned from a crash; 0 if not.',
+        lambda: memory.limit_at(clock.now()) or 0.0,
+    )
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -45,14 +45,15 @@
 from plantaingrade.sidecar.endpoints import (
     CallerEndpoint,
     MetricsEndpoint,
-    PeerEndpoint,
     ReadinessEndpoint,
     ReportEndpoint,
 )
 from plantaingrade.sidecar.evacuation import ServerEvacuation
 from plantaingrade.sidecar.gauges import GaugeSources, register_gauges
 from plantaingrade.sidecar.http_servers import HttpServers
+from plantaingrade.sidecar.instance_bytes import InstanceBytes
 from plantaingrade.sidecar.metrics import Metrics
+from plantaingrade.sidecar.peer_endpoint import PeerEndpoint
 from plantaingrade.sidecar.pools import Pools
 from plantaingrade.sidecar.read_ahead import make_read_ahead
 from plantaingrade.sidecar.server_watch import (
@@ -163,6 +164,7 @@
         )
         self._direct_store.epochs.listen(self._on_store_epoch)
         self._orders = self._adapter.make_orders(self._pools.orders)
+        self._bytes = InstanceBytes.from_settings(settings, self._clock)
         self._maps = KeyMaps()
         self._directory = Directory()
         self._loads = PeerLoads()
@@ -207,8 +209,8 @@
                 self._service_names,
                 lambda desired: self._operators.desired_states.apply(desired),
                 lambda digests: self._server_path.record_crash(digests),
-                lambda kind, priority: self._server_path.free_capacity(
-                    kind, priority
+                lambda kind, priority: self._bytes.delay(
+                    self._server_path.free_capacity(kind, priority), kind
                 ),
             ),
         )
@@ -340,6 +342,8 @@
             self._adapter.decode_request,
             self._adapter.answer_headers,
             self._clock,
+            self._bytes.budget,
+            self._log,
         )
         self._read_ahead = make_read_ahead(
             self._requests,
@@ -377,6 +381,8 @@
             ).async_handle,
             self._balance.load,
             self._on_known,
+            self._bytes,
+            self._log,
         )
         self._readiness_endpoint = ReadinessEndpoint(lambda: self.is_ready)
         self._report_endpoint = ReportEndpoint(
@@ -392,6 +398,7 @@
                 self.holds.registry,
                 self._server_path,
                 self._peers.turns,
+                self._bytes,
                 self._read_ahead.totals,
                 self._clock,
             ),
