The change of a turn is passed on with the next turn

Change: the message that returns a turn carries its change, and the one that grants the next turn carries it on. test_a_change_comes_with_the_next_turn.

--- a/plantaingrade/holds/change_order.py
+++ b/plantaingrade/holds/change_order.py
@@ -12,7 +12,7 @@
 from plantaingrade.holds.turns import TurnRank
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap
-from plantaingrade.peers.entity import Member
+from plantaingrade.peers.entity import MapChanged, Member
 from plantaingrade.peers.turn_taking import Turn, TurnTaking
 
 
@@ -20,13 +20,14 @@
     """Takes turns for the changes of one member, or backs off without them."""
 
     __slots__ = (
+        '_change',
         '_clock',
         '_contention',
         '_is_refused',
+        '_member',
         '_own_version',
         '_pause_until',
         '_rank',
-        '_service',
         '_turn',
         'backoff',
         'turns',
@@ -36,7 +37,9 @@
         self, member: Member, maps: KeyMaps, turns: TurnTaking, clock: Clock
     ) -> None:
         """Take the turns of a member for its changes."""
-        self._service = member.service
+        self._member = member
+        # What has been changed in the turn.
+        self._change: MapChanged | None = None
         self._clock = clock
         self._contention = Contention()
         self._rank = TurnRank.UNSERVED
@@ -102,10 +105,15 @@
         """Return the turn while the store does not answer."""
         self._end_turn()
 
-    def on_committed(self, version: int) -> None:
-        """Record the version of a map changed by this member."""
+    def on_committed(self, before: KeyMap, after: KeyMap) -> None:
+        """Record a change of the map by this member."""
         self.backoff.on_success()
-        self._own_version = version
+        self._own_version = after.version
+        if self._turn is not None:
+            member = self._member
+            self._change = MapChanged.from_maps(
+                member.service, member.name, before, after
+            )
 
     async def _async_go_without(self, attempt: CommitAttempt) -> None:
         """Back off, or give up a change that would come too late."""
@@ -121,11 +129,13 @@
         return self._turn is not None and now < self._turn.until
 
     def _end_turn(self) -> None:
-        turn = self._turn
+        turn, change = self._turn, self._change
         self._turn = None
+        self._change = None
         if turn is not None:
-            self.turns.give_back(turn)
+            self.turns.give_back(turn, change)
 
     def _on_map(self, service: str, key_map: KeyMap) -> None:
-        if service == self._service and key_map.version != self._own_version:
+        is_own = key_map.version == self._own_version
+        if service == self._member.service and not is_own:
             self._contention.on_change(self._clock.now())
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -456,9 +456,9 @@
         for lapsed in change.removed:
             self.rows.by_name.pop(lapsed.member.name, None)
         if change.key_map is not None:
-            self.order.on_committed(version)
             self.change_base = write.base
             key_map = change.key_map.at_version(version)
+            self.order.on_committed(write.base, key_map)
             self._maps.update_if_newer(self.member.service, key_map)
 
     def _on_conflict(
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -121,7 +121,13 @@
             own, self._announcer.endpoint, clock, hooks.free_capacity_of
         )
         self.turns = MapTurns(
-            own, directory, maps, self._announcer.endpoint.send, clock, log
+            own,
+            directory,
+            maps,
+            self._announcer.endpoint.send,
+            self.map_follower.on_changed,
+            clock,
+            log,
         )
         self._rows = ServiceRows(
             own,
--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -13,6 +13,9 @@
     KeyRange,
 )
 
+# Ranges of a change that is sent within another message, at most 40 bytes each
+# with their owner.
+MAX_SHORT_RANGES = 20
 MAX_PORT = 65_535
 # One digit more than MAX_PORT has, so that longer numbers are out of bounds.
 MAX_PORT_DIGITS = 6
@@ -112,6 +115,11 @@
             ranges,
         )
 
+    @property
+    def is_short(self) -> bool:
+        """Return whether the change fits into another message."""
+        return 0 < len(self.ranges) <= MAX_SHORT_RANGES
+
     def assignments(self) -> tuple[Assignment, ...]:
         """Return the assignments that differ.
 
@@ -182,25 +190,29 @@
     """Grants a turn, or tells how long it takes until then.
 
     ``wait_ms`` is None if the turn is granted. ``version`` is the newest
-    version of the map known to the member that grants turns.
+    version of the map known to the member that grants turns, and ``change``
+    leads to it, if it is known and short.
     """
 
     name: str
     number: int
     version: int
     wait_ms: int | None = None
+    change: MapChanged | None = None
 
 
 class TurnEnded(Message):
     """Returns a turn, or withdraws its request.
 
-    ``version`` is the newest version of the map known to the sender.
+    ``version`` is the newest version of the map known to the sender, and
+    ``change`` what it has changed in its turn, if that is short.
     """
 
     service: str
     name: str
     number: int
     version: int
+    change: MapChanged | None = None
 
 
 class Introduced(Message):
--- a/plantaingrade/peers/turn_giver.py
+++ b/plantaingrade/peers/turn_giver.py
@@ -30,6 +30,7 @@
     """
 
     __slots__ = (
+        '_change',
         '_clock',
         '_granted_version',
         '_log',
@@ -58,6 +59,7 @@
         self._queue = TurnQueue()
         # The newest version that a member has reported with its turn.
         self._version = 0
+        self._change: MapChanged | None = None
         # The newest version when the last turn was granted.
         self._granted_version = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -92,6 +94,7 @@
         if ended.service != self._own.service:
             return
         self._version = max(self._version, ended.version)
+        self._keep(ended.change)
         self._queue.end(ended.name, ended.number, self._clock.now())
         self._grant_next()
 
@@ -102,6 +105,7 @@
         """
         if change.service != self._own.service:
             return
+        self._keep(change)
         granted = self._queue.granted
         is_newer = change.version > self._granted_version
         if granted is not None and granted.name == change.source and is_newer:
@@ -142,10 +146,20 @@
             self._answer(granted.address, granted.number, None)
             self._set_timer()
 
+    def _keep(self, change: MapChanged | None) -> None:
+        """Keep the newest change, which is sent with the next turn."""
+        if change is None or not change.is_short:
+            return
+        if self._change is None or change.version > self._change.version:
+            self._change = change
+
     def _newest_version(self) -> int:
         return max(self._version, self._version_of_map())
 
     def _answer(self, address: str, number: int, wait_ms: int | None) -> None:
         version = self._newest_version()
-        answer = TurnAnswer(self._own.name, number, version, wait_ms)
+        change = None
+        if wait_ms is None and self._change is not None:
+            change = self._change if self._change.version == version else None
+        answer = TurnAnswer(self._own.name, number, version, wait_ms, change)
         self._send(answer, address)
--- a/plantaingrade/peers/turn_taking.py
+++ b/plantaingrade/peers/turn_taking.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from plantaingrade.peers.entity import MapChanged
+
 
 class Turn(Struct, frozen=True):
     """A turn granted by a member, until a local time.
@@ -27,7 +29,7 @@
     async def async_take(self, rank: int, limit_s: float) -> Turn | None:
         """Wait for a turn; return None if nobody grants one in time."""
 
-    def give_back(self, turn: Turn) -> None:
+    def give_back(self, turn: Turn, change: MapChanged | None) -> None:
         """End a turn after its change has been committed or has failed."""
 
     def expected_wait_s(self) -> float:
@@ -40,7 +42,7 @@
     async def async_take(self, rank: int, limit_s: float) -> Turn | None:
         """Return None at once."""
 
-    def give_back(self, turn: Turn) -> None:
+    def give_back(self, turn: Turn, change: MapChanged | None) -> None:
         """Do nothing: there is no turn."""
 
     def expected_wait_s(self) -> float:
--- a/plantaingrade/peers/turns.py
+++ b/plantaingrade/peers/turns.py
@@ -13,6 +13,7 @@
 from plantaingrade.keyspace.entity import KeyMap
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import (
+    MapChanged,
     Member,
     TurnAnswer,
     TurnEnded,
@@ -108,6 +109,7 @@
     """
 
     __slots__ = (
+        '_apply_change',
         '_clock',
         '_directory',
         '_expected_at',
@@ -132,14 +134,19 @@
         directory: Directory,
         maps: KeyMaps,
         send: SendTurnMessage,
+        apply_change: Callable[[MapChanged], None],
         clock: Clock,
         log: EventLog,
     ) -> None:
-        """Take turns for one member; ``send`` sends to an address."""
+        """Take turns for one member; ``send`` sends to an address.
+
+        ``apply_change`` receives changes of the map that come with a turn.
+        """
         self._own = own
         self._directory = directory
         self._maps = maps
         self._send_datagram = send
+        self._apply_change = apply_change
         self._clock = clock
         self._log = log
         self._numbers = count(1)
@@ -173,10 +180,10 @@
             await self._async_wait_for_map(turn.version)
         return turn
 
-    def give_back(self, turn: Turn) -> None:
+    def give_back(self, turn: Turn, change: MapChanged | None) -> None:
         """End a turn after its change has been committed or has failed."""
         self._held = None
-        self._end(turn.giver, turn.number)
+        self._end(turn.giver, turn.number, change)
 
     def expected_wait_s(self) -> float:
         """Return how long a turn would take by the last answer, in seconds."""
@@ -188,10 +195,16 @@
             case TurnRequest():
                 self.giver.on_request(message)
             case TurnEnded():
+                self._apply(message.change)
                 self.giver.on_ended(message)
             case TurnAnswer():
+                self._apply(message.change)
                 self._on_answer(message)
 
+    def _apply(self, change: MapChanged | None) -> None:
+        if change is not None:
+            self._apply_change(change)
+
     async def _async_take(self, wait: TurnWait, rank: int) -> Turn | None:
         giver = None
         try:
@@ -263,14 +276,23 @@
     def _holds(self, number: int) -> bool:
         return self._held is not None and self._held.number == number
 
-    def _end(self, giver: str, number: int) -> None:
+    def _end(
+        self, giver: str, number: int, change: MapChanged | None = None
+    ) -> None:
         member = self._directory.find(giver)
         if giver == self._own.name:
             member = self._own
         if member is None:
             return
         own = self._own
-        ended = TurnEnded(own.service, own.name, number, self._version())
+        is_short = change is not None and change.is_short
+        ended = TurnEnded(
+            own.service,
+            own.name,
+            number,
+            self._version(),
+            change if is_short else None,
+        )
         self._send(ended, member.address)
 
     def _send(self, message: TurnMessage, address: str) -> None:
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import partial
 
 from msgspec.structs import replace
 
@@ -35,7 +36,7 @@
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap, KeyRange
 from plantaingrade.peers.directory import Directory
-from plantaingrade.peers.entity import Member, Token
+from plantaingrade.peers.entity import MapChanged, Member, Token
 from plantaingrade.peers.turn_taking import NoTurns
 from plantaingrade.peers.turns import MapTurns, TurnMessage
 from plantaingrade.store.clock import StoreClock
@@ -505,7 +506,15 @@
                 self._send(message, address)
 
         self.directory.add(member)
-        turns = MapTurns(member, self.directory, maps, send, LoopClock(), log)
+        turns = MapTurns(
+            member,
+            self.directory,
+            maps,
+            send,
+            partial(_apply_change, maps),
+            LoopClock(),
+            log,
+        )
         self.turns_by_address[member.address] = turns
         return turns
 
@@ -774,6 +783,16 @@
     ]
 
 
+def _apply_change(maps: KeyMaps, change: MapChanged) -> None:
+    maps.apply(
+        change.service,
+        change.before,
+        change.version,
+        change.fence,
+        change.assignments(),
+    )
+
+
 def _changes_map(transaction: Transaction) -> bool:
     return any(put.name.key == KEY_MAP for put in transaction.puts)
 
--- a/tests/peers/test_malformed.py
+++ b/tests/peers/test_malformed.py
@@ -79,7 +79,7 @@
     (CODEC, Forwarded(CHANGE, ('s@3',))),
     (CODEC, Forwarded(Introduced(OTHER), ())),
     (CODEC, TurnRequest('s', 's@2', OTHER.address, 1, 0)),
-    (CODEC, TurnAnswer('s@2', 1, 7, 3)),
+    (CODEC, TurnAnswer('s@2', 1, 7, 3, CHANGE)),
     (CODEC, TurnEnded('s', 's@2', 1, 7)),
     (HANDOVER_CODEC, Handover(CHANGE, (Token(KeyRange(0, 9), 't'),))),
     (OFFER_CODEC, Offer('s@2', 's', 0.9, 0.3, 0.02)),
--- a/tests/peers/test_turns.py
+++ b/tests/peers/test_turns.py
@@ -5,9 +5,10 @@
 
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.turns import TURN_LIMIT_S, USUAL_TURN_S, TurnRank
-from plantaingrade.keyspace.assign import split_evenly
+from plantaingrade.keyspace.assign import reassign, split_evenly
 from plantaingrade.keyspace.directory import KeyMaps
-from plantaingrade.peers.entity import Member, TurnAnswer, TurnEnded
+from plantaingrade.keyspace.entity import KeyRange
+from plantaingrade.peers.entity import MapChanged, Member, TurnAnswer, TurnEnded
 from plantaingrade.peers.turn_taking import Turn
 from plantaingrade.peers.turns import ANSWER_TIMEOUT_S
 from tests.holds.fakes import FakeTurnNetwork
@@ -65,7 +66,7 @@
             running.append(index)
             await asyncio.sleep(USUAL_TURN_S)
             running.remove(index)
-            service.turns[index].give_back(turn)
+            service.turns[index].give_back(turn, None)
 
         await asyncio.gather(*(change(index) for index in range(6)))
         assert sum(turns.taken for turns in service.turns) == 6
@@ -113,7 +114,7 @@
         service.network.unreachable.add(GIVER)
         assert await waiting is None
         service.network.unreachable.clear()
-        service.turns[1].give_back(held)
+        service.turns[1].give_back(held, None)
         started_at = now()
         assert await service.async_take(3)
         assert now() - started_at < MAX_LOSS_S
@@ -155,7 +156,7 @@
             return False
 
         service.network.is_lost = is_lost
-        service.turns[1].give_back(await service.async_take(1))
+        service.turns[1].give_back(await service.async_take(1), None)
         started_at = now()
         assert await service.async_take(2)
         assert now() - started_at < MAX_LOSS_S
@@ -216,7 +217,7 @@
         turn = await service.async_take(1)
         key_map = split_evenly(tuple(NAMES)).at_version(2)
         service.maps[1].update_if_newer('s', key_map)
-        service.turns[1].give_back(turn)
+        service.turns[1].give_back(turn, None)
         taking = asyncio.create_task(service.async_take(2))
         started_at = now()
         await asyncio.sleep(USUAL_TURN_S / 2)
@@ -227,3 +228,19 @@
         assert now() - started_at < USUAL_TURN_S
 
     run(scenario())
+
+
+def test_a_change_comes_with_the_next_turn() -> None:
+    """Its announcement is late or lost, so the next change would fail."""
+
+    async def scenario() -> None:
+        service = Service()
+        turn = await service.async_take(1)
+        before = service.maps[1].find('s')
+        after = reassign(before, {KeyRange(0, 9): NAMES[3]}).at_version(2)
+        change = MapChanged.from_maps('s', NAMES[1], before, after)
+        service.turns[1].give_back(turn, change)
+        await service.async_take(2)
+        assert service.maps[2].find('s').assignments == after.assignments
+
+    run(scenario())
