Moves in flight are left out of an evacuation, and offers end with the balancing

Cause: since moves run side by side, one that is under way when its member begins to leave would have made the transfer of all ranges for the same target fail until it ended.

--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -146,15 +146,21 @@
 
     async def async_run(self) -> None:
         """Balance load periodically until cancelled."""
-        while True:
-            await asyncio.sleep(POLL_INTERVAL_S)
-            if not self._holds.registry.is_joined:
-                continue
-            self._track_ranges(self._clock.now())
-            if self.is_leaving:
-                await self.async_evacuate()
-            else:
-                self._rebalance()
+        try:
+            while True:
+                await asyncio.sleep(POLL_INTERVAL_S)
+                await self._async_poll()
+        finally:
+            self._mover.stop()
+
+    async def _async_poll(self) -> None:
+        if not self._holds.registry.is_joined:
+            return
+        self._track_ranges(self._clock.now())
+        if self.is_leaving:
+            await self.async_evacuate()
+        else:
+            self._rebalance()
 
     async def async_evacuate(self) -> None:
         """Transfer all ranges to the least loaded members.
@@ -162,7 +168,8 @@
         Ranges stay here while the store is unavailable: once released, they
         would be unserved until it is available again.
         """
-        ranges = self._own_ranges()
+        # Moves that have begun end by themselves; their keys can't move twice.
+        ranges = self._mover.staying(self._own_ranges())
         if not ranges or not await self._holds.async_is_store_available():
             return
         now = self._clock.now()
