Store calls: a missed map comes from a neighbour; members that stay lost are asked ever less often

Change: such a member fetches the map from a random neighbour of its service first, and reads the store only if that has none newer.

--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -38,17 +38,23 @@
 RENEW_LIMIT_S = 1.0
 
 
+async def _async_fetch_nothing(service: str) -> None:
+    """Know no other member."""
+
+
 class MemberLinks(Struct, frozen=True):
     """Connections of one member to its peers.
 
     ``on_joined`` is called once it holds a lease. Without ``shared_renewals``
-    it renews its lease by itself.
+    it renews its lease by itself. ``async_fetch_map`` fetches the map of a
+    service from another member, which may know no newer one.
     """
 
     relay: MapRelay
     witnesses: Witnesses
     on_joined: Callable[[], None]
     shared_renewals: SharedRenewals | None = None
+    async_fetch_map: Callable[[str], Awaitable[None]] = _async_fetch_nothing
 
 
 class HoldCoordinator:
@@ -70,6 +76,7 @@
         """Start without keys; for ``starts_with_all`` see ``Registry``."""
         relay, witnesses = links.relay, links.witnesses
         self._shared_renewals = links.shared_renewals
+        self._async_fetch_map = links.async_fetch_map
         self._relay = relay
         self._on_joined = links.on_joined
         self._clock = clock
@@ -349,15 +356,18 @@
                 await asyncio.sleep(RETRY_S)
 
     async def _async_hint_loop(self) -> None:
-        """Read the map when peers use a newer one.
+        """Get the map when peers use a newer one.
 
         A request often arrives before the datagram about the change by which it
-        was routed, which follows within milliseconds.
+        was routed, which follows within milliseconds. If it doesn't, another
+        member has the map as well; the store is read only if it has not.
         """
         while True:
             await self._hinted.wait()
             await asyncio.sleep(MAP_HINT_DELAY_S)
             self._hinted.clear()
+            if self._hinted_version > self.registry.key_map.version:
+                await self._async_fetch_map(self._member.service)
             known = self.registry.key_map
             is_behind = self._hinted_version > known.version
             if is_behind or known.epoch > self.registry.epochs.current:
--- a/plantaingrade/holds/shared_renewals.py
+++ b/plantaingrade/holds/shared_renewals.py
@@ -96,6 +96,8 @@
             outcome = await self._async_send(committer, transaction)
         if isinstance(outcome, FAILED):
             self._on_failure(committer, outcome)
+        else:
+            self._delegates.failures.on_success(committer.name)
         if isinstance(outcome, NotDone):
             return await self._store.async_commit(transaction)
         if isinstance(outcome, EpochEnded):
@@ -126,7 +128,7 @@
     def _on_failure(
         self, committer: Member, outcome: NotDone | OutcomeUnknown
     ) -> None:
-        self._delegates.on_failure(committer, self._clock.now())
+        self._delegates.failures.on_failure(committer.name, self._clock.now())
         self._log.write(
             'committer-failed', member=committer.name, why=outcome.failure
         )
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -123,7 +123,7 @@
         self._log = log
         self._announcer = Announcer(own, directory, self._on_datagram)
         self.witnesses = PeerWitnesses(own, directory, calls, clock)
-        self.map_follower = MapFollower(directory, maps, calls, log)
+        self.map_follower = MapFollower(directory, maps, calls, clock, log)
         self.capacity_queries = CapacityQueries(
             own, self._announcer.endpoint, clock, hooks.free_capacity_of
         )
--- a/plantaingrade/peers/delegates.py
+++ b/plantaingrade/peers/delegates.py
@@ -10,16 +10,13 @@
 from collections.abc import Callable, Iterable
 
 from plantaingrade.peers.entity import Member
-
-# A member that failed is not chosen for this long: faults that cut off an
-# instance last for seconds.
-FAILURE_PAUSE_S = 10.0
+from plantaingrade.peers.failure_pauses import FailurePauses
 
 
 class Delegates:
     """Members that may make one kind of call on behalf of others."""
 
-    __slots__ = ('_failed_until', '_kind', '_members', '_own')
+    __slots__ = ('_kind', '_members', '_own', 'failures')
 
     def __init__(
         self,
@@ -34,7 +31,7 @@
         self._own = own
         self._kind = kind
         self._members = members
-        self._failed_until: dict[str, float] = {}
+        self.failures = FailurePauses()
 
     def choose(self, now: float) -> Member | None:
         """Return the delegate, or None if no other member shares one."""
@@ -42,16 +39,12 @@
             member
             for member in self._members(now)
             if member.zone == self._own.zone
-            and self._failed_until.get(member.name, 0.0) <= now
+            and not self.failures.is_paused(member.name, now)
         ]
         if all(member.name == self._own.name for member in usable):
             return None
         return min(usable, key=self._rank)
 
-    def on_failure(self, member: Member, now: float) -> None:
-        """Choose another member for a while."""
-        self._failed_until[member.name] = now + FAILURE_PAUSE_S
-
     def _rank(self, member: Member) -> tuple[int, str]:
         text = f'{self._kind}/{member.name}'
         return zlib.crc32(text.encode()), member.name
--- a/plantaingrade/peers/map_follower.py
+++ b/plantaingrade/peers/map_follower.py
@@ -1,7 +1,9 @@
 """Keep the key maps of all services at the newest announced version."""
 
 import asyncio
+import random
 
+from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
 from plantaingrade.http.client import Call
 from plantaingrade.keyspace.codec import (
@@ -29,6 +31,7 @@
 
     __slots__ = (
         '_calls',
+        '_clock',
         '_directory',
         '_log',
         '_maps',
@@ -41,12 +44,14 @@
         directory: Directory,
         maps: KeyMaps,
         calls: PeerCalls,
+        clock: Clock,
         log: EventLog,
     ) -> None:
         """Start without buffered changes or pending fetches."""
         self._directory = directory
         self._maps = maps
         self._calls = calls
+        self._clock = clock
         self._log = log
         self._out_of_order = OutOfOrderChanges()
         self._pull_by_service: dict[str, asyncio.Task[None]] = {}
@@ -121,6 +126,23 @@
             service, wanted or known + 1
         ):
             return
+        await self._async_fetch(service, source)
+
+    async def async_fetch_nearby(self, service: str, own: Member) -> None:
+        """Fetch the map of a service from one of its members in the own zone.
+
+        Members that miss a change at the same time spread over many others.
+        """
+        now = self._clock.now()
+        neighbours = [
+            member
+            for member in self._directory.usable(now, service)
+            if member.zone == own.zone and member.name != own.name
+        ]
+        if neighbours:
+            await self._async_fetch(service, random.choice(neighbours))
+
+    async def _async_fetch(self, service: str, source: Member) -> None:
         call = Call('GET', source.address, f'{PATH_MAP}{service}')
         reply = await self._calls.async_fetch(call)
         if reply is None:
--- a/plantaingrade/peers/watchers.py
+++ b/plantaingrade/peers/watchers.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 
 from plantaingrade.peers.entity import Member
+from plantaingrade.peers.failure_pauses import FailurePauses
 from plantaingrade.peers.recipients import group_by_zone
 
 # Members that wait in each zone. The loss of one leaves the zone its own.
@@ -18,8 +19,6 @@
 # Fewer members wait for themselves: their long waits cost less than short ones
 # of the watchers.
 MIN_MEMBERS = 24
-# A watcher that failed is not asked for this long.
-FAILURE_PAUSE_S = 10.0
 
 
 def are_needed(members: list[Member]) -> bool:
@@ -30,12 +29,12 @@
 class Watchers:
     """Watchers as seen by one member, which asks them in turn."""
 
-    __slots__ = ('_failed_until', '_own', '_turn')
+    __slots__ = ('_own', '_turn', 'failures')
 
     def __init__(self, own: Member) -> None:
         """Start with all watchers in order."""
         self._own = own
-        self._failed_until: dict[str, float] = {}
+        self.failures = FailurePauses()
         self._turn = 0
 
     def is_watcher(self, members: list[Member]) -> bool:
@@ -49,17 +48,13 @@
         usable = [
             each
             for each in self._to_ask(members)
-            if self._failed_until.get(each.name, 0.0) <= now
+            if not self.failures.is_paused(each.name, now)
         ]
         if not usable:
             return None
         self._turn += 1
         return usable[self._turn % len(usable)]
 
-    def on_failure(self, watcher: Member, now: float) -> None:
-        """Skip a watcher for a while."""
-        self._failed_until[watcher.name] = now + FAILURE_PAUSE_S
-
     def _to_ask(self, members: list[Member]) -> list[Member]:
         """Return the watchers of the own zone, and one of each other zone."""
         found: list[Member] = []
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -227,6 +227,9 @@
                 self._peers.witnesses,
                 self._on_joined,
                 self._store_access.shared_renewals,
+                lambda service: self._peers.map_follower.async_fetch_nearby(
+                    service, self._own
+                ),
             ),
             starts_with_all=settings.starts_with_all,
         )
--- a/plantaingrade/store/shared_feed.py
+++ b/plantaingrade/store/shared_feed.py
@@ -160,8 +160,9 @@
                 return None
             outcome = await self._async_ask(watcher, after)
             if isinstance(outcome, Changes):
+                self._watchers.failures.on_success(watcher.name)
                 return outcome
-            self._watchers.on_failure(watcher, self._clock.now())
+            self._watchers.failures.on_failure(watcher.name, self._clock.now())
             self._log.write(
                 'watcher-failed', member=watcher.name, why=outcome.failure
             )
--- a/tests/holds/test_coordinator.py
+++ b/tests/holds/test_coordinator.py
@@ -394,6 +394,31 @@
     assert run(scenario()) == (0, 1)
 
 
+def test_a_hint_is_followed_without_the_store_if_a_neighbour_has_the_map() -> (
+    None
+):
+    """Many members miss a datagram at once, and would all read the store."""
+
+    async def scenario() -> int:
+        cluster = FakeCluster()
+        member, _ = (cluster.add(name) for name in ('m1', 'm2'))
+        await wait_until_settled(cluster)
+        version = member.maps.find('cases').version
+        newer = member.maps.find('cases').at_version(version + 1)
+
+        async def async_fetch_map(service: str) -> None:
+            member.maps.update_if_newer(service, newer)
+
+        member.holds._async_fetch_map = async_fetch_map
+        reads = member.store.reads
+        member.holds.on_hint(version + 1)
+        await asyncio.sleep(MAP_HINT_DELAY_S * 2)
+        await cluster.async_stop()
+        return member.store.reads - reads
+
+    assert run(scenario()) == 0
+
+
 def test_an_incarnation_started_between_renewals_gets_no_old_fence() -> None:
     """A server crashes and restarts at once, so that no renewal fails.
 
--- a/tests/peers/test_delegates.py
+++ b/tests/peers/test_delegates.py
@@ -1,8 +1,13 @@
 """Members agree on the one that calls the store for their zone."""
 
-from plantaingrade.peers.delegates import FAILURE_PAUSE_S, Delegates
+from plantaingrade.peers.delegates import Delegates
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member
+from plantaingrade.peers.failure_pauses import (
+    FIRST_PAUSE_S,
+    MAX_PAUSE_S,
+    FailurePauses,
+)
 
 NOW = 100.0
 ZONES = ('a', 'b')
@@ -37,15 +42,15 @@
     known = members(10)
     chooser = delegates(known[0], known)
     failed = chooser.choose(NOW)
-    chooser.on_failure(failed, NOW)
+    chooser.failures.on_failure(failed.name, NOW)
     assert chooser.choose(NOW).name != failed.name
-    assert chooser.choose(NOW + FAILURE_PAUSE_S) == failed
+    assert chooser.choose(NOW + FIRST_PAUSE_S) == failed
 
 
 def test_last_member_that_has_not_failed_calls_by_itself() -> None:
     known = members(2)
     chooser = delegates(known[0], known)
-    chooser.on_failure(known[1], NOW)
+    chooser.failures.on_failure(known[1].name, NOW)
     assert chooser.choose(NOW) is None
 
 
@@ -63,3 +68,17 @@
     directory.suspect('s@a0', NOW)
     found = {member.name for member in directory.usable(NOW, 's')}
     assert found == {'s@a1', 's@b0', 's@b1'}
+
+
+def test_member_that_stays_lost_is_asked_ever_less_often() -> None:
+    """Its row remains, and each question to it costs a call of one's own."""
+    pauses = FailurePauses()
+    asked, now = 0, NOW
+    while now < NOW + 10 * MAX_PAUSE_S:
+        if not pauses.is_paused('lost', now):
+            asked += 1
+            pauses.on_failure('lost', now)
+        now += 1
+    assert asked <= 15
+    pauses.on_success('lost')
+    assert not pauses.is_paused('lost', now)
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -153,6 +153,19 @@
     assert requested == [OTHER.address]
 
 
+def test_missed_map_is_fetched_from_a_neighbour_that_answers() -> None:
+    async def scenario() -> None:
+        calls = FakeCalls()
+        peers = make_coordinator(KeyMaps(), calls)
+        await peers.map_follower.async_fetch_nearby('s', OWN)
+        assert calls.requested == [OTHER.address]
+        peers._directory.suspect(OTHER.name, LoopClock().now())
+        await peers.map_follower.async_fetch_nearby('s', OWN)
+        assert calls.requested == [OTHER.address]
+
+    run(scenario())
+
+
 def test_malformed_datagrams_are_counted_and_dropped() -> None:
     async def scenario() -> None:
         peers = make_coordinator(KeyMaps(), FakeCalls())
