--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -228,6 +228,9 @@
                 self._on_joined,
                 self._store_access.shared_renewals,
                 self._peers.turns,
+                lambda service: self._peers.map_follower.async_fetch_nearby(
+                    service, self._own
+                ),
             ),
             starts_with_all=settings.starts_with_all,
         )
