--- a/plantaingrade/holds/shared_renewals.py
+++ b/plantaingrade/holds/shared_renewals.py
@@ -5,6 +5,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.codec import MalformedMessageError
 from plantaingrade.eventlog import EventLog
+from plantaingrade.holds.renewal_turns import pause_until_turn
 from plantaingrade.peers.delegates import Delegates
 from plantaingrade.peers.entity import Member
 from plantaingrade.store.batches import CommitBatches
@@ -70,6 +71,14 @@
         self._clock = clock
         self._log = log
 
+    def pause_s(self, renew_s: float) -> float:
+        """Return the time until the next renewal; at most ``renew_s`` or so."""
+        now = self._clock.now()
+        store_now_s = self._store.clock.estimate(now)
+        if store_now_s is None or self._delegates.choose(now) is None:
+            return renew_s
+        return pause_until_turn(store_now_s, renew_s)
+
     async def async_commit(
         self, transaction: Transaction
     ) -> TransactionOutcome:
@@ -87,6 +96,8 @@
             outcome = await self._async_send(committer, transaction)
         if isinstance(outcome, FAILED):
             self._on_failure(committer, outcome)
+        else:
+            self._delegates.failures.on_success(committer.name)
         if isinstance(outcome, NotDone):
             return await self._store.async_commit(transaction)
         if isinstance(outcome, EpochEnded):
@@ -117,7 +128,7 @@
     def _on_failure(
         self, committer: Member, outcome: NotDone | OutcomeUnknown
     ) -> None:
-        self._delegates.on_failure(committer, self._clock.now())
+        self._delegates.failures.on_failure(committer.name, self._clock.now())
         self._log.write(
             'committer-failed', member=committer.name, why=outcome.failure
         )
--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -5,12 +5,9 @@
 from collections.abc import Callable
 from socket import (
     IPPROTO_TCP,
-    SO_KEEPALIVE,
     SO_LINGER,
     SOL_SOCKET,
-    TCP_KEEPCNT,
-    TCP_KEEPIDLE,
-    TCP_KEEPINTVL,
+    TCP_INFO,
 )
 from typing import Any
 
@@ -37,10 +34,9 @@
 from plantaingrade.http.writer import CLOSE_HEADER
 
 MAX_UNSENT_CHUNKS = 4
-# TCP keepalive of an idle connection, in whole seconds as the system requires.
-# A dead connection is detected within three seconds.
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBE_COUNT = 2
+# The first byte of the system's information on a connection is its state.
+TCP_ESTABLISHED = 1
+NO_REMOTE = ('', 0)
 NO_LINGER = struct.pack('ii', 1, 0)
 
 
@@ -69,6 +65,7 @@
         'last_byte_at',
         'on_closed',
         'on_further',
+        'remote',
         'transport',
     )
 
@@ -76,6 +73,8 @@
         """Create a connection in the role of client or server."""
         self.http = Connection(role, MAX_HEAD_BYTES)
         self.transport: Any = None
+        # Address and port of the peer.
+        self.remote = NO_REMOTE
         self.closed = False
         self.is_last_response = False
         self._broken = False
@@ -96,6 +95,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self.transport = transport
+        peer = transport.get_extra_info('peername') or NO_REMOTE
+        self.remote = peer[:2]
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Parse bytes, and pause reading while too many are unread."""
@@ -213,27 +214,34 @@
         if len(self._unsent) > MAX_UNSENT_CHUNKS:
             self.flush()
         if self._writable is not None:
-            await self._writable
+            # A waiter that gives up must not cancel the future of the others.
+            await asyncio.wait((self._writable,))
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes the system has not taken over yet."""
+        if self.closed or self.transport.is_closing():
+            return 0
+        return self.transport.get_write_buffer_size()
 
     def expect_another_response(self) -> None:
         """Read another response after one that belongs to another request."""
         self.http.expect_another_response()
 
-    def has_unread_input(self) -> bool:
-        """Return whether bytes of a further message have arrived."""
-        return self.http.has_unread
-
-    def enable_tcp_keepalive(self) -> None:
-        """Enable TCP keepalive probes while the connection is idle.
+    def is_peer_gone(self) -> bool:
+        """Return whether the peer has closed or reset the connection.
 
-        If a network device drops the state of the connection, no end notices
-        and a read would wait forever.
+        This process may not have read that yet: a busy process finds a request
+        and the end of its connection at the same time.
         """
+        if self.closed or self.transport.is_closing():
+            return True
         sock = self.transport.get_extra_info('socket')
-        sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-        sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
-        sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-        sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
+        return sock.getsockopt(IPPROTO_TCP, TCP_INFO, 1)[0] != TCP_ESTABLISHED
+
+    def has_unread_input(self) -> bool:
+        """Return whether bytes of a further message have arrived."""
+        return self.http.has_unread
 
     def is_reusable(self) -> bool:
         """Return whether another request may be sent.
--- a/plantaingrade/http/pool.py
+++ b/plantaingrade/http/pool.py
@@ -12,6 +12,7 @@
     MAX_IDLE_PER_ADDRESS,
     MAX_IDLE_S,
 )
+from plantaingrade.http.keepalive import enable_tcp_keepalive
 from plantaingrade.http.messages import Role
 
 
@@ -142,5 +143,5 @@
             raise ConnectFailedError(f'Cannot connect to {address}.') from error
         self.opened += 1
         if self._tcp_keepalive:
-            channel.enable_tcp_keepalive()
+            enable_tcp_keepalive(channel.transport)
         return channel
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -1,13 +1,11 @@
 """Discover the other processes and keep all key maps up to date."""
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
-from contextlib import suppress
+from collections.abc import Collection, Iterable
 
-from msgspec import Struct
 from msgspec.structs import replace
 
-from plantaingrade.balance.entity import FreeCapacity, Load
+from plantaingrade.balance.entity import Load
 from plantaingrade.balance.peer_loads import PeerLoads
 from plantaingrade.clock import Clock
 from plantaingrade.codec import Codec, MalformedMessageError
@@ -15,7 +13,6 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap
-from plantaingrade.operators.desired_state import DesiredState
 from plantaingrade.peers.announcer import Announcer
 from plantaingrade.peers.calls import PeerCalls
 from plantaingrade.peers.capacity_queries import CapacityQueries
@@ -35,21 +32,23 @@
     Notification,
     ServerCrashed,
     Token,
+    TurnAnswer,
+    TurnEnded,
+    TurnRequest,
     Welcome,
 )
+from plantaingrade.peers.hooks import PeerHooks
 from plantaingrade.peers.map_follower import MapFollower
 from plantaingrade.peers.own_row import OwnRow
 from plantaingrade.peers.service_rows import ServiceRows
+from plantaingrade.peers.turns import MapTurns
 from plantaingrade.peers.witnesses import PeerWitnesses
-from plantaingrade.store.interface import RowReader, Store
+from plantaingrade.store.interface import Store
 
 HANDOVER_CODEC = Codec(Handover)
 PATH_HANDOVER = '/-/handed'
 HELLO_PAUSES_S = (0.2, 0.4, 0.8, 1.6, 3.2)
 JOIN_RETRY_S = 0.25
-# Longest wait of a member with keys for its own row, before it reads the
-# others. Members that start together write their rows one after another.
-OWN_ROW_WAIT_S = 0.5
 # After a lost map datagram, a redirect corrects the map. What that misses is
 # corrected by this periodic read of the store.
 REFRESH_S = 20.0
@@ -61,25 +60,6 @@
 LOOK_UP_PAUSE_S = 1.0
 
 
-class PeerHooks(Struct, frozen=True):
-    """Callbacks of the coordinator.
-
-    ``services`` returns the names of all configured services.
-    ``on_desired_state`` receives the operators' request for the own server, and
-    ``on_crash`` the digests of the requests that another member's server was
-    running when it crashed. ``free_capacity_of`` returns how soon the own
-    server could run a request of a kind and priority, or None if it accepts no
-    requests. ``shared_reads`` reads rows together with other members, which may
-    be some seconds old; without it, each read is an own one.
-    """
-
-    services: Callable[[], Iterable[str]]
-    on_desired_state: Callable[[DesiredState], None]
-    on_crash: Callable[[tuple[str, ...]], None]
-    free_capacity_of: Callable[[str, int], FreeCapacity | None]
-    shared_reads: RowReader | None = None
-
-
 class PeerCoordinator:
     """Represent one member among the other processes."""
 
@@ -94,15 +74,14 @@
         '_looked_up_names',
         '_lookup_task',
         '_maps',
-        '_has_read',
         '_own_row',
-        '_own_row_written',
         '_rows',
         '_store',
         'capacity_queries',
         'has_joined',
         'map_follower',
         'own',
+        'turns',
         'witnesses',
     )
 
@@ -131,10 +110,19 @@
         self._log = log
         self._announcer = Announcer(own, directory, self._on_datagram)
         self.witnesses = PeerWitnesses(own, directory, calls, clock)
-        self.map_follower = MapFollower(directory, maps, calls, log)
+        self.map_follower = MapFollower(directory, maps, calls, clock, log)
         self.capacity_queries = CapacityQueries(
             own, self._announcer.endpoint, clock, hooks.free_capacity_of
         )
+        self.turns = MapTurns(
+            own,
+            directory,
+            maps,
+            self._announcer.endpoint.send,
+            self.map_follower.on_changed,
+            clock,
+            log,
+        )
         self._rows = ServiceRows(
             own,
             store,
@@ -145,9 +133,6 @@
             log,
         )
         self._own_row: OwnRow | None = None
-        self._own_row_written = asyncio.Event()
-        # Whether the other members have been read, or are being read.
-        self._has_read = False
         self._looked_up_names: set[str] = set()
         self._lookup_task: asyncio.Task[None] | None = None
 
@@ -157,21 +142,12 @@
         return self._announcer.endpoint
 
     async def async_join(self, *, is_keyed: bool) -> None:
-        """Register this member and read the others, retrying until done.
-
-        A member that reads the rows after it has written its own either finds
-        another member there, or is found by it.
-        """
+        """Register this member and read the others, retrying until done."""
         self._directory.add(self.own)
-        if is_keyed:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(OWN_ROW_WAIT_S):
-                    await self._own_row_written.wait()
-        else:
+        if not is_keyed:
             self._own_row = OwnRow(self.own, self._store, self._log)
             while not await self._own_row.async_write():
                 await asyncio.sleep(JOIN_RETRY_S)
-        self._has_read = True
         while not await self.async_refresh():
             await asyncio.sleep(JOIN_RETRY_S)
         self.has_joined = True
@@ -183,20 +159,17 @@
         while True:
             await asyncio.sleep(self._refresh_pause_s())
             self._looked_up_names.clear()
-            await self._rows.async_read(self._hooks.shared_reads)
+            await self.async_refresh()
             self._announcer.send_hello()
 
     async def async_introduce(self) -> None:
         """Introduce this member to those that started before its row stood.
 
         A member with keys that waits to join has no row for many seconds, and
-        who starts meanwhile would meet it at its next refresh only. A member
-        that joins at once has not read the others yet, and introduces itself
-        when it has.
+        who starts meanwhile would meet it at its next refresh only. Members
+        that start together don't find each other's rows when they join, and
+        meet here.
         """
-        self._own_row_written.set()
-        if not self._has_read:
-            return
         await self.async_refresh()
         await self._async_send_hellos()
 
@@ -343,16 +316,11 @@
 
     def _on_datagram(self, message: Datagram) -> None:
         match message:
-            case Hello(member) if member.has_valid_address():
-                self._welcome(member)
-            case Welcome(member):
-                self._on_welcome(member)
-            case Introduced(member):
-                self._add_member(member)
-            case Goodbye():
-                self._on_goodbye(message)
+            case Hello() | Welcome() | Introduced() | Goodbye():
+                self._on_presence(message)
             case MapChanged():
                 self.map_follower.on_changed(message)
+                self.turns.giver.on_changed(message)
             case ServerCrashed(digests):
                 self._hooks.on_crash(digests)
             case Forwarded(notification):
@@ -361,15 +329,27 @@
                 self._on_load(message)
             case CapacityRequest() | CapacityResponse():
                 self.capacity_queries.on_datagram(message)
+            case TurnRequest() | TurnAnswer() | TurnEnded():
+                self.turns.on_datagram(message)
+
+    def _on_presence(
+        self, message: Hello | Welcome | Introduced | Goodbye
+    ) -> None:
+        match message:
+            case Hello(member) if member.has_valid_address():
+                self._welcome(member)
+            case Welcome(member):
+                self._add_member(member)
+                self._announcer.on_welcome(member.name)
+            case Introduced(member):
+                self._add_member(member)
+            case Goodbye():
+                self._on_goodbye(message)
 
     def _on_goodbye(self, goodbye: Goodbye) -> None:
         self._directory.remove(goodbye.name, goodbye.boot)
         self._log.write('member-left', member=goodbye.name, boot=goodbye.boot)
 
-    def _on_welcome(self, member: Member) -> None:
-        self._add_member(member)
-        self._announcer.on_welcome(member.name)
-
     def _on_load(self, report: LoadReport) -> None:
         load = Load(report.share, report.work_s, report.slots)
         self._loads.record(report.name, load, self._clock.now())
--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -13,6 +13,9 @@
     KeyRange,
 )
 
+# Ranges of a change that is sent within another message, at most 40 bytes each
+# with their owner.
+MAX_SHORT_RANGES = 20
 MAX_PORT = 65_535
 # One digit more than MAX_PORT has, so that longer numbers are out of bounds.
 MAX_PORT_DIGITS = 6
@@ -112,6 +115,11 @@
             ranges,
         )
 
+    @property
+    def is_short(self) -> bool:
+        """Return whether the change fits into another message."""
+        return 0 < len(self.ranges) <= MAX_SHORT_RANGES
+
     def assignments(self) -> tuple[Assignment, ...]:
         """Return the assignments that differ.
 
@@ -165,6 +173,48 @@
     failed: int = 0
 
 
+class TurnRequest(Message):
+    """Asks for a turn to change the map of a service.
+
+    Answers go to ``address`` and repeat ``number``. Lower ranks come first.
+    """
+
+    service: str
+    name: str
+    address: str
+    number: int
+    rank: int
+
+
+class TurnAnswer(Message):
+    """Grants a turn, or tells how long it takes until then.
+
+    ``wait_ms`` is None if the turn is granted. ``version`` is the newest
+    version of the map known to the member that grants turns, and ``change``
+    leads to it, if it is known and short.
+    """
+
+    name: str
+    number: int
+    version: int
+    wait_ms: int | None = None
+    change: MapChanged | None = None
+
+
+class TurnEnded(Message):
+    """Returns a turn, or withdraws its request.
+
+    ``version`` is the newest version of the map known to the sender, and
+    ``change`` what it has changed in its turn, if that is short.
+    """
+
+    service: str
+    name: str
+    number: int
+    version: int
+    change: MapChanged | None = None
+
+
 class Introduced(Message):
     """Announces a member to those that its hello has not reached."""
 
@@ -202,6 +252,9 @@
     | ServerCrashed
     | CapacityRequest
     | CapacityResponse
+    | TurnRequest
+    | TurnAnswer
+    | TurnEnded
 )
 
 
