A process that ends sends the finished answers behind an unfinished one

Connections without finished answers end as before. The count of requests in progress is now the set of their connections.

Test: tests/http/test_read_ahead.py, red before (the connection was reset).

--- a/plantaingrade/http/pipeline.py
+++ b/plantaingrade/http/pipeline.py
@@ -57,6 +57,11 @@
         """Return the number of early requests."""
         return len(self._early)
 
+    @property
+    def early(self) -> tuple[EarlyRequest, ...]:
+        """Return the early requests in the order of their turns."""
+        return tuple(self._early)
+
     def start_turn(self) -> EarlyRequest | None:
         """Make the next request the current one.
 
--- a/plantaingrade/http/read_ahead.py
+++ b/plantaingrade/http/read_ahead.py
@@ -3,11 +3,13 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
+from itertools import takewhile
 from typing import Any, Protocol
 
 from msgspec import Struct, field
 
 from plantaingrade.http.channel import Channel
+from plantaingrade.http.const import STATUS_BAD_GATEWAY
 from plantaingrade.http.messages import (
     Data,
     EndOfMessage,
@@ -23,6 +25,13 @@
     PipelineLimits,
 )
 
+# It may have run, and may still be running.
+GIVEN_UP = (
+    Response(
+        status_code=STATUS_BAD_GATEWAY, headers=((b'content-length', b'0'),)
+    ),
+    EndOfMessage(),
+)
 RequestHandler = Callable[[Request, Any], Awaitable[None]]
 
 
@@ -120,6 +129,13 @@
     task: asyncio.Task[None] | None = None
 
 
+def _is_finished(early: EarlyRun) -> bool:
+    task = early.task
+    if task is None or not task.done() or task.cancelled():
+        return False
+    return task.exception() is None
+
+
 class ReadAhead:
     """Begins requests of one connection early, and keeps their answers."""
 
@@ -189,6 +205,37 @@
         for part in early.channel.answer:
             self._channel.send(part)
 
+    def give_up_current(self) -> bool:
+        """Fail the current request and send the finished answers behind it.
+
+        Return False if there are none, or if its answer has begun.
+        """
+        finished = list(takewhile(_is_finished, self._pipeline.early))
+        channel = self._channel
+        channel.http.skip_body()
+        is_possible = (
+            channel.http.our_state is State.IDLE
+            and channel.http.their_state is State.DONE
+        )
+        if not finished or not is_possible or channel.closed:
+            return False
+        for part in GIVEN_UP:
+            channel.send(part)
+        for early in finished:
+            self._send_finished(early, is_last=early is finished[-1])
+        return True
+
+    def _send_finished(self, early: EarlyRun, *, is_last: bool) -> None:
+        """Make a finished early request the current one and answer it."""
+        channel = self._channel
+        channel.http.start_next_cycle()
+        self.start_turn(channel.http.next_event())
+        channel.http.skip_body()
+        self._hooks.budget.release(early.held_bytes)
+        channel.is_last_response = is_last
+        for part in early.channel.answer:
+            channel.send(part)
+
     def close(self) -> None:
         """Begin nothing more, and withdraw all early requests."""
         self._pipeline.close()
--- a/plantaingrade/http/server.py
+++ b/plantaingrade/http/server.py
@@ -30,13 +30,14 @@
     """HTTP/1.1 server on one address."""
 
     __slots__ = (
-        '_active_requests',
         '_channels',
         '_clock',
+        '_is_closing',
         '_on_protocol_error',
         '_read_ahead_hooks',
         '_serve_request',
         '_server',
+        '_serving',
         '_tasks',
         'idle_s',
         'is_draining',
@@ -65,7 +66,9 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._channels: set[Channel] = set()
-        self._active_requests = 0
+        # Connections with a request in progress.
+        self._serving: set[Channel] = set()
+        self._is_closing = False
         self.is_draining = False
 
     async def async_listen(self, host: str, port: int) -> None:
@@ -78,7 +81,7 @@
         """Return the number of requests in progress."""
         hooks = self._read_ahead_hooks
         early = 0 if hooks is None else hooks.totals.requests
-        return self._active_requests + early
+        return len(self._serving) + early
 
     @property
     def connections(self) -> int:
@@ -95,10 +98,12 @@
 
     async def async_close(self) -> None:
         """Stop accepting, close all connections and cancel their requests."""
+        self._is_closing = True
         if self._server is not None:
             self._server.close()
         for channel in list(self._channels):
-            channel.close()
+            if channel not in self._serving:
+                channel.close()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -136,12 +141,22 @@
         except (ChannelClosedError, LocalProtocolError):
             channel.abort()
         except asyncio.CancelledError:
-            channel.abort()
+            self._on_cancelled(channel, ahead)
         except RemoteProtocolError as error:
             self._on_protocol_error(channel, error)
         finally:
             self._close(channel, ahead)
 
+    def _on_cancelled(self, channel: Channel, ahead: ReadAhead | None) -> None:
+        """End a connection whose caller or this process leaves.
+
+        Finished answers must not be lost behind a request that takes longer
+        than this process may still run.
+        """
+        if self._is_closing and ahead is not None and ahead.give_up_current():
+            return
+        channel.abort()
+
     def _close(self, channel: Channel, ahead: ReadAhead | None) -> None:
         if ahead is not None:
             ahead.close()
@@ -163,11 +178,11 @@
             if not await ahead.async_wait_writable(self.idle_s):
                 return False
         channel.cancel_on_close(asyncio.current_task())
-        self._active_requests += 1
+        self._serving.add(channel)
         try:
             await self._serve_turn(event, channel, ahead)
         finally:
-            self._active_requests -= 1
+            self._serving.discard(channel)
             channel.cancel_on_close(None)
         # A rejected request may have an unread body. Only bytes that have
         # already arrived are skipped; if more are due, the connection is
--- a/tests/http/test_read_ahead.py
+++ b/tests/http/test_read_ahead.py
@@ -413,3 +413,25 @@
         assert await rig.async_read(3000) == paths
 
     play(scenario)
+
+
+def test_finished_answers_are_sent_when_the_server_closes() -> None:
+    """A request was run, and its answer lost behind a slower one."""
+
+    async def scenario(rig: Rig) -> None:
+        paths = names('i', 4)
+        rig.send(*paths)
+        await rig.async_begun(*paths)
+        rig.end('i1', 'i2')
+        await async_settle()
+        rig.server.end_connections()
+        await rig.server.async_close()
+        # The request that took too long has an unknown outcome.
+        assert await rig.async_read() == ['']
+        assert b' 502 ' in rig.last_head
+        assert await rig.async_read(2) == ['i1', 'i2']
+        assert CLOSE[1] in rig.last_head
+        assert not await rig.reader.read()
+        assert sorted(rig.cancelled) == ['i0', 'i3']
+
+    play(scenario)
