--- a/plantaingrade/admission/slots.py
+++ b/plantaingrade/admission/slots.py
@@ -24,7 +24,7 @@
     WaitingQueue,
 )
 from plantaingrade.admission.estimate import WorkEstimate, WorkRate
-from plantaingrade.admission.priorities import RecentPriorities
+from plantaingrade.admission.priorities import RecentPriorities, rank
 from plantaingrade.admission.server_limits import ServerLimits
 from plantaingrade.admission.waits import predict_wait_s, spread_s
 from plantaingrade.requests.entity import NotRun, NotRunReason
@@ -101,8 +101,7 @@
         work_s = self.estimate.expected_s(ticket.kind)
         if now + work_s > ticket.deadline:
             return _refuse(ticket, NotRunReason.TOO_LATE, work_s)
-        queue_priority = self._queue_priority(ticket.kind, ticket.priority)
-        self._priorities.observe(queue_priority, now)
+        self._priorities.observe(ticket.kind, ticket.priority, now)
         if self._may_start(ticket, now) and not self.waiting:
             return self._start(ticket, now)
         wait_s = self._in_time_wait_s(ticket, now)
@@ -121,24 +120,27 @@
 
     def release(self, ticket: Ticket, now: float) -> list[Decision]:
         """Free the slot of a ticket; return decisions on waiting tickets."""
-        self._running_tickets.pop(ticket, None)
+        if ticket in self._running_tickets:
+            self._running_tickets.pop(ticket)
+            self.limits.memory.remove(ticket.size)
         return self.fill(now)
 
     def fill(self, now: float) -> list[Decision]:
         """Assign free slots to waiting tickets."""
         decisions: list[Decision] = []
-        ticket = self._find_next()
+        ticket = self._find_next(now)
         while ticket is not None and self._may_start(ticket, now):
             decisions.append(self._start(ticket, now))
-            ticket = self._find_next()
+            ticket = self._find_next(now)
         return decisions
 
     def next_fill_s(self, now: float) -> float | None:
         """Return the delay until ``fill`` must run if no slot is released.
 
-        Returns None if no ticket waits or all slots are in use.
+        Returns None if no ticket waits, all slots are in use or the server has
+        no memory for the next one.
         """
-        ticket = self._find_next()
+        ticket = self._find_next(now)
         if ticket is None or self.running >= self.slots:
             return None
         return max(
@@ -215,6 +217,7 @@
         ticket.started_at = now
         self._running_tickets[ticket] = None
         self.limits.spend(now)
+        self.limits.memory.add(ticket.size)
         if ticket.queue is WaitingQueue.IN_TIME:
             work_s = self.estimate.expected_s(ticket.kind)
             self._rate.observe(work_s, now)
@@ -223,18 +226,27 @@
     def _may_start(self, ticket: Ticket, now: float) -> bool:
         if self.running >= self.slots:
             return False
+        if not self.limits.memory.admits(ticket.size, now):
+            return False
+        if not self.limits.are_in_force(now):
+            return not self.limits.named.response_wait_s(self.running, now)
         share = self._reserve_share(ticket.kind, ticket.priority, now)
         return self.limits.admits(self.running, now, reserve_share=share)
 
     def _reserve_share(self, kind: str, priority: int, now: float) -> float:
         """Return the share of the reserve that is left to other requests."""
-        queue_priority = self._queue_priority(kind, priority)
-        return self._priorities.rank(queue_priority, now)
+        others = {
+            self._queue_priority(*each)
+            for each in self._priorities.find_recent(now)
+        }
+        return rank(self._queue_priority(kind, priority), others)
 
     def _limit_wait_s(
         self, kind: str, priority: int, ahead: int, now: float
     ) -> float:
         """Return the wait for the rate limits behind ``ahead`` requests."""
+        if not self.limits.are_in_force(now):
+            return 0.0
         share = self._reserve_share(kind, priority, now)
         return self.limits.wait_s(now, ahead, reserve_share=share)
 
@@ -251,13 +263,24 @@
         heapq.heappush(self._heap_by_queue[queue], entry)
         return Wait(ticket, timeout_at)
 
-    def _find_next(self) -> Ticket | None:
-        """Return the ticket that gets the next slot, if any waits."""
+    def _find_next(self, now: float) -> Ticket | None:
+        """Return the ticket that gets the next slot, if any waits.
+
+        Tickets that the server has no memory for hold up no others.
+        """
+        admits = self.limits.memory.admits
         for heap in self._heap_by_queue.values():
             while heap and not heap[0][-1].is_waiting:
                 heapq.heappop(heap)
-            if heap:
+            if heap and admits(heap[0][-1].size, now):
                 return heap[0][-1]
+            admitted = [
+                entry
+                for entry in heap
+                if entry[-1].is_waiting and admits(entry[-1].size, now)
+            ]
+            if admitted:
+                return min(admitted)[-1]
         return None
 
     def _queue_priority(self, kind: str, priority: int) -> int:
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -22,7 +22,7 @@
 from plantaingrade.holds.orders import ServerOrders
 from plantaingrade.holds.plans import plan_new_fences
 from plantaingrade.holds.registry import Planner, Registry
-from plantaingrade.holds.renewal_turns import pause_until_turn
+from plantaingrade.holds.shared_renewals import SharedRenewals
 from plantaingrade.holds.suspects import SuspectExpiry
 from plantaingrade.holds.takeovers import Takeovers
 from plantaingrade.holds.transfer import Transfers
@@ -33,7 +33,7 @@
 from plantaingrade.peers.entity import Member, Token
 from plantaingrade.peers.map_relay import MapRelay
 from plantaingrade.peers.turn_taking import NoTurns, TurnTaking
-from plantaingrade.store.interface import Committer, Store
+from plantaingrade.store.interface import Store
 
 CHANGE_LIMIT_S = 1.0
 RENEW_LIMIT_S = 1.0
@@ -49,7 +49,7 @@
     relay: MapRelay
     witnesses: Witnesses
     on_joined: Callable[[], None]
-    shared_renewals: Committer | None = None
+    shared_renewals: SharedRenewals | None = None
     turns: TurnTaking = NoTurns()
 
 
@@ -71,6 +71,7 @@
     ) -> None:
         """Start without keys; for ``starts_with_all`` see ``Registry``."""
         relay, witnesses = links.relay, links.witnesses
+        self._shared_renewals = links.shared_renewals
         self._relay = relay
         self._on_joined = links.on_joined
         self._clock = clock
@@ -185,19 +186,23 @@
             return False
         return self.granter.is_held(assignment, key, now)
 
-    def is_overdue(self, key: int) -> bool:
+    def is_overdue(self, key: int, work_s: float = 0.0) -> bool:
         """Return whether requests should not wait for an own key.
 
         The key has been unheld for too long, or its server cannot be reached: a
-        restart takes longer than most requests can wait.
+        restart takes longer than most requests can wait. ``work_s`` is the
+        longest duration of the server's classes of work.
         """
         own = self.find_own(key)
         if own is None:
             return False
         if self.granter.is_unreachable:
             return True
-        keys = self.granter.moving_range(key) or own.keys
-        return self._unheld.is_overdue(keys, self._clock.now())
+        now = self._clock.now()
+        moving = self.granter.moving_range(key)
+        if moving is None:
+            return self._unheld.is_overdue(own.keys, now)
+        return self._unheld.is_overdue(moving, now, work_s)
 
     async def async_wait_change(self, limit_s: float) -> None:
         """Wait until holds may have changed."""
@@ -294,9 +299,9 @@
             is_ok=committed is not CommitResult.FAILED
         )
         if committed is CommitResult.DONE:
-            return pause_until_turn(
-                registry.store_now() or 0.0, registry.lease_times().renew_s
-            )
+            renew_s = registry.lease_times().renew_s
+            shared = self._shared_renewals
+            return renew_s if shared is None else shared.pause_s(renew_s)
         return RETRY_S
 
     async def _async_join_epoch(self) -> float:
--- a/plantaingrade/http/read_ahead.py
+++ b/plantaingrade/http/read_ahead.py
@@ -62,15 +62,31 @@
     the connection.
     """
 
-    __slots__ = ('_message', 'answer', 'closed', 'size')
+    __slots__ = ('_channel', '_message', 'answer', 'size', 'unsent_bytes')
 
-    def __init__(self, message: list[Part]) -> None:
+    def __init__(self, channel: Channel, message: list[Part]) -> None:
         """Create a channel from which the rest of a message can be read."""
+        self._channel = channel
         self._message = deque(message)
         self.answer: list[Part] = []
-        self.closed = False
         # Bytes of the answer without its framing.
         self.size = 0
+        # The answer is kept, and nothing of it waits for the caller.
+        self.unsent_bytes = 0
+
+    @property
+    def closed(self) -> bool:
+        """Return whether the connection is closed."""
+        return self._channel.closed
+
+    @property
+    def remote(self) -> tuple[str, int]:
+        """Return the address and port of the caller."""
+        return self._channel.remote
+
+    def is_peer_gone(self) -> bool:
+        """Return whether the caller has closed or reset the connection."""
+        return self._channel.is_peer_gone()
 
     async def next_event(
         self, before_wait: Callable[[], None] | None = None
@@ -133,6 +149,11 @@
         channel.on_further = self._begin_further
         channel.on_closed = self.close
 
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the caller is there and reads its answers."""
+        return not (self._channel.closed or self._channel.is_writing_paused)
+
     async def async_wait_writable(self, idle_s: float) -> bool:
         """Wait until the caller has read most of the answers sent to it.
 
@@ -150,27 +171,13 @@
                     channel.abort()
         return not channel.closed
 
-    async def async_take_turn(self, request: Request) -> None:
-        """Serve the next request of the connection in its turn."""
+    def start_turn(self, request: Request) -> EarlyRun | None:
+        """Make a request the current one; return its run if it has begun."""
         self._current = request
-        early = self._pipeline.start_turn()
-        if early is None:
-            await self._async_serve_now(request)
-        else:
-            await self._async_deliver(early)
-
-    def close(self) -> None:
-        """Begin nothing more, and withdraw all early requests."""
-        self._pipeline.close()
-        self._withdraw()
+        return self._pipeline.start_turn()
 
-    async def _async_serve_now(self, request: Request) -> None:
-        is_last = self._pipeline.is_last_turn(is_draining=self._is_draining())
-        self._channel.is_last_response = is_last
-        await self._serve(request, self._channel)
-
-    async def _async_deliver(self, early: EarlyRun) -> None:
-        """Send the answer of an early request once it is there."""
+    async def async_deliver(self, early: EarlyRun) -> None:
+        """Send the answer of the current request once it is there."""
         self._channel.http.skip_body()
         self._begin_further()
         try:
@@ -182,6 +189,11 @@
         for part in early.channel.answer:
             self._channel.send(part)
 
+    def close(self) -> None:
+        """Begin nothing more, and withdraw all early requests."""
+        self._pipeline.close()
+        self._withdraw()
+
     def _begin_further(self) -> None:
         """Begin all requests that may begin early now."""
         while self._is_open():
@@ -207,7 +219,9 @@
 
     def _begin(self, message: list[Part]) -> None:
         request, *rest = message
-        early = EarlyRun(request=request, channel=EarlyChannel(rest))
+        early = EarlyRun(
+            request=request, channel=EarlyChannel(self._channel, rest)
+        )
         self._pipeline.begin(early)
         loop = asyncio.get_running_loop()
         early.task = loop.create_task(self._async_run(early))
--- a/plantaingrade/peers/hooks.py
+++ b/plantaingrade/peers/hooks.py
@@ -6,7 +6,6 @@
 
 from plantaingrade.balance.entity import FreeCapacity
 from plantaingrade.operators.desired_state import DesiredState
-from plantaingrade.store.interface import RowReader
 
 
 class PeerHooks(Struct, frozen=True):
@@ -17,12 +16,10 @@
     ``on_crash`` the digests of the requests that another member's server was
     running when it crashed. ``free_capacity_of`` returns how soon the own
     server could run a request of a kind and priority, or None if it accepts no
-    requests. ``shared_reads`` reads rows together with other members, which may
-    be some seconds old; without it, each read is an own one.
+    requests.
     """
 
     services: Callable[[], Iterable[str]]
     on_desired_state: Callable[[DesiredState], None]
     on_crash: Callable[[tuple[str, ...]], None]
     free_capacity_of: Callable[[str, int], FreeCapacity | None]
-    shared_reads: RowReader | None = None
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -45,14 +45,15 @@
 from plantaingrade.sidecar.endpoints import (
     CallerEndpoint,
     MetricsEndpoint,
-    PeerEndpoint,
     ReadinessEndpoint,
     ReportEndpoint,
 )
 from plantaingrade.sidecar.evacuation import ServerEvacuation
 from plantaingrade.sidecar.gauges import GaugeSources, register_gauges
 from plantaingrade.sidecar.http_servers import HttpServers
+from plantaingrade.sidecar.instance_bytes import InstanceBytes
 from plantaingrade.sidecar.metrics import Metrics
+from plantaingrade.sidecar.peer_endpoint import PeerEndpoint
 from plantaingrade.sidecar.pools import Pools
 from plantaingrade.sidecar.read_ahead import make_read_ahead
 from plantaingrade.sidecar.server_watch import (
@@ -63,6 +64,7 @@
 from plantaingrade.sidecar.settings import InstanceSettings, ProcessOptions
 from plantaingrade.sidecar.shutdown import GracefulShutdown
 from plantaingrade.sidecar.store_access import StoreAccess
+from plantaingrade.store.counting import CountingStore
 
 BOOT_BYTES = 4
 _LOGGER = logging.getLogger(__name__)
@@ -153,26 +155,22 @@
         )
         source = settings.ip if self._options.binds_source else None
         self._pools = Pools(self._clock, source)
-        self._direct_store = self._adapter.make_store(self._pools.store)
+        self._metrics = Metrics()
+        self._log.set_event_callback(self._metrics.on_event)
+        self._direct_store = CountingStore(
+            self._adapter.make_store(self._pools.store),
+            self._metrics.on_event,
+            self._log,
+        )
         self._direct_store.epochs.listen(self._on_store_epoch)
         self._orders = self._adapter.make_orders(self._pools.orders)
+        self._bytes = InstanceBytes.from_settings(settings, self._clock)
         self._maps = KeyMaps()
         self._directory = Directory()
-        self._metrics = Metrics()
-        self._log.set_event_callback(self._metrics.on_event)
         self._loads = PeerLoads()
         self._tracker = IncarnationTracker(
             settings.bounds.drain_s * FINISH_FRACTION
         )
-        self._config = ConfigFollower(
-            self._direct_store,
-            self._adapter.config_table,
-            self._adapter.config_key,
-            self._adapter.decode_config,
-            self._log,
-            lambda: self._calls.async_ask_config(),
-            lambda: len(self._directory.members()),
-        )
         self._calls = PeerCalls(
             self._own,
             self._directory,
@@ -185,9 +183,19 @@
             self._direct_store,
             self._directory,
             self._calls,
+            self._adapter.config_table,
             self._clock,
             self._log,
         )
+        self._config = ConfigFollower(
+            self._store_access.shared_feed,
+            self._adapter.config_table,
+            self._adapter.config_key,
+            self._adapter.decode_config,
+            self._log,
+            self._calls.async_ask_config,
+            lambda: len(self._directory.members()),
+        )
         self._peers = PeerCoordinator(
             self._own,
             self._directory,
@@ -201,10 +209,9 @@
                 self._service_names,
                 lambda desired: self._operators.desired_states.apply(desired),
                 lambda digests: self._server_path.record_crash(digests),
-                lambda kind, priority: self._server_path.free_capacity(
-                    kind, priority
+                lambda kind, priority: self._bytes.delay(
+                    self._server_path.free_capacity(kind, priority), kind
                 ),
-                self._store_access.shared_reads,
             ),
         )
         self.holds = HoldCoordinator(
@@ -335,6 +342,8 @@
             self._adapter.decode_request,
             self._adapter.answer_headers,
             self._clock,
+            self._bytes.budget,
+            self._log,
         )
         self._read_ahead = make_read_ahead(
             self._requests,
@@ -372,6 +381,8 @@
             ).async_handle,
             self._balance.load,
             self._on_known,
+            self._bytes,
+            self._log,
         )
         self._readiness_endpoint = ReadinessEndpoint(lambda: self.is_ready)
         self._report_endpoint = ReportEndpoint(
@@ -387,6 +398,7 @@
                 self.holds.registry,
                 self._server_path,
                 self._peers.turns,
+                self._bytes,
                 self._read_ahead.totals,
                 self._clock,
             ),
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -180,8 +180,8 @@
     Guard(
         'a connection that was idle too long is not reused',
         'plantaingrade/http/pool.py',
-        'if fresh or channel.closed or age > MAX_IDLE_S:',
-        'if fresh or channel.closed:',
+        'if channel.is_reusable() and not fresh and age <= oldest:',
+        'if channel.is_reusable() and not fresh:',
         'tests/http',
     ),
     Guard(
@@ -271,7 +271,7 @@
     Guard(
         'no keys are released while the store is unavailable',
         'plantaingrade/holds/transfer.py',
-        'if not self._registry.is_store_answering:',
+        'if not self._registry.availability.is_available:',
         'if False:',
         'tests/holds/test_store_outage.py',
     ),
@@ -374,6 +374,34 @@
         'try:',
         'tests/platform/test_store.py',
     ),
+    Guard(
+        'a request whose sender has left goes no further',
+        'plantaingrade/sidecar/endpoints.py',
+        'if not channel.is_peer_gone():',
+        'if True:',
+        'tests/sidecar/test_withdrawn.py',
+    ),
+    Guard(
+        'one account does not take all of the budget',
+        'plantaingrade/requests/held_bytes.py',
+        'if left >= 0 and held <= max(left, MIN_ACCOUNT_BYTES):',
+        'if left >= 0:',
+        'tests/requests/test_held_bytes.py',
+    ),
+    Guard(
+        'long bodies arrive one after the other',
+        'plantaingrade/requests/body_turns.py',
+        'return self.arriving_bytes + turn.size <= self._rate * WINDOW_S',
+        'return True',
+        'tests/requests/test_body_turns.py',
+    ),
+    Guard(
+        'a server gets no more bytes than it crashed with',
+        'plantaingrade/admission/server_bytes.py',
+        'return limit is None or self.running + size <= limit',
+        'return True',
+        'tests/admission/test_server_bytes.py',
+    ),
 )
 
 
