Requests for keys in transfer wait as long as the work that the transfer waits for

Cause: a request for a key that is being transferred was refused after 0.4 s, set where work takes 70 ms. A release waits for the running requests on its keys; where these take 0.3 s on average and seconds at most, half of all transfers took 0.3 to 1 s. They now wait up to three times the longest expected work, and 0.4 s at least, so that nothing changes where work is below 0.13 s. A key that isn't being transferred is refused after 0.4 s as before.

--- a/lab/keys.py
+++ b/lab/keys.py
@@ -121,12 +121,12 @@
             return False
         return all(key not in keys for keys in self._moving)
 
-    def is_overdue(self, key: int) -> bool:
+    def is_overdue(self, key: int, work_s: float = 0.0) -> bool:
         """Return whether a moving key is overdue, so waiting is no use."""
         now = asyncio.get_running_loop().time()
         for keys in self._moving:
             if key in keys:
-                return self._unheld.is_overdue(keys, now)
+                return self._unheld.is_overdue(keys, now, work_s)
         return False
 
     async def async_wait_change(self, limit_s: float) -> None:
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -178,19 +178,23 @@
             return False
         return self.granter.is_held(assignment, key, now)
 
-    def is_overdue(self, key: int) -> bool:
+    def is_overdue(self, key: int, work_s: float = 0.0) -> bool:
         """Return whether requests should not wait for an own key.
 
         The key has been unheld for too long, or its server cannot be reached: a
-        restart takes longer than most requests can wait.
+        restart takes longer than most requests can wait. ``work_s`` is the
+        longest duration of the server's classes of work.
         """
         own = self.find_own(key)
         if own is None:
             return False
         if self.granter.is_unreachable:
             return True
-        keys = self.granter.moving_range(key) or own.keys
-        return self._unheld.is_overdue(keys, self._clock.now())
+        now = self._clock.now()
+        moving = self.granter.moving_range(key)
+        if moving is None:
+            return self._unheld.is_overdue(own.keys, now)
+        return self._unheld.is_overdue(moving, now, work_s)
 
     async def async_wait_change(self, limit_s: float) -> None:
         """Wait until holds may have changed."""
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -309,8 +309,10 @@
                     self._holds.registry.key_map.version,
                 )
             left_s = routed.until - self._clock.now()
-            left_s -= self._gate.queue.estimate.expected_s(routed.kind)
-            if left_s <= 0 or self._holds.is_overdue(key):
+            estimate = self._gate.queue.estimate
+            left_s -= estimate.expected_s(routed.kind)
+            longest_s = estimate.longest_s()
+            if left_s <= 0 or self._holds.is_overdue(key, longest_s):
                 return NotRun(NotRunReason.NOT_GRANTED, DEFAULT_RETRY_AFTER_S)
             await self._holds.async_wait_change(min(left_s, HOLD_POLL_S))
         return None
--- a/tests/holds/test_unheld.py
+++ b/tests/holds/test_unheld.py
@@ -59,3 +59,16 @@
     assert not overdue[0]
     assert all(overdue[round(MAX_UNHELD_WAIT_S / POLL_S) + 2 :])
     assert overdue[-1]
+
+
+def test_requests_wait_for_a_release_that_waits_for_long_work() -> None:
+    """Work of 0.36 s holds up a release longer than callers would wait."""
+    work_s = 0.36
+    unheld = UnheldRanges()
+    assert not unheld.is_overdue(HOT, 1.0, work_s)
+    waits = [
+        unheld.is_overdue(HOT, 1.0 + tenths / 10, work_s)
+        for tenths in range(1, 15)
+    ]
+    assert not any(waits[: int(2 * work_s * 10)])
+    assert waits[-1]
