Map changes of transfers are retried for as long as work lasts

Cause: a transfer whose change of the map kept conflicting gave up 0.4 s after its release, and its keys had been unserved in vain. They are now retried for twice the mean duration of the server's work, 0.4 s at least and 2 s at most: callers of such work wait as long.

--- a/plantaingrade/balance/mover.py
+++ b/plantaingrade/balance/mover.py
@@ -128,7 +128,9 @@
         try:
             if not await self._async_offer(own, move):
                 return None
-            is_done = await self._holds.async_transfer([move.keys], move.target)
+            is_done = await self._holds.async_transfer(
+                [move.keys], move.target, own.work_s
+            )
         finally:
             self._moves.discard(move)
         if is_done:
