--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -32,6 +32,7 @@
 from plantaingrade.keyspace.entity import Assignment, KeyRange
 from plantaingrade.peers.entity import Member, Token
 from plantaingrade.peers.map_relay import MapRelay
+from plantaingrade.peers.turn_taking import NoTurns, TurnTaking
 from plantaingrade.store.interface import Store
 
 CHANGE_LIMIT_S = 1.0
@@ -54,6 +55,7 @@
     witnesses: Witnesses
     on_joined: Callable[[], None]
     shared_renewals: SharedRenewals | None = None
+    turns: TurnTaking = NoTurns()
     async_fetch_map: Callable[[str], Awaitable[None]] = _async_fetch_nothing
 
 
@@ -89,6 +91,7 @@
             maps,
             member,
             witnesses,
+            links.turns,
             clock,
             log,
             starts_with_all=starts_with_all,
--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -19,7 +19,11 @@
 from plantaingrade.clock import Clock
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.http.connection import NEED_DATA, Connection
-from plantaingrade.http.const import MAX_HEAD_BYTES, MAX_UNREAD_BYTES
+from plantaingrade.http.const import (
+    MAX_FURTHER_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_UNREAD_BYTES,
+)
 from plantaingrade.http.messages import (
     EndOfMessage,
     InformationalResponse,
@@ -29,6 +33,7 @@
     Role,
     State,
 )
+from plantaingrade.http.unparsed import UnparsedBytes
 from plantaingrade.http.writer import CLOSE_HEADER
 
 MAX_UNSENT_CHUNKS = 4
@@ -53,6 +58,7 @@
         '_clock',
         '_paused',
         '_request_task',
+        '_unparsed',
         '_unread',
         '_unsent',
         '_wakeup',
@@ -62,6 +68,7 @@
         'is_last_response',
         'last_byte_at',
         'on_closed',
+        'on_further',
         'transport',
     )
 
@@ -75,6 +82,7 @@
         self._clock = clock
         self.last_byte_at = clock.now()
         self._unread = 0
+        self._unparsed = UnparsedBytes(self.http)
         self._unsent: list[bytes] = []
         self._paused = False
         self._wakeup: asyncio.Future[None] | None = None
@@ -82,6 +90,8 @@
         self._request_task: asyncio.Task[Any] | None = None
         # Called when the connection was closed by the peer or broke.
         self.on_closed: Callable[[], None] | None = None
+        # Called when parts of a request behind the current one have arrived.
+        self.on_further: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -92,8 +102,12 @@
         self.last_byte_at = self._clock.now()
         self._unread += len(data)
         if not self.closed:
-            self.http.receive(data)
-        if self._unread > MAX_UNREAD_BYTES and not self._paused:
+            self._unparsed.receive(data, self.last_byte_at)
+        limit = MAX_UNREAD_BYTES
+        if self.on_further is not None and self.http.has_message_ahead:
+            limit = MAX_FURTHER_BYTES
+            self.on_further()
+        if self._unread > limit and not self._paused:
             self._paused = True
             self.transport.pause_reading()
         self._wake()
@@ -145,6 +159,8 @@
         while True:
             event = self._parse()
             if event is not NEED_DATA:
+                if isinstance(event, EndOfMessage):
+                    self._check_further()
                 return event
             if self.closed:
                 raise ChannelClosedError('Connection closed by the peer.')
@@ -187,6 +203,11 @@
             self.transport.write(b''.join(self._unsent))
         self._unsent.clear()
 
+    @property
+    def is_writing_paused(self) -> bool:
+        """Return whether the peer reads more slowly than is written."""
+        return self._writable is not None
+
     async def drain(self) -> None:
         """Wait until the transport accepts more data from a slow peer."""
         if len(self._unsent) > MAX_UNSENT_CHUNKS:
@@ -258,7 +279,10 @@
 
     def _parse(self) -> Any:
         try:
-            return self.http.next_event()
+            event = self.http.next_event()
+            if event is NEED_DATA and self._unparsed.parse_more():
+                event = self.http.next_event()
+            return event
         except RemoteProtocolError as error:
             if self.http.role is Role.SERVER:
                 raise
@@ -266,6 +290,13 @@
                 'Invalid or incomplete response.'
             ) from error
 
+    def _check_further(self) -> None:
+        if self.on_further is None:
+            return
+        self._unparsed.parse_more()
+        if self.http.has_message_ahead:
+            self.on_further()
+
     def _mark_closed(self) -> None:
         if self.closed:
             self._wake()
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -18,9 +18,9 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator, MemberLinks
 from plantaingrade.http.pool import split_address
-from plantaingrade.http.server import HttpServer, RequestHandler
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.operators.api import OperatorApi
+from plantaingrade.operators.queries import LocalState
 from plantaingrade.peers.calls import PeerCalls
 from plantaingrade.peers.coordinator import PeerCoordinator, PeerHooks
 from plantaingrade.peers.directory import Directory
@@ -40,7 +40,6 @@
     CONFIG_POLL_S,
     FINISH_FRACTION,
     INITIAL_SLOTS,
-    INTERNAL_IDLE_S,
 )
 from plantaingrade.sidecar.control import ControlHandler
 from plantaingrade.sidecar.endpoints import (
@@ -49,12 +48,13 @@
     PeerEndpoint,
     ReadinessEndpoint,
     ReportEndpoint,
-    refuse_malformed,
 )
 from plantaingrade.sidecar.evacuation import ServerEvacuation
 from plantaingrade.sidecar.gauges import GaugeSources, register_gauges
+from plantaingrade.sidecar.http_servers import HttpServers
 from plantaingrade.sidecar.metrics import Metrics
 from plantaingrade.sidecar.pools import Pools
+from plantaingrade.sidecar.read_ahead import make_read_ahead
 from plantaingrade.sidecar.server_watch import (
     IncarnationHooks,
     OwnServer,
@@ -88,7 +88,7 @@
         self._clock = clock
         self._log = log
         self._tasks: set[asyncio.Task[None]] = set()
-        self._servers: list[HttpServer] = []
+        self._servers = HttpServers(clock)
         self._is_shutting_down = False
         self._build_state()
         self._build_paths()
@@ -113,8 +113,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for server in self._servers:
-            await server.async_close()
+        await self._servers.async_close()
         self._peers.endpoint.close()
         self._orders.close()
         self._pools.close()
@@ -129,8 +128,7 @@
     async def async_shut_down(self) -> None:
         """Shut down within the platform's grace period."""
         self._is_shutting_down = True
-        for server in self._servers:
-            server.end_connections()
+        self._servers.end_connections()
         await self._shutdown.async_run()
 
     @property
@@ -141,7 +139,7 @@
     @property
     def busy(self) -> int:
         """Return how many requests are being served."""
-        return sum(server.active_requests for server in self._servers)
+        return self._servers.busy
 
     def _build_state(self) -> None:
         settings = self._settings
@@ -207,7 +205,7 @@
             self._loads,
             PeerHooks(
                 self._service_names,
-                lambda desired: self._operators.apply_desired_state(desired),
+                lambda desired: self._operators.desired_states.apply(desired),
                 lambda digests: self._server_path.record_crash(digests),
                 lambda kind, priority: self._server_path.free_capacity(
                     kind, priority
@@ -227,6 +225,7 @@
                 self._peers.witnesses,
                 self._on_joined,
                 self._store_access.shared_renewals,
+                self._peers.turns,
                 lambda service: self._peers.map_follower.async_fetch_nearby(
                     service, self._own
                 ),
@@ -345,21 +344,27 @@
             self._adapter.answer_headers,
             self._clock,
         )
-        self._operators = OperatorApi(
-            self._own,
-            self._directory,
-            self._maps,
-            self._loads,
-            self._config,
+        self._read_ahead = make_read_ahead(
+            self._requests,
+            self._caller_endpoint.buffer_budget,
+            self._adapter.decode_request,
+            self._log,
+        )
+        self._operators = OperatorApi.from_state(
+            LocalState(
+                self._own,
+                self._directory,
+                self._maps,
+                self._loads,
+                self._config,
+                self._clock,
+            ),
             self.holds,
             self._calls,
             self._direct_store,
-            self._clock,
-        )
-        self._operators.set_desired_state_callback(
-            self._server_evacuation.on_desired_state
+            lambda: self._tracker.current,
+            self._server_evacuation.on_desired_state,
         )
-        self._operators.set_incarnation_source(lambda: self._tracker.current)
         self._peer_endpoint = PeerEndpoint(
             self._settings.service,
             self._server_path,
@@ -389,6 +394,8 @@
                 self._config,
                 self.holds.registry,
                 self._server_path,
+                self._peers.turns,
+                self._read_ahead.totals,
                 self._clock,
             ),
         )
@@ -406,13 +413,15 @@
 
     async def _async_listen(self) -> None:
         listeners = self._settings.listeners
-        self._caller_server = await self._async_serve(
-            listeners.callers, self._caller_endpoint.async_handle
+        caller_server = await self._servers.async_listen(
+            listeners.callers,
+            self._caller_endpoint.async_handle,
+            self._read_ahead,
         )
         applier = ConfigApplier(
             self._own.service,
             self._settings.bounds,
-            self._caller_server,
+            caller_server,
             self._caller_endpoint,
             self._limits.cold,
         )
@@ -425,19 +434,9 @@
             listeners.metrics: self._metrics_endpoint.async_handle,
         }
         for address, serve in serve_by_address.items():
-            await self._async_serve(address, serve)
+            await self._servers.async_listen(address, serve)
         await self._peers.endpoint.async_open(*split_address(peers_bind))
 
-    async def _async_serve(
-        self, address: str, serve: RequestHandler
-    ) -> HttpServer:
-        server = HttpServer(
-            self._clock, serve, refuse_malformed, INTERNAL_IDLE_S
-        )
-        await server.async_listen(*split_address(address))
-        self._servers.append(server)
-        return server
-
     def _start(self, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -501,7 +500,7 @@
         self._log.write('store-epoch', epoch=epoch, before=before)
         if self._peers.has_joined:
             self._start(self._peers.async_begin_epoch())
-            self._start(self._operators.async_restore_desired_states())
+            self._start(self._operators.desired_states.async_restore_all())
 
     def _on_joined(self) -> None:
         self._start(self._peers.async_introduce())
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -202,6 +202,8 @@
         peers._rows = FakeRows()
         endpoint = FakeEndpoint()
         peers._announcer.endpoint = endpoint
+        await peers.async_join(is_keyed=True)
+        assert Hello(OWN) not in endpoint.sent
         await peers.async_introduce()
         assert Hello(OWN) in endpoint.sent
 
