--- a/tests/sidecar/test_reused_address_messages.py
+++ b/tests/sidecar/test_reused_address_messages.py
@@ -48,7 +48,7 @@
         SimpleNamespace(registry=SimpleNamespace(is_waiting=False)),
         tracker,
         SlotQueue(SLOTS, WorkEstimate()),
-        SimpleNamespace(),
+        SimpleNamespace(loads=PeerLoads()),
         SimpleNamespace(),
         SimpleNamespace(),
         clock,
