--- a/lab/keys.py
+++ b/lab/keys.py
@@ -10,10 +10,7 @@
 from msgspec import Struct
 
 from plantaingrade.holds.backoff import ConflictBackoff
-from plantaingrade.holds.transfer import (
-    CONTENDED_LIMIT_S,
-    CONTENDED_LIMIT_WORK,
-)
+from plantaingrade.holds.transfer import CONTENDED_LIMIT_S
 from plantaingrade.holds.unheld import UnheldRanges
 from plantaingrade.keyspace.assign import reassign, split_evenly
 from plantaingrade.keyspace.directory import KeyMaps
@@ -101,7 +98,6 @@
         self._running: dict[int, int] = {}
         self._ready: list[ReleasedRanges] = []
         self._writing = asyncio.Lock()
-        self._work_s = 0.0
 
     def begin(self, key: int) -> None:
         """Count the start of work on a key."""
@@ -144,9 +140,7 @@
     def on_hint(self, version: int) -> None:
         """Ignore a hint; the shared map is always the newest."""
 
-    async def async_transfer(
-        self, keys: list[KeyRange], target: str, work_s: float = 0.0
-    ) -> bool:
+    async def async_transfer(self, keys: list[KeyRange], target: str) -> bool:
         """Transfer keys to a target; return whether the map was changed."""
         if any(each.overlap(one) for each in keys for one in self._moving):
             return False
@@ -159,7 +153,6 @@
         self._moving.update(keys)
         try:
             await self._async_wait_for_work(keys)
-            self._work_s = work_s
             is_done = await self._async_commit(dict.fromkeys(pieces, target))
             await asyncio.sleep(GRANT_S)
         finally:
@@ -190,8 +183,7 @@
 
     async def _async_change(self, owner_by_keys: dict[KeyRange, str]) -> bool:
         loop = asyncio.get_running_loop()
-        limit_s = max(CONTENDED_LIMIT_S, CONTENDED_LIMIT_WORK * self._work_s)
-        ends_at = loop.time() + limit_s
+        ends_at = loop.time() + CONTENDED_LIMIT_S
         backoff = self.registry.backoff
         while loop.time() <= ends_at:
             sent_at = loop.time()
--- a/plantaingrade/balance/mover.py
+++ b/plantaingrade/balance/mover.py
@@ -128,9 +128,7 @@
         try:
             if not await self._async_offer(own, move):
                 return None
-            is_done = await self._holds.async_transfer(
-                [move.keys], move.target, own.work_s
-            )
+            is_done = await self._holds.async_transfer([move.keys], move.target)
         finally:
             self._moves.discard(move)
         if is_done:
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -216,14 +216,9 @@
             self._transfers.stop()
             await self.granter.async_stop()
 
-    async def async_transfer(
-        self, keys: list[KeyRange], target: str, work_s: float = 0.0
-    ) -> bool:
-        """Transfer ranges to another member; return whether that worked.
-
-        ``work_s`` is the mean duration of the server's work.
-        """
-        return await self._transfers.async_transfer(keys, target, work_s)
+    async def async_transfer(self, keys: list[KeyRange], target: str) -> bool:
+        """Transfer ranges to another member; return whether that worked."""
+        return await self._transfers.async_transfer(keys, target)
 
     async def async_is_store_available(self) -> bool:
         """Return whether the store would answer a change of the map now.
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -25,21 +25,16 @@
 # well stay: requests for keys that are being transferred wait no longer than
 # this.
 CONTENDED_LIMIT_S = 0.4
-# The same as a multiple of the duration of work, where that is longer: such
-# requests can wait longer, and the release has taken as long already.
-CONTENDED_LIMIT_WORK = 2
 
 
 class ReadyTransfer(Struct, eq=False):
     """A transfer whose keys have been released, and its outcome.
 
-    ``work_s`` is the duration of the server's work, ``before`` and ``after``
-    are the maps around its change.
+    ``before`` and ``after`` are the maps around its change.
     """
 
     transfer: RangeTransfer
     released_at: float
-    work_s: float
     outcome: CommitResult | None = None
     before: KeyMap | None = None
     after: KeyMap | None = None
@@ -84,17 +79,15 @@
         self._committing = asyncio.Lock()
         self._ready: list[ReadyTransfer] = []
 
-    async def async_transfer(
-        self, keys: list[KeyRange], target: str, work_s: float = 0.0
-    ) -> bool:
+    async def async_transfer(self, keys: list[KeyRange], target: str) -> bool:
         """Transfer ranges to another member; return whether that worked.
 
-        ``work_s`` is the mean duration of the server's work. A transfer that
-        has begun continues if its caller is cancelled: its change may still be
-        applied, and the ranges must not be granted here again.
+        A transfer that has begun continues if its caller is cancelled: its
+        change may still be applied, and the ranges must not be granted here
+        again.
         """
         loop = asyncio.get_running_loop()
-        move = loop.create_task(self._async_transfer(keys, target, work_s))
+        move = loop.create_task(self._async_transfer(keys, target))
         self._moves.add(move)
         move.add_done_callback(self._moves.discard)
         return await asyncio.shield(move)
@@ -104,9 +97,7 @@
         for move in self._moves:
             move.cancel()
 
-    async def _async_transfer(
-        self, keys: list[KeyRange], target: str, work_s: float
-    ) -> bool:
+    async def _async_transfer(self, keys: list[KeyRange], target: str) -> bool:
         """Transfer ranges to another member; return whether that worked.
 
         Fails if one of the ranges is already being transferred.
@@ -121,13 +112,13 @@
             return False
         moving.update(keys)
         try:
-            return await self._async_release_and_commit(keys, target, work_s)
+            return await self._async_release_and_commit(keys, target)
         finally:
             moving.difference_update(keys)
             self._on_ended()
 
     async def _async_release_and_commit(
-        self, keys: list[KeyRange], target: str, work_s: float
+        self, keys: list[KeyRange], target: str
     ) -> bool:
         for each in keys:
             await self._granter.async_wait_for_grants(each)
@@ -137,9 +128,7 @@
         tokens = await asyncio.gather(
             *(self._async_release(piece) for piece in pieces)
         )
-        ready = await self._async_commit(
-            RangeTransfer(tuple(pieces), target), work_s
-        )
+        ready = await self._async_commit(RangeTransfer(tuple(pieces), target))
         self._log.write(
             'keys-given',
             ranges=[(piece.keys.first, piece.keys.last) for piece in pieces],
@@ -160,16 +149,14 @@
         )
         return True
 
-    async def _async_commit(
-        self, transfer: RangeTransfer, work_s: float
-    ) -> ReadyTransfer:
+    async def _async_commit(self, transfer: RangeTransfer) -> ReadyTransfer:
         """Commit a transfer, together with all that are ready by then.
 
         If the task that commits for several is cancelled, the next one sends a
         change of its own. This makes a pending change fail, or finds that it
         was applied.
         """
-        ready = ReadyTransfer(transfer, self._clock.now(), work_s)
+        ready = ReadyTransfer(transfer, self._clock.now())
         self._ready.append(ready)
         try:
             async with self._committing:
@@ -186,9 +173,7 @@
         committed = await self._registry.async_commit(
             lambda registry: plan_transfers(registry, transfers),
             MOVE_LIMIT_S,
-            contended_limit_s=max(
-                0.0, self._contended_limit_s(batch) - waited_s
-            ),
+            contended_limit_s=max(0.0, self._contended_limit_s() - waited_s),
         )
         before, after = self._registry.change_base, self._registry.key_map
         for each in batch:
@@ -200,12 +185,9 @@
         if committed is CommitResult.DONE:
             self._broadcast(before, after, transfers)
 
-    def _contended_limit_s(self, batch: list[ReadyTransfer]) -> float:
-        if not self._registry.accepts_keys:
-            return MOVE_LIMIT_S
-        work_s = max(each.work_s for each in batch)
-        limit_s = max(CONTENDED_LIMIT_S, CONTENDED_LIMIT_WORK * work_s)
-        return min(MOVE_LIMIT_S, limit_s)
+    def _contended_limit_s(self) -> float:
+        is_leaving = not self._registry.accepts_keys
+        return MOVE_LIMIT_S if is_leaving else CONTENDED_LIMIT_S
 
     def _outcome(
         self, transfer: RangeTransfer, committed: CommitResult
--- a/tests/balance/fleet.py
+++ b/tests/balance/fleet.py
@@ -151,9 +151,7 @@
         servers = self.fleet.servers
         return servers[target].balance.on_offer(offer)
 
-    async def async_transfer(
-        self, keys: list[KeyRange], target: str, work_s: float
-    ) -> bool:
+    async def async_transfer(self, keys: list[KeyRange], target: str) -> bool:
         """Release the keys, change the map and transfer the keys."""
         now = asyncio.get_running_loop().time()
         for each in keys:
--- a/tests/balance/test_coordinator.py
+++ b/tests/balance/test_coordinator.py
@@ -59,9 +59,7 @@
     async def async_is_store_available(self) -> bool:
         return True
 
-    async def async_transfer(
-        self, keys: list[KeyRange], *_: str | float
-    ) -> bool:
+    async def async_transfer(self, keys: list[KeyRange], _: str) -> bool:
         self.moved_at.append(asyncio.get_running_loop().time())
         if len(self.moved_at) == 1:
             await asyncio.sleep(self.first_release_s)
