Names: turns of long bodies say that they are of bodies

Two kinds of Turn, and TurnGate beside TurnGiver, would have stopped a newcomer: one orders long bodies on a link, the other changes of a key map. A sign of a receiver is an interim response. No behaviour changes.

--- a/plantaingrade/http/exchange.py
+++ b/plantaingrade/http/exchange.py
@@ -16,9 +16,10 @@
 )
 
 STATUS_CONTINUE = 100
-# Sent while a request waits for the turn of its body.
+# Sent by a receiver that does not accept the body yet.
 STATUS_PROCESSING = 102
-FIRST_SIGN_S = 0.5
+# Time for a receiver to accept the body or to tell the sender to wait.
+FIRST_RESPONSE_TIMEOUT_S = 0.5
 ResponsePredicate = Callable[[Response], bool]
 
 
@@ -47,18 +48,18 @@
     channel.send(EndOfMessage())
 
 
-async def async_send_in_turn(
+async def async_send_when_accepted(
     channel: Channel,
     method: bytes,
     target: bytes,
     headers: tuple[tuple[bytes, bytes], ...],
     body: bytes,
 ) -> Response | None:
-    """Send a request whose receiver says when it takes the body.
+    """Send a request, and its body once the receiver accepts it.
 
-    Return the head of the final response if it comes before that. A receiver
-    that gives no sign for ``FIRST_SIGN_S`` is of a version that gives none, and
-    the body is sent.
+    Return the head of the final response if it comes before that. Versions that
+    do not know this exchange send no interim response: the body is sent after
+    ``FIRST_RESPONSE_TIMEOUT_S``.
 
     Raises:
         ChannelClosedError: the connection ended before the body was sent.
@@ -66,18 +67,18 @@
     channel.send(Request(method, target, headers))
     channel.flush()
     try:
-        async with asyncio.timeout(FIRST_SIGN_S):
-            sign = await channel.next_event()
+        async with asyncio.timeout(FIRST_RESPONSE_TIMEOUT_S):
+            interim = await channel.next_event()
     except TimeoutError:
-        sign = InformationalResponse(STATUS_CONTINUE)
-    while isinstance(sign, InformationalResponse):
-        if sign.status_code == STATUS_CONTINUE:
+        interim = InformationalResponse(STATUS_CONTINUE)
+    while isinstance(interim, InformationalResponse):
+        if interim.status_code == STATUS_CONTINUE:
             channel.send(Data(body))
             channel.send(EndOfMessage())
             return None
-        sign = await channel.next_event()
-    if isinstance(sign, Response):
-        return sign
+        interim = await channel.next_event()
+    if isinstance(interim, Response):
+        return interim
     raise ChannelClosedError('Connection closed before the body was sent.')
 
 
--- a/plantaingrade/requests/turn_gate.py
+++ b/plantaingrade/requests/body_turn_gate.py
@@ -1,15 +1,15 @@
-"""Makes bodies of other processes wait for their turn on the link."""
+"""Make long bodies of other processes wait for their turn on the link."""
 
 import asyncio
 from collections.abc import Callable
 from types import TracebackType
 
 from plantaingrade.clock import Clock
-from plantaingrade.requests.body_turns import BodyTurns, Turn, TurnState
+from plantaingrade.requests.body_turns import BodyTurn, BodyTurns, BodyTurnState
 
 
-class TurnGate:
-    """Gives turns by the decisions of ``BodyTurns``."""
+class BodyTurnGate:
+    """Lets the tasks that receive bodies wait, as ``BodyTurns`` decides."""
 
     __slots__ = ('_clock', '_timer', '_waiter_by_turn', 'turns')
 
@@ -17,13 +17,15 @@
         """Create a gate in front of the link."""
         self.turns = turns
         self._clock = clock
-        self._waiter_by_turn: dict[Turn, asyncio.Future[None]] = {}
+        self._waiter_by_turn: dict[BodyTurn, asyncio.Future[None]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
-    async def async_wait(self, turn: Turn, on_wait: Callable[[], None]) -> None:
+    async def async_wait(
+        self, turn: BodyTurn, on_wait: Callable[[], None]
+    ) -> None:
         """Wait for a turn; ``on_wait`` is called if it is not at once."""
         self._wake(self.turns.offer(turn, self._clock.now()))
-        if turn.state is not TurnState.WAITING:
+        if turn.state is not BodyTurnState.WAITING:
             return
         on_wait()
         waiter = asyncio.get_running_loop().create_future()
@@ -34,7 +36,7 @@
         finally:
             self._waiter_by_turn.pop(turn)
 
-    def end(self, turn: Turn) -> None:
+    def end(self, turn: BodyTurn) -> None:
         """End a turn, whether its body has arrived or not."""
         self._wake(self.turns.end(turn, self._clock.now()))
 
@@ -42,7 +44,7 @@
         self._timer = None
         self._wake(self.turns.begin(self._clock.now()))
 
-    def _wake(self, began: list[Turn]) -> None:
+    def _wake(self, began: list[BodyTurn]) -> None:
         for turn in began:
             waiter = self._waiter_by_turn.get(turn)
             if waiter is not None and not waiter.done():
@@ -50,7 +52,7 @@
         self._schedule()
 
     def _schedule(self) -> None:
-        """Go on without a body whose sender has stopped."""
+        """Set a timer after which others no longer wait for a stalled body."""
         stall_at = self.turns.next_stall_at()
         if stall_at is None or self._timer is not None:
             return
@@ -59,15 +61,15 @@
         self._timer = loop.call_later(delay_s, self._begin)
 
 
-class TurnHolder:
+class BodyTurnHolder:
     """Context manager of the turn of one body, which ends at most once."""
 
     __slots__ = ('_gate', '_turn')
 
-    def __init__(self, gate: TurnGate, size: int) -> None:
+    def __init__(self, gate: BodyTurnGate, size: int) -> None:
         """Prepare the turn of a body of ``size`` bytes."""
         self._gate = gate
-        self._turn = Turn(size)
+        self._turn = BodyTurn(size)
 
     async def async_wait(self, on_wait: Callable[[], None]) -> None:
         """Wait for the turn; ``on_wait`` is called if it is not at once."""
@@ -75,10 +77,10 @@
 
     def end(self) -> None:
         """End the turn once the body has arrived."""
-        if self._turn.state is not TurnState.ENDED:
+        if self._turn.state is not BodyTurnState.ENDED:
             self._gate.end(self._turn)
 
-    def __enter__(self) -> 'TurnHolder':
+    def __enter__(self) -> 'BodyTurnHolder':
         """Return the holder."""
         return self
 
--- a/plantaingrade/requests/body_turns.py
+++ b/plantaingrade/requests/body_turns.py
@@ -18,24 +18,24 @@
 # Shorter bodies are sent without a turn: they take less of a slow link than
 # asking would delay them.
 MIN_TURN_BYTES = 16_384
-# Bodies that arrive at a time, as seconds of the link. One alone would leave
-# the link idle while its sender does something else.
+# Bodies that arrive at the same time, in seconds of the link's capacity. One
+# alone would leave the link idle while its sender does something else.
 WINDOW_S = 0.2
-# A body that takes this many times as long as the link needs, and this much in
-# any case, in seconds, no longer holds up others: its sender may be lost.
+# Others no longer wait for a body that has not arrived after ``STALL_S`` plus
+# this multiple of the time that the link needs: its sender may be lost.
 STALL_MULTIPLE = 3.0
 STALL_S = 0.3
 # Weight of the latest body in the usual length of those of a class.
 LENGTH_WEIGHT = 0.1
 
 
-def needs_turn(size: int) -> bool:
+def needs_body_turn(size: int) -> bool:
     """Return whether a body of ``size`` bytes is sent in its turn."""
     return size >= MIN_TURN_BYTES
 
 
-class TurnState(StrEnum):
-    """Where a body stands."""
+class BodyTurnState(StrEnum):
+    """Progress of a body, from its request to its arrival."""
 
     NEW = 'new'
     WAITING = 'waiting'
@@ -45,11 +45,11 @@
     ENDED = 'ended'
 
 
-class Turn(Struct, eq=False):
+class BodyTurn(Struct, eq=False):
     """The turn of one body of ``size`` bytes."""
 
     size: int
-    state: TurnState = TurnState.NEW
+    state: BodyTurnState = BodyTurnState.NEW
     stalls_at: float = 0.0
 
 
@@ -67,9 +67,10 @@
 
     def __init__(self, link_mbps: float) -> None:
         """Start with an idle link; its rate is 0 if it is not known."""
+        # Bytes per second.
         self._rate = link_mbps * BITS_PER_MBIT / BITS_PER_BYTE
-        self._waiting: deque[Turn] = deque()
-        self._arriving: dict[Turn, None] = {}
+        self._waiting: deque[BodyTurn] = deque()
+        self._arriving: dict[BodyTurn, None] = {}
         self._length_by_kind: dict[str, float] = {}
         self.arriving_bytes = 0
         self.waiting_bytes = 0
@@ -89,32 +90,32 @@
     def expected_wait_s(self, kind: str) -> float:
         """Return how long a request of a class would wait for its body."""
         size = round(self._length_by_kind.get(kind, 0.0))
-        return self.arrives_in_s(size) if needs_turn(size) else 0.0
+        return self.arrives_in_s(size) if needs_body_turn(size) else 0.0
 
     def observe(self, kind: str, size: int) -> None:
         """Learn the usual length of the bodies of a class, in bytes."""
         usual = self._length_by_kind.get(kind, size)
         self._length_by_kind[kind] = usual + LENGTH_WEIGHT * (size - usual)
 
-    def offer(self, turn: Turn, now: float) -> list[Turn]:
+    def offer(self, turn: BodyTurn, now: float) -> list[BodyTurn]:
         """Add a body; return the turns that begin."""
-        turn.state = TurnState.WAITING
+        turn.state = BodyTurnState.WAITING
         self._waiting.append(turn)
         self.waiting_bytes += turn.size
         return self.begin(now)
 
-    def end(self, turn: Turn, now: float) -> list[Turn]:
+    def end(self, turn: BodyTurn, now: float) -> list[BodyTurn]:
         """Remove a body that has arrived or was given up; return who begins."""
         match turn.state:
-            case TurnState.WAITING:
+            case BodyTurnState.WAITING:
                 self._waiting.remove(turn)
                 self.waiting_bytes -= turn.size
-            case TurnState.ARRIVING:
+            case BodyTurnState.ARRIVING:
                 self._remove_arriving(turn)
-        turn.state = TurnState.ENDED
+        turn.state = BodyTurnState.ENDED
         return self.begin(now)
 
-    def begin(self, now: float) -> list[Turn]:
+    def begin(self, now: float) -> list[BodyTurn]:
         """Return the turns that begin now."""
         self._skip_stalled(now)
         began = []
@@ -131,13 +132,13 @@
             return None
         return min(turn.stalls_at for turn in self._arriving)
 
-    def _has_room(self, turn: Turn) -> bool:
+    def _has_room(self, turn: BodyTurn) -> bool:
         if not self._rate or not self._arriving:
             return True
         return self.arriving_bytes + turn.size <= self._rate * WINDOW_S
 
-    def _start(self, turn: Turn, now: float) -> None:
-        turn.state = TurnState.ARRIVING
+    def _start(self, turn: BodyTurn, now: float) -> None:
+        turn.state = BodyTurnState.ARRIVING
         self._arriving[turn] = None
         self.arriving_bytes += turn.size
         transfer_s = self.arriving_bytes / self._rate if self._rate else 0.0
@@ -147,8 +148,8 @@
         for turn in list(self._arriving):
             if turn.stalls_at <= now:
                 self._remove_arriving(turn)
-                turn.state = TurnState.STALLED
+                turn.state = BodyTurnState.STALLED
 
-    def _remove_arriving(self, turn: Turn) -> None:
+    def _remove_arriving(self, turn: BodyTurn) -> None:
         self._arriving.pop(turn)
         self.arriving_bytes -= turn.size
--- a/plantaingrade/requests/hop.py
+++ b/plantaingrade/requests/hop.py
@@ -11,7 +11,7 @@
 from plantaingrade.const import MS_PER_S, PERCENT
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.http.messages import Request
-from plantaingrade.requests.body_turns import needs_turn
+from plantaingrade.requests.body_turns import needs_body_turn
 from plantaingrade.requests.entity import (
     Answer,
     Answered,
@@ -33,7 +33,7 @@
 HEADER_LOAD = b'l'
 HEADER_LEAVING = b'x'
 # The sender waits with the body until it is told to send it.
-HEADER_TURN = b't'
+HEADER_BODY_TURN = b't'
 MARK_IDEMPOTENT = 'i'
 MARK_NON_IDEMPOTENT = 'o'
 MARK_NOT_RUN = 'n'
@@ -53,7 +53,7 @@
         HEADER_OWNER,
         HEADER_LOAD,
         HEADER_LEAVING,
-        HEADER_TURN,
+        HEADER_BODY_TURN,
     )
 )
 HOP_HEADERS = OWN_HEADERS | {
@@ -116,8 +116,8 @@
     if caller.body:
         length = str(len(caller.body)).encode()
         headers.append((b'content-length', length))
-    if needs_turn(len(caller.body)):
-        headers.append((HEADER_TURN, b''))
+    if needs_body_turn(len(caller.body)):
+        headers.append((HEADER_BODY_TURN, b''))
     return tuple(headers)
 
 
@@ -165,9 +165,9 @@
     return routed, known
 
 
-def wants_turn(headers: Headers) -> bool:
+def wants_body_turn(headers: Headers) -> bool:
     """Return whether the sender waits with the body until its turn."""
-    return any(name == HEADER_TURN for name, _ in headers)
+    return any(name == HEADER_BODY_TURN for name, _ in headers)
 
 
 def encode_leaving(incarnation: ServerIncarnation | None) -> Headers:
--- a/plantaingrade/requests/peer_path.py
+++ b/plantaingrade/requests/peer_path.py
@@ -12,7 +12,7 @@
 from plantaingrade.http.client import read_body
 from plantaingrade.http.exchange import (
     FullResponse,
-    async_send_in_turn,
+    async_send_when_accepted,
     read_response,
     send_request,
 )
@@ -20,7 +20,7 @@
 from plantaingrade.http.pool import ConnectFailedError, Pool
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member
-from plantaingrade.requests.body_turns import needs_turn
+from plantaingrade.requests.body_turns import needs_body_turn
 from plantaingrade.requests.const import (
     DEFAULT_RETRY_AFTER_S,
     PEER_GRACE_S,
@@ -136,8 +136,8 @@
     ) -> Response | None:
         """Send a request; return the head of an answer that comes before it."""
         request = (caller.method, caller.target, headers, caller.body)
-        if needs_turn(len(caller.body)):
-            return await async_send_in_turn(channel, *request)
+        if needs_body_turn(len(caller.body)):
+            return await async_send_when_accepted(channel, *request)
         send_request(channel, *request)
         return None
 
--- a/plantaingrade/sidecar/gauges.py
+++ b/plantaingrade/sidecar/gauges.py
@@ -129,7 +129,7 @@
     _register_read_ahead(metrics, early)
     register = metrics.register_gauge
     budget = held.budget
-    turns = held.turn_gate.turns
+    turns = held.body_turn_gate.turns
     register(
         'turns_arriving_bytes',
         'Bytes of long bodies of other processes that are on their way.',
--- a/plantaingrade/sidecar/instance_bytes.py
+++ b/plantaingrade/sidecar/instance_bytes.py
@@ -6,9 +6,9 @@
 from plantaingrade.balance.entity import FreeCapacity
 from plantaingrade.clock import Clock
 from plantaingrade.requests.bodies import BufferBudget
+from plantaingrade.requests.body_turn_gate import BodyTurnGate
 from plantaingrade.requests.body_turns import BodyTurns
 from plantaingrade.requests.held_bytes import budget_bytes
-from plantaingrade.requests.turn_gate import TurnGate
 from plantaingrade.sidecar.settings import InstanceSettings
 
 
@@ -16,7 +16,7 @@
     """Limits of the bytes that a process holds, and lets in at a time."""
 
     budget: BufferBudget
-    turn_gate: TurnGate
+    body_turn_gate: BodyTurnGate
 
     @classmethod
     def from_settings(
@@ -25,7 +25,7 @@
         """Return the limits that follow from an instance's size."""
         return cls(
             BufferBudget(budget_bytes(settings.memory_mb)),
-            TurnGate(BodyTurns(settings.link_mbps), clock),
+            BodyTurnGate(BodyTurns(settings.link_mbps), clock),
         )
 
     def delay(
@@ -34,5 +34,5 @@
         """Return free capacity of the server as far as the link lets it be."""
         if capacity is None:
             return None
-        link_s = self.turn_gate.turns.expected_wait_s(kind)
+        link_s = self.body_turn_gate.turns.expected_wait_s(kind)
         return replace(capacity, wait_s=max(capacity.wait_s, link_s))
--- a/plantaingrade/sidecar/peer_endpoint.py
+++ b/plantaingrade/sidecar/peer_endpoint.py
@@ -11,6 +11,7 @@
 from plantaingrade.http.exchange import STATUS_CONTINUE, STATUS_PROCESSING
 from plantaingrade.http.messages import InformationalResponse, Request
 from plantaingrade.requests.bodies import account_of
+from plantaingrade.requests.body_turn_gate import BodyTurnHolder
 from plantaingrade.requests.const import STATUS_BAD_REQUEST
 from plantaingrade.requests.entity import (
     Answer,
@@ -29,10 +30,9 @@
     encode_leaving,
     encode_load,
     encode_outcome,
-    wants_turn,
+    wants_body_turn,
 )
 from plantaingrade.requests.server_path import ServerPath
-from plantaingrade.requests.turn_gate import TurnHolder
 from plantaingrade.sidecar.endpoints import (
     NO_ROOM,
     declared_length,
@@ -57,7 +57,7 @@
         '_server',
         '_server_watch',
         '_service',
-        '_turn_gate',
+        '_body_turn_gate',
     )
 
     def __init__(
@@ -79,7 +79,7 @@
         of configuration and map that a sender uses.
         """
         self._budget = held.budget
-        self._turn_gate = held.turn_gate
+        self._body_turn_gate = held.body_turn_gate
         self._log = log
         self._server_watch = server_watch
         self._load = load
@@ -111,9 +111,9 @@
         # Times count from the arrival of the head: the body may take long.
         arrived = self._clock.now()
         length = declared_length(raw)
-        with TurnHolder(self._turn_gate, length) as turn:
+        with BodyTurnHolder(self._body_turn_gate, length) as turn:
             refusal = None
-            if wants_turn(raw.headers):
+            if wants_body_turn(raw.headers):
                 routed, _ = decode_hop(raw, b'', arrived)
                 refusal = await self._async_wait_turn(
                     turn, routed, length, channel
@@ -126,19 +126,19 @@
             ) as body:
                 turn.end()
                 routed, known = decode_hop(raw, body, arrived)
-                self._turn_gate.turns.observe(routed.kind, len(body))
+                self._body_turn_gate.turns.observe(routed.kind, len(body))
                 require_sender(self._log, channel, account, routed.caller)
                 await self._async_answer(raw, routed, known, channel)
 
     async def _async_wait_turn(
         self,
-        turn: TurnHolder,
+        turn: BodyTurnHolder,
         routed: RoutedRequest,
         length: int,
         channel: Channel,
     ) -> NotRun | None:
         """Wait until a body may be sent, or return why it may not."""
-        turns = self._turn_gate.turns
+        turns = self._body_turn_gate.turns
         left_s = routed.until - self._clock.now()
         left_s -= self._server.expected_work_s(routed.kind)
         arrives_in_s = turns.arrives_in_s(length)
--- a/tests/requests/test_body_turns.py
+++ b/tests/requests/test_body_turns.py
@@ -7,10 +7,10 @@
 from plantaingrade.clock import BootClock
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.client import read_body
-from plantaingrade.http.exchange import async_send_in_turn, read_response
+from plantaingrade.http.exchange import async_send_when_accepted, read_response
 from plantaingrade.http.messages import Request
 from plantaingrade.http.pool import Pool
-from plantaingrade.requests.body_turns import BodyTurns, Turn, TurnState
+from plantaingrade.requests.body_turns import BodyTurn, BodyTurns, BodyTurnState
 from plantaingrade.requests.entity import Answer
 from plantaingrade.sidecar.endpoints import send_answer
 from tests.requests.test_bodies import HOST, listening
@@ -29,7 +29,7 @@
     turns = BodyTurns(link_mbps)
     on_link = []
     for _ in range(30):
-        on_link.extend(turns.offer(Turn(BODY), 0.0))
+        on_link.extend(turns.offer(BodyTurn(BODY), 0.0))
     longest = len(on_link)
     now = 0.0
     while on_link:
@@ -50,7 +50,7 @@
 
 def test_lost_sender_does_not_hold_up_the_others_for_good() -> None:
     turns = BodyTurns(LINK_MBPS)
-    lost, other = Turn(2 * BODY), Turn(BODY)
+    lost, other = BodyTurn(2 * BODY), BodyTurn(BODY)
     assert turns.offer(lost, 0.0) == [lost]
     assert not turns.offer(other, 0.0)
     stall_at = turns.next_stall_at()
@@ -63,7 +63,7 @@
 
 def test_withdrawn_body_leaves_the_line() -> None:
     turns = BodyTurns(LINK_MBPS)
-    first, gone, last = (Turn(2 * BODY) for _ in range(3))
+    first, gone, last = (BodyTurn(2 * BODY) for _ in range(3))
     for turn in (first, gone, last):
         turns.offer(turn, 0.0)
     turns.end(gone, 0.1)
@@ -73,9 +73,9 @@
 
 def test_a_body_longer_than_the_window_has_its_turn() -> None:
     turns = BodyTurns(LINK_MBPS)
-    large = Turn(50 * BODY)
+    large = BodyTurn(50 * BODY)
     assert turns.offer(large, 0.0) == [large]
-    assert large.state is TurnState.ARRIVING
+    assert large.state is BodyTurnState.ARRIVING
 
 
 def test_wait_is_told_for_classes_with_long_bodies_only() -> None:
@@ -85,7 +85,7 @@
     turns = BodyTurns(LINK_MBPS)
     turns.observe('long', BODY)
     turns.observe('short', 300)
-    turns.offer(Turn(BODY), 0.0)
+    turns.offer(BodyTurn(BODY), 0.0)
     assert turns.expected_wait_s('long') == pytest.approx(
         2 * BODY / LINK_BYTES_S
     )
@@ -95,7 +95,9 @@
 
 def test_receiver_without_turns_gets_the_body_all_the_same(monkeypatch) -> None:
     """While instances are updated, some know no turns and give no sign."""
-    monkeypatch.setattr('plantaingrade.http.exchange.FIRST_SIGN_S', 0.05)
+    monkeypatch.setattr(
+        'plantaingrade.http.exchange.FIRST_RESPONSE_TIMEOUT_S', 0.05
+    )
     lengths = []
 
     async def async_handle(raw: Request, channel: Channel) -> None:
@@ -107,7 +109,7 @@
             with Pool(BootClock()) as pool:
                 channel = await pool.connect(f'{HOST}:{port}')
                 headers = ((b'host', b'x'), (b'content-length', b'60000'))
-                head = await async_send_in_turn(
+                head = await async_send_when_accepted(
                     channel, b'POST', b'/', headers, b'b' * BODY
                 )
                 assert head is None
--- a/tests/sidecar/test_turns.py
+++ b/tests/sidecar/test_body_turns.py
@@ -43,7 +43,7 @@
 def slow_down(harness: Harness) -> Node:
     """Give the only instance a slow link."""
     node = harness.nodes[0]
-    node.process._bytes.turn_gate.turns = BodyTurns(SLOW_LINK_MBPS)
+    node.process._bytes.body_turn_gate.turns = BodyTurns(SLOW_LINK_MBPS)
     return node
 
 
