Names: turns for changes of a key map, renewal schedule

A newcomer would have stopped at three kinds of turns with the same module names, at a giver that grants, at registry.order beside the orders of operators, and at limits without unit. No behaviour changes.

--- a/plantaingrade/holds/change_order.py
+++ b/plantaingrade/holds/change_pacing.py
@@ -1,4 +1,4 @@
-"""Wait before changes of the map, so that members don't fail each other."""
+"""Wait before changes of the map, so that those of members don't conflict."""
 
 import asyncio
 import random
@@ -9,15 +9,15 @@
 from plantaingrade.holds.backoff import ConflictBackoff
 from plantaingrade.holds.changes import Change, CommitAttempt
 from plantaingrade.holds.contention import Contention
-from plantaingrade.holds.turns import TurnRank
+from plantaingrade.holds.map_turn_queue import MapTurnRank
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap
 from plantaingrade.peers.entity import MapChanged, Member
-from plantaingrade.peers.turn_taking import Turn, TurnTaking
+from plantaingrade.peers.map_turn_taking import MapTurn, MapTurnTaking
 
 
-class ChangeOrder:
-    """Takes turns for the changes of one member, or backs off without them."""
+class ChangePacing:
+    """Delays the changes of one member until its turn, or backs off."""
 
     __slots__ = (
         '_change',
@@ -34,7 +34,7 @@
     )
 
     def __init__(
-        self, member: Member, maps: KeyMaps, turns: TurnTaking, clock: Clock
+        self, member: Member, maps: KeyMaps, turns: MapTurnTaking, clock: Clock
     ) -> None:
         """Take the turns of a member for its changes."""
         self._member = member
@@ -42,19 +42,19 @@
         self._change: MapChanged | None = None
         self._clock = clock
         self._contention = Contention()
-        self._rank = TurnRank.UNSERVED
-        self._turn: Turn | None = None
-        # Whether a turn was asked for in vain since the last conflict.
+        self._rank = MapTurnRank.UNSERVED
+        self._turn: MapTurn | None = None
+        # Whether a request for a turn was not granted since the last conflict.
         self._is_refused = False
         self._own_version = 0
-        # Time until which a change without a turn is not retried.
+        # Local time until which a change without a turn is not retried.
         self._pause_until = 0.0
         self.turns = turns
         self.backoff = ConflictBackoff(random.Random(member.boot))
         maps.listen(self._on_map)
 
     @contextmanager
-    def attempt(self, rank: TurnRank) -> Iterator[None]:
+    def attempt(self, rank: MapTurnRank) -> Iterator[None]:
         """Return the turn at the end of a commit, if one was taken."""
         self._rank = rank
         self._is_refused = False
@@ -118,7 +118,7 @@
     async def _async_go_without(self, attempt: CommitAttempt) -> None:
         """Back off, or give up a change that would come too late."""
         now = self._clock.now()
-        is_deferrable = self._rank is TurnRank.DEFERRABLE
+        is_deferrable = self._rank is MapTurnRank.DEFERRABLE
         if is_deferrable and now + self.turns.expected_wait_s() > attempt.ends:
             attempt.give_up_contended()
             return
--- a/plantaingrade/holds/contention.py
+++ b/plantaingrade/holds/contention.py
@@ -6,10 +6,10 @@
 
 from collections import deque
 
-# A conflict shows that others change the map; they go on for some seconds.
+# Time in seconds for which a conflict shows that others change the map.
 CONFLICT_MEMORY_S = 2.0
-# So do this many changes by others within a time. At such a rate about one
-# change in ten would fail.
+# This many changes by others within ``CHANGE_MEMORY_S`` seconds show the same:
+# at such a rate about one change in ten would fail.
 CHANGE_COUNT = 2
 CHANGE_MEMORY_S = 0.3
 
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -32,7 +32,7 @@
 from plantaingrade.keyspace.entity import Assignment, KeyRange
 from plantaingrade.peers.entity import Member, Token
 from plantaingrade.peers.map_relay import MapRelay
-from plantaingrade.peers.turn_taking import NoTurns, TurnTaking
+from plantaingrade.peers.map_turn_taking import MapTurnTaking, NoMapTurns
 from plantaingrade.store.interface import Store
 
 CHANGE_LIMIT_S = 1.0
@@ -55,7 +55,7 @@
     witnesses: Witnesses
     on_joined: Callable[[], None]
     shared_renewals: SharedRenewals | None = None
-    turns: TurnTaking = NoTurns()
+    turns: MapTurnTaking = NoMapTurns()
     async_fetch_map: Callable[[str], Awaitable[None]] = _async_fetch_nothing
 
 
--- a/plantaingrade/holds/turns.py
+++ b/plantaingrade/holds/map_turn_queue.py
@@ -22,7 +22,7 @@
 MAX_SILENCE_S = 0.5
 
 
-class TurnRank(IntEnum):
+class MapTurnRank(IntEnum):
     """Urgency of a change; the lowest value comes first."""
 
     # Keys whose owner is lost, leaves, or has a restarted server.
@@ -31,18 +31,21 @@
     DEFERRABLE = 1
 
 
-class WaitingTurn(Struct):
-    """A member's request for a turn."""
+class WaitingMapTurn(Struct):
+    """A member's request for a turn, numbered by its order of arrival.
+
+    ``number`` is the one that the member has given to the request.
+    """
 
     name: str
     address: str
     number: int
     rank: int
-    order: int
+    arrival: int
     repeated_at: float
 
 
-class TurnQueue:
+class MapTurnQueue:
     """First come, first served within a rank; one member at a time."""
 
     __slots__ = (
@@ -58,9 +61,9 @@
         """Start without any request."""
         self._arrivals = 0
         # The turn granted last, until it ends.
-        self.granted: WaitingTurn | None = None
+        self.granted: WaitingMapTurn | None = None
         self._granted_at = 0.0
-        self._waiting: dict[str, WaitingTurn] = {}
+        self._waiting: dict[str, WaitingMapTurn] = {}
         self._turn_s = USUAL_TURN_S
         # Turns that were not returned in time.
         self.lapsed = 0
@@ -80,7 +83,7 @@
             known.repeated_at = now
             return
         self._arrivals += 1
-        self._waiting[name] = WaitingTurn(
+        self._waiting[name] = WaitingMapTurn(
             name, address, number, rank, self._arrivals, now
         )
 
@@ -99,7 +102,7 @@
             return False
         return granted.name == name and granted.number == number
 
-    def advance(self, now: float) -> WaitingTurn | None:
+    def advance(self, now: float) -> WaitingMapTurn | None:
         """Grant the next turn if none is granted; return it if so."""
         if self.granted is not None:
             if now < self._granted_at + TURN_LIMIT_S:
@@ -141,5 +144,5 @@
         }
 
 
-def _place(waiting: WaitingTurn) -> tuple[int, int]:
-    return waiting.rank, waiting.order
+def _place(waiting: WaitingMapTurn) -> tuple[int, int]:
+    return waiting.rank, waiting.arrival
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -15,7 +15,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.availability import StoreAvailability
-from plantaingrade.holds.change_order import ChangeOrder
+from plantaingrade.holds.change_pacing import ChangePacing
 from plantaingrade.holds.changes import (
     RENEWAL,
     Change,
@@ -30,6 +30,7 @@
 )
 from plantaingrade.holds.epochs import MemberEpochs
 from plantaingrade.holds.lease import MemberRow, placeholder_row
+from plantaingrade.holds.map_turn_queue import MapTurnRank
 from plantaingrade.holds.migration import find_unconfirmed_transfers
 from plantaingrade.holds.own_rows import OwnRowFactory, decode_own_row
 from plantaingrade.holds.rows import (
@@ -45,12 +46,11 @@
     make_epoch_start_write,
     make_transaction,
 )
-from plantaingrade.holds.turns import TurnRank
 from plantaingrade.holds.witnesses import Witnesses
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import NO_MAP, KeyMap
 from plantaingrade.peers.entity import Member
-from plantaingrade.peers.turn_taking import TurnTaking
+from plantaingrade.peers.map_turn_taking import MapTurnTaking
 from plantaingrade.store.entity import (
     Committed,
     Conflict,
@@ -94,7 +94,7 @@
         'is_migrating',
         'is_waiting',
         'member',
-        'order',
+        'change_pacing',
         'own_row',
         'rows',
         'term',
@@ -106,7 +106,7 @@
         maps: KeyMaps,
         member: Member,
         witnesses: Witnesses,
-        turns: TurnTaking,
+        turns: MapTurnTaking,
         clock: Clock,
         log: EventLog,
         *,
@@ -127,8 +127,8 @@
         self._maps = maps
         self._clock = clock
         self._log = log
-        self.order = ChangeOrder(member, maps, turns, clock)
-        self.backoff = self.order.backoff
+        self.change_pacing = ChangePacing(member, maps, turns, clock)
+        self.backoff = self.change_pacing.backoff
         self.rows = MemberRows(member, maps, log)
         self.epochs = MemberEpochs(
             store.epochs,
@@ -267,7 +267,7 @@
                 self._shared_renewals if is_shared else self._store,
             )
             is_deferrable = self.accepts_keys and contended_s < limit_s
-            with self.order.attempt(TurnRank(is_deferrable)):
+            with self.change_pacing.attempt(MapTurnRank(is_deferrable)):
                 return await self._async_attempt(plan, attempt)
 
     async def async_leave(self) -> None:
@@ -298,7 +298,7 @@
             change = None if is_late else plan(self)
             if change is None and not attempt.sent_by_id:
                 return _result_unsent(is_late=is_late)
-            if not await self.order.async_wait(change, attempt):
+            if not await self.change_pacing.async_wait(change, attempt):
                 write = self._make_write(change)
                 commit_result = await self._async_send(write, attempt)
         return commit_result
@@ -349,9 +349,9 @@
         if isinstance(outcome, EpochEnded):
             return None
         if isinstance(outcome, Conflict):
-            self.order.on_conflict(write.change, sent_at)
+            self.change_pacing.on_conflict(write.change, sent_at)
             return None
-        self.order.on_unanswered()
+        self.change_pacing.on_unanswered()
         attempt.has_only_conflicts = False
         self._log.write(
             'store-write-open',
@@ -458,7 +458,7 @@
         if change.key_map is not None:
             self.change_base = write.base
             key_map = change.key_map.at_version(version)
-            self.order.on_committed(write.base, key_map)
+            self.change_pacing.on_committed(write.base, key_map)
             self._maps.update_if_newer(self.member.service, key_map)
 
     def _on_conflict(
--- a/plantaingrade/holds/renewal_turns.py
+++ b/plantaingrade/holds/renewal_schedule.py
@@ -8,17 +8,17 @@
 # Renewal periods are rounded down to a multiple of this, so that members that
 # know slightly different numbers of members renew at the same moments.
 PERIOD_STEP_S = 0.5
-# Renewals of a zone are due this long before the end of a period, which leaves
-# time for an own renewal if the common one fails.
-OWN_RENEWAL_S = 0.5
-# Shorter pauses lead to the turn after. Clocks are known within some 20 ms, so
-# a member may renew just before its turn.
+# The period of common renewals is at least this much shorter than the renewal
+# interval, so that a member can renew by itself if the common one fails.
+OWN_RENEWAL_MARGIN_S = 0.5
+# If less than this is left, a member waits for the renewal after the next one:
+# clocks are known within some 20 ms, so it may just have renewed for the next.
 MIN_PAUSE_S = 0.1
 
 
-def pause_until_turn(store_now_s: float, renew_s: float) -> float:
+def pause_until_renewal(store_now_s: float, renew_s: float) -> float:
     """Return the time until the next common renewal, in seconds."""
-    steps = (renew_s - OWN_RENEWAL_S) // PERIOD_STEP_S
+    steps = (renew_s - OWN_RENEWAL_MARGIN_S) // PERIOD_STEP_S
     period_s = max(PERIOD_STEP_S, steps * PERIOD_STEP_S)
     pause_s = period_s - store_now_s % period_s
     return pause_s if pause_s >= MIN_PAUSE_S else pause_s + period_s
--- a/plantaingrade/holds/shared_renewals.py
+++ b/plantaingrade/holds/shared_renewals.py
@@ -5,7 +5,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.codec import MalformedMessageError
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.renewal_turns import pause_until_turn
+from plantaingrade.holds.renewal_schedule import pause_until_renewal
 from plantaingrade.peers.delegates import Delegates
 from plantaingrade.peers.entity import Member
 from plantaingrade.store.batches import CommitBatches
@@ -77,7 +77,7 @@
         store_now_s = self._store.clock.estimate(now)
         if store_now_s is None or self._delegates.choose(now) is None:
             return renew_s
-        return pause_until_turn(store_now_s, renew_s)
+        return pause_until_renewal(store_now_s, renew_s)
 
     async def async_commit(
         self, transaction: Transaction
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -108,7 +108,10 @@
         Nothing is released while the store is unavailable, or while the change
         would wait long for its turn: nobody would serve the keys meanwhile.
         """
-        if not self._registry.availability.is_available or self._is_crowded():
+        if (
+            not self._registry.availability.is_available
+            or self._is_change_delayed()
+        ):
             return False
         moving = self._granter.moving
         if any(each.overlap(other) for each in keys for other in moving):
@@ -201,10 +204,10 @@
         batch.extend(each for each in self._ready if each not in batch)
         return plan_transfers(registry, [each.transfer for each in batch])
 
-    def _is_crowded(self) -> bool:
+    def _is_change_delayed(self) -> bool:
         """Return whether keys that could as well stay should not move now."""
         registry = self._registry
-        wait_s = registry.order.turns.expected_wait_s()
+        wait_s = registry.change_pacing.turns.expected_wait_s()
         return registry.accepts_keys and wait_s > MAX_TURN_WAIT_S
 
     def _contended_limit_s(self) -> float:
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -39,9 +39,9 @@
 )
 from plantaingrade.peers.hooks import PeerHooks
 from plantaingrade.peers.map_follower import MapFollower
+from plantaingrade.peers.map_turns import MapTurns
 from plantaingrade.peers.own_row import OwnRow
 from plantaingrade.peers.service_rows import ServiceRows
-from plantaingrade.peers.turns import MapTurns
 from plantaingrade.peers.witnesses import PeerWitnesses
 from plantaingrade.store.interface import Store
 
@@ -81,7 +81,7 @@
         'has_joined',
         'map_follower',
         'own',
-        'turns',
+        'map_turns',
         'witnesses',
     )
 
@@ -114,7 +114,7 @@
         self.capacity_queries = CapacityQueries(
             own, self._announcer.endpoint, clock, hooks.free_capacity_of
         )
-        self.turns = MapTurns(
+        self.map_turns = MapTurns(
             own,
             directory,
             maps,
@@ -320,7 +320,7 @@
                 self._on_presence(message)
             case MapChanged():
                 self.map_follower.on_changed(message)
-                self.turns.giver.on_changed(message)
+                self.map_turns.granter.on_changed(message)
             case ServerCrashed(digests):
                 self._hooks.on_crash(digests)
             case Forwarded(notification):
@@ -330,7 +330,7 @@
             case CapacityRequest() | CapacityResponse():
                 self.capacity_queries.on_datagram(message)
             case TurnRequest() | TurnAnswer() | TurnEnded():
-                self.turns.on_datagram(message)
+                self.map_turns.on_datagram(message)
 
     def _on_presence(
         self, message: Hello | Welcome | Introduced | Goodbye
--- a/plantaingrade/peers/turn_giver.py
+++ b/plantaingrade/peers/map_turn_granter.py
@@ -6,7 +6,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.const import MS_PER_S
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.turns import TurnQueue, WaitingTurn
+from plantaingrade.holds.map_turn_queue import MapTurnQueue, WaitingMapTurn
 from plantaingrade.peers.entity import (
     MapChanged,
     Member,
@@ -23,10 +23,10 @@
 SendAnswer = Callable[[TurnAnswer, str], None]
 
 
-class TurnGiver:
-    """The queue of one member, used while others ask this one for turns.
+class MapTurnGranter:
+    """Grants turns one after the other to the members that ask this one.
 
-    Nothing of it is stored: after a restart, members that wait ask again.
+    Its queue is only in memory: after a restart, members that wait ask again.
     """
 
     __slots__ = (
@@ -56,7 +56,7 @@
         self._version_of_map = version_of_map
         self._clock = clock
         self._log = log
-        self._queue = TurnQueue()
+        self._queue = MapTurnQueue()
         # The newest version that a member has reported with its turn.
         self._version = 0
         self._change: MapChanged | None = None
@@ -118,7 +118,7 @@
         if granted is not None:
             self._answer(granted.address, granted.number, None)
 
-    def _advance(self) -> WaitingTurn | None:
+    def _advance(self) -> WaitingMapTurn | None:
         before = self._queue.granted
         lapsed = self._queue.lapsed
         granted = self._queue.advance(self._clock.now())
--- a/plantaingrade/peers/turn_taking.py
+++ b/plantaingrade/peers/map_turn_taking.py
@@ -7,42 +7,42 @@
 from plantaingrade.peers.entity import MapChanged
 
 
-class Turn(Struct, frozen=True):
+class MapTurn(Struct, frozen=True):
     """A turn granted by a member, until a local time.
 
     ``version`` is the newest version of the map that the member knows.
     """
 
-    giver: str
+    granter: str
     number: int
     version: int
     until: float
 
 
-class TurnTaking(Protocol):
+class MapTurnTaking(Protocol):
     """Put the changes of several members in an order.
 
     A turn is advice: a change without one is as valid, but more likely to
     conflict with another.
     """
 
-    async def async_take(self, rank: int, limit_s: float) -> Turn | None:
+    async def async_take(self, rank: int, limit_s: float) -> MapTurn | None:
         """Wait for a turn; return None if nobody grants one in time."""
 
-    def give_back(self, turn: Turn, change: MapChanged | None) -> None:
+    def give_back(self, turn: MapTurn, change: MapChanged | None) -> None:
         """End a turn after its change has been committed or has failed."""
 
     def expected_wait_s(self) -> float:
         """Return how long a turn would take by the last answer, in seconds."""
 
 
-class NoTurns:
+class NoMapTurns:
     """Grants no turns, so that changes are sent at once."""
 
-    async def async_take(self, rank: int, limit_s: float) -> Turn | None:
+    async def async_take(self, rank: int, limit_s: float) -> MapTurn | None:
         """Return None at once."""
 
-    def give_back(self, turn: Turn, change: MapChanged | None) -> None:
+    def give_back(self, turn: MapTurn, change: MapChanged | None) -> None:
         """Do nothing: there is no turn."""
 
     def expected_wait_s(self) -> float:
--- a/plantaingrade/peers/turns.py
+++ b/plantaingrade/peers/map_turns.py
@@ -1,4 +1,4 @@
-"""Take turns with the other members of a service, by datagram."""
+"""Take turns to change the key map of a service, by datagram."""
 
 import asyncio
 from collections.abc import Callable
@@ -8,7 +8,11 @@
 from plantaingrade.clock import Clock
 from plantaingrade.const import MS_PER_S
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.turns import MAX_REPEAT_S, TURN_LIMIT_S, TurnRank
+from plantaingrade.holds.map_turn_queue import (
+    MAX_REPEAT_S,
+    TURN_LIMIT_S,
+    MapTurnRank,
+)
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyMap
 from plantaingrade.peers.directory import Directory
@@ -19,8 +23,8 @@
     TurnEnded,
     TurnRequest,
 )
-from plantaingrade.peers.turn_giver import TurnGiver
-from plantaingrade.peers.turn_taking import Turn
+from plantaingrade.peers.map_turn_granter import MapTurnGranter
+from plantaingrade.peers.map_turn_taking import MapTurn
 
 TurnMessage = TurnRequest | TurnAnswer | TurnEnded
 SendTurnMessage = Callable[[TurnMessage, str], None]
@@ -37,7 +41,7 @@
 MAP_WAIT_S = 0.015
 
 
-class TurnWait:
+class MapTurnWait:
     """One request for a turn, and what has been answered so far."""
 
     __slots__ = (
@@ -49,18 +53,18 @@
         'unanswered',
         'until',
         'wait_s',
-        'winning',
+        'grant',
     )
 
     def __init__(self, number: int, rank: int, until: float) -> None:
         """Wait until a local time; start without an answer."""
         self.number = number
-        self.is_deferrable = rank == TurnRank.DEFERRABLE
+        self.is_deferrable = rank == MapTurnRank.DEFERRABLE
         self.until = until
         self.answered = asyncio.Event()
         self.granted = asyncio.Event()
         # The answer that grants the turn.
-        self.winning: TurnAnswer | None = None
+        self.grant: TurnAnswer | None = None
         # Time until the turn by the last answer, and local time of the turn.
         self.wait_s = 0.0
         self.expected_at = 0.0
@@ -78,7 +82,7 @@
         self.expected_at = now + self.wait_s
         self.answered.set()
         if answer.wait_ms is None:
-            self.winning = answer
+            self.grant = answer
             self.granted.set()
 
     def is_open(self, now: float) -> bool:
@@ -122,7 +126,7 @@
         '_send_datagram',
         '_silent_until',
         '_wait',
-        'giver',
+        'granter',
         'taken',
         'unanswered',
         'waited_s',
@@ -150,9 +154,9 @@
         self._clock = clock
         self._log = log
         self._numbers = count(1)
-        self._wait: TurnWait | None = None
+        self._wait: MapTurnWait | None = None
         self._silent_until: dict[str, float] = {}
-        self._held: Turn | None = None
+        self._held: MapTurn | None = None
         self._expected_at = 0.0
         self._map_changed = asyncio.Event()
         # Turns that were granted to this member, those asked for without an
@@ -160,14 +164,16 @@
         self.taken = 0
         self.unanswered = 0
         self.waited_s = 0.0
-        self.giver = TurnGiver(own, self._send, self._version, clock, log)
+        self.granter = MapTurnGranter(
+            own, self._send, self._version, clock, log
+        )
         maps.listen(self._on_map)
 
-    async def async_take(self, rank: int, limit_s: float) -> Turn | None:
+    async def async_take(self, rank: int, limit_s: float) -> MapTurn | None:
         """Wait for a turn; return None if nobody grants one in time."""
         started_at = self._clock.now()
         until = started_at + limit_s
-        wait = TurnWait(next(self._numbers), rank, until)
+        wait = MapTurnWait(next(self._numbers), rank, until)
         self._wait = wait
         try:
             turn = await self._async_take(wait, rank)
@@ -180,10 +186,10 @@
             await self._async_wait_for_map(turn.version)
         return turn
 
-    def give_back(self, turn: Turn, change: MapChanged | None) -> None:
+    def give_back(self, turn: MapTurn, change: MapChanged | None) -> None:
         """End a turn after its change has been committed or has failed."""
         self._held = None
-        self._end(turn.giver, turn.number, change)
+        self._end(turn.granter, turn.number, change)
 
     def expected_wait_s(self) -> float:
         """Return how long a turn would take by the last answer, in seconds."""
@@ -193,10 +199,10 @@
         """Handle a message of another member, or of this one."""
         match message:
             case TurnRequest():
-                self.giver.on_request(message)
+                self.granter.on_request(message)
             case TurnEnded():
                 self._apply(message.change)
-                self.giver.on_ended(message)
+                self.granter.on_ended(message)
             case TurnAnswer():
                 self._apply(message.change)
                 self._on_answer(message)
@@ -205,25 +211,25 @@
         if change is not None:
             self._apply_change(change)
 
-    async def _async_take(self, wait: TurnWait, rank: int) -> Turn | None:
-        giver = None
+    async def _async_take(self, wait: MapTurnWait, rank: int) -> MapTurn | None:
+        granter = None
         try:
             while wait.is_open(self._clock.now()):
-                giver = self._find_giver()
-                if giver is None or self._is_silent(wait, giver):
+                granter = self._find_granter()
+                if granter is None or self._is_silent(wait, granter):
                     break
-                await self._async_ask(giver, wait, rank)
+                await self._async_ask(granter, wait, rank)
         finally:
-            if wait.winning is None and giver is not None:
-                self._end(giver.name, wait.number)
-        answer = wait.winning
+            if wait.grant is None and granter is not None:
+                self._end(granter.name, wait.number)
+        answer = wait.grant
         if answer is None:
             return None
         until = self._clock.now() + TURN_LIMIT_S
-        return Turn(answer.name, answer.number, answer.version, until)
+        return MapTurn(answer.name, answer.number, answer.version, until)
 
     async def _async_ask(
-        self, giver: Member, wait: TurnWait, rank: int
+        self, granter: Member, wait: MapTurnWait, rank: int
     ) -> None:
         """Ask once; wait until the turn is granted or it is time to repeat."""
         wait.on_asked()
@@ -231,12 +237,12 @@
         request = TurnRequest(
             own.service, own.name, own.address, wait.number, rank
         )
-        self._send(request, giver.address)
+        self._send(request, granter.address)
         await self._async_wait(wait.answered, ANSWER_TIMEOUT_S, wait.until)
         if wait.is_open(self._clock.now()):
             await self._async_wait(wait.granted, wait.repeat_s(), wait.until)
 
-    def _find_giver(self) -> Member | None:
+    def _find_granter(self) -> Member | None:
         """Return the first owner in the order of keys that may answer.
 
         Suspicions after failed connections differ from member to member, and so
@@ -253,14 +259,14 @@
                 return member
         return None
 
-    def _is_silent(self, wait: TurnWait, giver: Member) -> bool:
+    def _is_silent(self, wait: MapTurnWait, granter: Member) -> bool:
         """Return whether a member has left too many requests unanswered."""
         if wait.unanswered < MAX_UNANSWERED:
             return False
-        self._silent_until[giver.name] = self._clock.now() + SILENT_PAUSE_S
+        self._silent_until[granter.name] = self._clock.now() + SILENT_PAUSE_S
         self.unanswered += 1
         self._expected_at = 0.0
-        self._log.write('turn-unanswered', member=giver.name)
+        self._log.write('turn-unanswered', member=granter.name)
         return True
 
     def _on_answer(self, answer: TurnAnswer) -> None:
@@ -277,10 +283,10 @@
         return self._held is not None and self._held.number == number
 
     def _end(
-        self, giver: str, number: int, change: MapChanged | None = None
+        self, granter: str, number: int, change: MapChanged | None = None
     ) -> None:
-        member = self._directory.find(giver)
-        if giver == self._own.name:
+        member = self._directory.find(granter)
+        if granter == self._own.name:
             member = self._own
         if member is None:
             return
--- a/plantaingrade/sidecar/gauges.py
+++ b/plantaingrade/sidecar/gauges.py
@@ -10,7 +10,7 @@
 from plantaingrade.config.coordinator import ConfigFollower
 from plantaingrade.holds.registry import Registry
 from plantaingrade.http.pipeline import EarlyTotals
-from plantaingrade.peers.turns import MapTurns
+from plantaingrade.peers.map_turns import MapTurns
 from plantaingrade.requests.held_bytes import Side
 from plantaingrade.requests.server_path import ServerPath
 from plantaingrade.sidecar.instance_bytes import InstanceBytes
@@ -25,7 +25,7 @@
     config: ConfigFollower
     registry: Registry
     server_path: ServerPath
-    turns: MapTurns
+    map_turns: MapTurns
     held: InstanceBytes
     early: EarlyTotals
     clock: Clock
@@ -58,7 +58,7 @@
 
 
 def _register_keys(metrics: Metrics, parts: GaugeSources) -> None:
-    registry, turns, clock = parts.registry, parts.turns, parts.clock
+    registry, map_turns, clock = parts.registry, parts.map_turns, parts.clock
     register = metrics.register_gauge
     register(
         'lease_left_seconds',
@@ -68,22 +68,22 @@
     register(
         'turns_taken',
         'Turns to change the key map that this process was granted.',
-        lambda: turns.taken,
+        lambda: map_turns.taken,
     )
     register(
         'turns_unanswered',
         'Turns to change the key map that nobody granted in time.',
-        lambda: turns.unanswered,
+        lambda: map_turns.unanswered,
     )
     register(
         'turns_wait_seconds',
         'Total wait for turns to change the key map.',
-        lambda: turns.waited_s,
+        lambda: map_turns.waited_s,
     )
     register(
         'turns_lapsed',
         'Turns granted by this process that were not returned in time.',
-        lambda: turns.giver.lapsed,
+        lambda: map_turns.granter.lapsed,
     )
 
 
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -227,7 +227,7 @@
                 self._peers.witnesses,
                 self._on_joined,
                 self._store_access.shared_renewals,
-                self._peers.turns,
+                self._peers.map_turns,
                 lambda service: self._peers.map_follower.async_fetch_nearby(
                     service, self._own
                 ),
@@ -400,7 +400,7 @@
                 self._config,
                 self.holds.registry,
                 self._server_path,
-                self._peers.turns,
+                self._peers.map_turns,
                 self._bytes,
                 self._read_ahead.totals,
                 self._clock,
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -38,8 +38,8 @@
 from plantaingrade.keyspace.entity import KeyMap, KeyRange
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import MapChanged, Member, Token
-from plantaingrade.peers.turn_taking import NoTurns
-from plantaingrade.peers.turns import MapTurns, TurnMessage
+from plantaingrade.peers.map_turn_taking import NoMapTurns
+from plantaingrade.peers.map_turns import MapTurns, TurnMessage
 from plantaingrade.store.clock import StoreClock
 from plantaingrade.store.entity import (
     Changes,
@@ -761,7 +761,7 @@
                 self.make_shared_renewals(name, store),
                 self.turns.connect(identity, maps, self._log)
                 if self.turns
-                else NoTurns(),
+                else NoMapTurns(),
             ),
             starts_with_all=starts_with_all,
         )
--- a/tests/holds/test_turns.py
+++ b/tests/holds/test_map_turn_queue.py
@@ -1,23 +1,25 @@
 """The queue of a member that grants turns."""
 
 from plantaingrade.holds.contention import CHANGE_MEMORY_S, Contention
-from plantaingrade.holds.turns import (
+from plantaingrade.holds.map_turn_queue import (
     MAX_SILENCE_S,
     TURN_LIMIT_S,
     USUAL_TURN_S,
-    TurnQueue,
-    TurnRank,
+    MapTurnQueue,
+    MapTurnRank,
 )
 
 
-def make_queue(*names: str, rank: TurnRank = TurnRank.DEFERRABLE) -> TurnQueue:
-    queue = TurnQueue()
+def make_queue(
+    *names: str, rank: MapTurnRank = MapTurnRank.DEFERRABLE
+) -> MapTurnQueue:
+    queue = MapTurnQueue()
     for name in names:
         queue.request(name, name, 1, rank, 0.0)
     return queue
 
 
-def granted_names(queue: TurnQueue) -> list[str]:
+def granted_names(queue: MapTurnQueue) -> list[str]:
     """Grant and end all turns; return the names in their order."""
     names = []
     granted = queue.advance(0.0)
@@ -35,7 +37,7 @@
 def test_unserved_keys_come_before_those_that_could_stay() -> None:
     """A server leaves while forty members even out their load."""
     queue = make_queue('a', 'b')
-    queue.request('leaving', 'leaving', 1, TurnRank.UNSERVED, 0.0)
+    queue.request('leaving', 'leaving', 1, MapTurnRank.UNSERVED, 0.0)
     assert granted_names(queue) == ['leaving', 'a', 'b']
 
 
@@ -66,7 +68,7 @@
 
 def test_a_repeated_request_keeps_its_place() -> None:
     queue = make_queue('a', 'b')
-    queue.request('a', 'a', 1, TurnRank.DEFERRABLE, 0.1)
+    queue.request('a', 'a', 1, MapTurnRank.DEFERRABLE, 0.1)
     assert granted_names(queue) == ['a', 'b']
 
 
@@ -74,7 +76,7 @@
     """The answer that grants a turn is lost, so the member asks again."""
     queue = make_queue('a')
     queue.advance(0.0)
-    queue.request('a', 'a', 1, TurnRank.DEFERRABLE, 0.04)
+    queue.request('a', 'a', 1, MapTurnRank.DEFERRABLE, 0.04)
     assert queue.is_granted('a', 1)
     queue.end('a', 1, 0.0)
     assert queue.advance(0.05) is None
@@ -83,7 +85,7 @@
 def test_members_that_are_gone_cost_no_turns() -> None:
     """Twenty members are lost with their zone while they wait."""
     queue = make_queue('a', 'b', 'c')
-    queue.request('c', 'c', 1, TurnRank.DEFERRABLE, MAX_SILENCE_S)
+    queue.request('c', 'c', 1, MapTurnRank.DEFERRABLE, MAX_SILENCE_S)
     assert queue.advance(MAX_SILENCE_S + 0.1).name == 'c'
 
 
@@ -100,7 +102,7 @@
     """
     queue = make_queue('a', 'b', 'c')
     for number in range(40):
-        queue.request('d', 'd', number, TurnRank.UNSERVED, 0.0)
+        queue.request('d', 'd', number, MapTurnRank.UNSERVED, 0.0)
         now = 0.01 * number
         assert queue.advance(now)
         queue.end('d', number, now + 2 * USUAL_TURN_S)
--- a/tests/holds/test_shared_renewals.py
+++ b/tests/holds/test_shared_renewals.py
@@ -7,10 +7,10 @@
 import pytest
 
 from plantaingrade.holds.const import BASE_GRACE_S, LEASE_S, RENEW_S
-from plantaingrade.holds.renewal_turns import (
+from plantaingrade.holds.renewal_schedule import (
     MIN_PAUSE_S,
-    OWN_RENEWAL_S,
-    pause_until_turn,
+    OWN_RENEWAL_MARGIN_S,
+    pause_until_renewal,
 )
 from plantaingrade.holds.shared_renewals import SharedRenewals
 from plantaingrade.keyspace.entity import KEY_COUNT
@@ -46,7 +46,7 @@
 SPAN_S = 24.0
 CHECK_S = 0.1
 LATE_S = 3.0
-PERIOD_S = RENEW_S - OWN_RENEWAL_S
+PERIOD_S = RENEW_S - OWN_RENEWAL_MARGIN_S
 
 
 def member(name: str) -> Member:
@@ -313,13 +313,13 @@
 def test_turns_are_the_same_for_all_clocks_and_never_late() -> None:
     """A failed common renewal leaves time for an own one."""
     for now_s in (0.0, 1.2, 2.41, 2.5, 100.4):
-        due_s = now_s + pause_until_turn(now_s, RENEW_S)
+        due_s = now_s + pause_until_renewal(now_s, RENEW_S)
         assert due_s % PERIOD_S == pytest.approx(0, abs=1e-9)
         assert due_s - now_s <= PERIOD_S + MIN_PAUSE_S
 
 
 def test_slightly_different_counts_give_the_same_period() -> None:
-    assert pause_until_turn(0.0, 3.1) == pause_until_turn(0.0, 3.4)
+    assert pause_until_renewal(0.0, 3.1) == pause_until_renewal(0.0, 3.4)
 
 
 def test_member_without_others_renews_at_its_own_times() -> None:
--- a/tests/peers/test_turns.py
+++ b/tests/peers/test_map_turns.py
@@ -4,13 +4,17 @@
 import os
 
 from plantaingrade.eventlog import EventLog
-from plantaingrade.holds.turns import TURN_LIMIT_S, USUAL_TURN_S, TurnRank
+from plantaingrade.holds.map_turn_queue import (
+    TURN_LIMIT_S,
+    USUAL_TURN_S,
+    MapTurnRank,
+)
 from plantaingrade.keyspace.assign import reassign, split_evenly
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.keyspace.entity import KeyRange
 from plantaingrade.peers.entity import MapChanged, Member, TurnAnswer, TurnEnded
-from plantaingrade.peers.turn_taking import Turn
-from plantaingrade.peers.turns import ANSWER_TIMEOUT_S
+from plantaingrade.peers.map_turn_taking import MapTurn
+from plantaingrade.peers.map_turns import ANSWER_TIMEOUT_S
 from tests.holds.fakes import FakeTurnNetwork
 from tests.virtual import LoopClock, run
 
@@ -19,7 +23,7 @@
     for number in range(6)
 ]
 NAMES = [member.name for member in MEMBERS]
-GIVER = MEMBERS[0].address
+GRANTER = MEMBERS[0].address
 LIMIT_S = 0.4
 # Longest loss of time to a member that grants no turns.
 MAX_LOSS_S = 0.1
@@ -45,8 +49,8 @@
             maps.update_if_newer('s', key_map)
 
     async def async_take(
-        self, index: int, rank: TurnRank = TurnRank.UNSERVED
-    ) -> Turn | None:
+        self, index: int, rank: MapTurnRank = MapTurnRank.UNSERVED
+    ) -> MapTurn | None:
         return await self.turns[index].async_take(rank, LIMIT_S)
 
 
@@ -74,28 +78,28 @@
     run(scenario())
 
 
-def test_a_lost_giver_costs_a_tenth_of_a_second() -> None:
+def test_a_lost_granter_costs_a_tenth_of_a_second() -> None:
     """The member that grants turns is lost, or its process is stopped."""
 
     async def scenario() -> None:
         service = Service()
-        service.network.unreachable.add(GIVER)
+        service.network.unreachable.add(GRANTER)
         started_at = now()
         assert await service.async_take(1) is None
         assert now() - started_at < MAX_LOSS_S
         # The next owner in the order of keys is asked from now on.
-        assert (await service.async_take(1)).giver == NAMES[1]
+        assert (await service.async_take(1)).granter == NAMES[1]
 
     run(scenario())
 
 
-def test_a_giver_lost_while_others_wait_is_noticed_at_their_turn() -> None:
+def test_a_granter_lost_while_others_wait_is_noticed_at_their_turn() -> None:
     async def scenario() -> None:
         service = Service()
         assert await service.async_take(1)
         waiting = asyncio.create_task(service.async_take(2))
         await asyncio.sleep(ANSWER_TIMEOUT_S / 2)
-        service.network.unreachable.add(GIVER)
+        service.network.unreachable.add(GRANTER)
         started_at = now()
         assert await waiting is None
         assert now() - started_at < 2 * MAX_LOSS_S
@@ -103,7 +107,7 @@
     run(scenario())
 
 
-def test_a_giver_that_was_stopped_gets_late_turns_back() -> None:
+def test_a_granter_that_was_stopped_gets_late_turns_back() -> None:
     """Its process is stopped with a queue, and goes on seconds later."""
 
     async def scenario() -> None:
@@ -111,7 +115,7 @@
         held = await service.async_take(1)
         waiting = asyncio.create_task(service.async_take(2))
         await asyncio.sleep(ANSWER_TIMEOUT_S / 2)
-        service.network.unreachable.add(GIVER)
+        service.network.unreachable.add(GRANTER)
         assert await waiting is None
         service.network.unreachable.clear()
         service.turns[1].give_back(held, None)
@@ -173,12 +177,12 @@
         started_at = now()
         assert await service.async_take(2)
         assert now() - started_at < TURN_LIMIT_S + MAX_LOSS_S
-        assert service.turns[0].giver.lapsed == 1
+        assert service.turns[0].granter.lapsed == 1
 
     run(scenario())
 
 
-def test_two_givers_grant_a_turn_each() -> None:
+def test_two_granters_grant_a_turn_each() -> None:
     """Two members know different maps, so they ask different members.
 
     Both get a turn: their changes conflict in the store as without turns.
@@ -190,7 +194,7 @@
         service.maps[2].update_if_newer('s', other)
         first = await service.async_take(1)
         second = await service.async_take(2)
-        assert (first.giver, second.giver) == (NAMES[0], NAMES[4])
+        assert (first.granter, second.granter) == (NAMES[0], NAMES[4])
 
     run(scenario())
 
@@ -200,11 +204,11 @@
 
     async def scenario() -> None:
         service = Service()
-        giver = service.turns[0].giver
+        granter = service.turns[0].granter
         for number in range(30):
-            giver._queue.request(f'x{number}', GIVER, 1, 0, now() + LIMIT_S)
+            granter._queue.request(f'x{number}', GRANTER, 1, 0, now() + LIMIT_S)
         started_at = now()
-        assert await service.async_take(1, TurnRank.DEFERRABLE) is None
+        assert await service.async_take(1, MapTurnRank.DEFERRABLE) is None
         assert now() - started_at < ANSWER_TIMEOUT_S
         assert service.turns[1].expected_wait_s() > LIMIT_S
 
