Names: long-term work, later messages of a connection, units of limits

A newcomer would have stopped at the pace of the moment, at messages ahead that come behind while Request.ahead counts those before, at moves named evening, and at constants without unit. No behaviour changes.

--- a/plantaingrade/admission/estimate.py
+++ b/plantaingrade/admission/estimate.py
@@ -2,7 +2,7 @@
 
 import math
 
-from plantaingrade.admission.lasting import LastingWork
+from plantaingrade.admission.long_term import LongTermWork
 
 # Weight of a new sample. The speed of a server may change suddenly by a factor
 # of several, and a busy server yields about 20 samples per second: with a
@@ -24,7 +24,7 @@
         '_mean_s',
         '_mean_s_by_kind',
         '_slot_s_by_kind',
-        'lasting',
+        'long_term',
     )
 
     def __init__(self) -> None:
@@ -33,7 +33,7 @@
         self._mean_s: float | None = None
         self._slot_s_by_kind: dict[str, float] = {}
         self._longest_s = 0.0
-        self.lasting = LastingWork()
+        self.long_term = LongTermWork()
 
     def observe(self, kind: str, duration_s: float) -> None:
         """Add the duration of one piece of work."""
@@ -48,14 +48,14 @@
         """Return the expected duration of a class of work."""
         return self._mean_s_by_kind.get(kind, self.mean_s())
 
-    def lasting_s(self, kind: str) -> float:
-        """Return the duration of a class apart from the pace of the moment."""
-        lasting_s = self.lasting.expected_s(kind)
-        return self.expected_s(kind) if lasting_s is None else lasting_s
+    def long_term_s(self, kind: str) -> float:
+        """Return the mean duration of a class over some seconds."""
+        long_term_s = self.long_term.expected_s(kind)
+        return self.expected_s(kind) if long_term_s is None else long_term_s
 
-    def lasting_mean_s(self) -> float:
-        """Return the mean duration apart from the pace of the moment."""
-        mean_s = self.lasting.mean_s()
+    def long_term_mean_s(self) -> float:
+        """Return the mean duration of all classes over some seconds."""
+        mean_s = self.long_term.mean_s()
         return self.mean_s() if mean_s is None else mean_s
 
     def longest_s(self) -> float:
--- a/plantaingrade/admission/lasting.py
+++ b/plantaingrade/admission/long_term.py
@@ -1,8 +1,9 @@
-"""Lasting work durations of a server, apart from its pace of the moment.
+"""Durations of work over seconds, without the short slowdowns of a server.
 
 Load that this answers to: servers share their machines with others, so that a
 fifth of them work at a third of their speed for some tenths of a second each.
-Single requests must go by that; keys must not, since a move takes longer.
+Requests are scheduled by the momentary duration; keys are not, since a move
+takes longer than a slowdown.
 """
 
 import math
@@ -36,7 +37,7 @@
         return self._total / self._weight
 
 
-class LastingWork:
+class LongTermWork:
     """Mean duration of each class of work over seconds, not requests."""
 
     __slots__ = ('_mean', '_mean_by_kind')
--- a/plantaingrade/admission/server_bytes.py
+++ b/plantaingrade/admission/server_bytes.py
@@ -10,26 +10,26 @@
 
 # Connections that break within this time belong to the same crash, in seconds.
 SAME_CRASH_S = 0.2
-# Crashes with fewer bytes at the server are no matter of its memory.
+# A crash with fewer bytes at the server is not attributed to its memory.
 MIN_CRASH_BYTES = 65_536
 # Part of the bytes at a crash that are sent from then on: some of them may not
 # have arrived yet.
 CRASH_FRACTION = 0.6
-# A crash with at most this multiple of what the server has once answered with
-# teaches nothing.
+# No limit is learned from a crash with at most this multiple of the bytes that
+# the server has held without a crash.
 SURVIVED_MULTIPLE = 1.1
 # The limit rises by a quarter after each such time without a crash, in seconds,
 # as the crash may have had another cause.
 RAISE_AFTER_S = 10.0
 RAISE_FACTOR = 1.25
-# After a crash that teaches nothing less counts as survived: the next server
-# may have less memory.
+# The bytes known to be survived are reduced by this factor after a crash from
+# which no limit is learned: the next server may have less memory.
 FORGET_FACTOR = 0.8
 # The limit ends when it is this many times the bytes at the crash.
 END_MULTIPLE = 2.0
 
 
-class BytesLearned(Struct, frozen=True):
+class LearnedByteLimit(Struct, frozen=True):
     """A limit learned from a crash, and the bytes at the server then."""
 
     limit: int
@@ -92,7 +92,7 @@
             self._at_break = self.running
         self._broken_at = now
 
-    def on_crash(self, now: float) -> BytesLearned | None:
+    def on_crash(self, now: float) -> LearnedByteLimit | None:
         """Learn from a crash, which broke the connections just recorded."""
         at_crash = self._at_break
         self._at_break = 0
@@ -104,7 +104,7 @@
         self._at_crash = at_crash
         self._limit = at_crash * CRASH_FRACTION
         self._changed_at = now
-        return BytesLearned(round(self._limit), at_crash)
+        return LearnedByteLimit(round(self._limit), at_crash)
 
     def _relax(self, now: float) -> None:
         while now - self._changed_at >= RAISE_AFTER_S:
--- a/plantaingrade/balance/const.py
+++ b/plantaingrade/balance/const.py
@@ -43,8 +43,8 @@
 MIN_ISOLATED_SHARE = 1.0
 # Ratio of speeds from which a hot key is worth the interruption of a move.
 MIN_SPEED_GAIN = 1.25
-# Time whose requests are compared with those of the whole window.
+# The requests of this time are compared with those of the whole window.
 RECENT_S = 0.4
-# Standard deviations from which they show a change of the load. A hundred
-# servers compare five times a second, so that strays of three are frequent.
+# Difference that shows a change of the load, in standard deviations. A hundred
+# servers compare five times a second, so that noise often reaches three.
 SIGNIFICANT_DEVIATIONS = 4.0
--- a/plantaingrade/balance/coordinator.py
+++ b/plantaingrade/balance/coordinator.py
@@ -103,7 +103,7 @@
         usable = max(MIN_USABLE_SLOTS, self._queue.usable_slots(now))
         share = LEAVING_SHARE if self._refuses_keys else work / usable
         slots = max(1, round(usable))
-        return Load(share, self._queue.estimate.lasting_mean_s(), slots)
+        return Load(share, self._queue.estimate.long_term_mean_s(), slots)
 
     def on_offer(self, offer: Offer) -> OfferReply:
         """Accept offered work if the own load stays below the sender's.
--- a/plantaingrade/balance/mover.py
+++ b/plantaingrade/balance/mover.py
@@ -117,11 +117,11 @@
             *(self._async_move(own, move) for move in moves)
         )
         # Keys are served during this pause, but not while a map change waits.
-        turn_pause_s = self._holds.registry.backoff.deferral_s()
+        conflict_pause_s = self._holds.registry.backoff.deferral_s()
         pause_s = self._backoff.on_moves(
             transfers.count(True), transfers.count(False)
         )
-        self._paused_until = self._clock.now() + max(turn_pause_s, pause_s)
+        self._paused_until = self._clock.now() + max(conflict_pause_s, pause_s)
 
     async def _async_move(self, own: Load, move: Move) -> bool | None:
         """Return whether the transfer succeeded, or None if not attempted."""
--- a/plantaingrade/balance/planning.py
+++ b/plantaingrade/balance/planning.py
@@ -1,4 +1,4 @@
-"""Plan the moves of one moment; performs no I/O.
+"""Plan the moves of one round of balancing; performs no I/O.
 
 Load that this answers to: a server is overloaded by many keys, which receivers
 can relieve it of, or by one key, which they cannot.
@@ -17,18 +17,18 @@
 class MovePlan(Struct, frozen=True):
     """Moves to start now.
 
-    ``isolated`` is the move of a key too hot for its server, ``evening``
+    ``isolated`` is the move of a key too hot for its server, ``balancing``
     are those that even out loads.
     """
 
     isolated: Move | None
-    evening: Sequence[Move]
+    balancing: Sequence[Move]
 
     @property
     def moves(self) -> list[Move]:
         """Return all moves."""
         isolated = [] if self.isolated is None else [self.isolated]
-        return [*isolated, *self.evening]
+        return [*isolated, *self.balancing]
 
 
 def plan_moves(
@@ -44,8 +44,8 @@
     """
     isolated = choose_isolation(own, load_by_member, ranges, key_loads)
     if isolated is None:
-        evening = choose_moves(own, load_by_member, ranges, key_loads)
-        return MovePlan(None, evening)
+        balancing = choose_moves(own, load_by_member, ranges, key_loads)
+        return MovePlan(None, balancing)
     candidates = {
         name: load
         for name, load in load_by_member.items()
--- a/plantaingrade/http/channel.py
+++ b/plantaingrade/http/channel.py
@@ -17,8 +17,8 @@
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.http.connection import NEED_DATA, Connection
 from plantaingrade.http.const import (
-    MAX_FURTHER_BYTES,
     MAX_HEAD_BYTES,
+    MAX_READ_AHEAD_BYTES,
     MAX_UNREAD_BYTES,
 )
 from plantaingrade.http.messages import (
@@ -64,7 +64,7 @@
         'is_last_response',
         'last_byte_at',
         'on_closed',
-        'on_further',
+        'on_later_message',
         'remote',
         'transport',
     )
@@ -89,8 +89,8 @@
         self._request_task: asyncio.Task[Any] | None = None
         # Called when the connection was closed by the peer or broke.
         self.on_closed: Callable[[], None] | None = None
-        # Called when parts of a request behind the current one have arrived.
-        self.on_further: Callable[[], None] | None = None
+        # Called when parts of a request after the current one have arrived.
+        self.on_later_message: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -105,9 +105,9 @@
         if not self.closed:
             self._unparsed.receive(data, self.last_byte_at)
         limit = MAX_UNREAD_BYTES
-        if self.on_further is not None and self.http.has_message_ahead:
-            limit = MAX_FURTHER_BYTES
-            self.on_further()
+        if self.on_later_message is not None and self.http.has_later_message:
+            limit = MAX_READ_AHEAD_BYTES
+            self.on_later_message()
         if self._unread > limit and not self._paused:
             self._paused = True
             self.transport.pause_reading()
@@ -161,7 +161,7 @@
             event = self._parse()
             if event is not NEED_DATA:
                 if isinstance(event, EndOfMessage):
-                    self._check_further()
+                    self._check_later_message()
                 return event
             if self.closed:
                 raise ChannelClosedError('Connection closed by the peer.')
@@ -298,12 +298,12 @@
                 'Invalid or incomplete response.'
             ) from error
 
-    def _check_further(self) -> None:
-        if self.on_further is None:
+    def _check_later_message(self) -> None:
+        if self.on_later_message is None:
             return
         self._unparsed.parse_more()
-        if self.http.has_message_ahead:
-            self.on_further()
+        if self.http.has_later_message:
+            self.on_later_message()
 
     def _mark_closed(self) -> None:
         if self.closed:
--- a/plantaingrade/http/connection.py
+++ b/plantaingrade/http/connection.py
@@ -72,10 +72,10 @@
         return not self._reader.is_between_messages
 
     @property
-    def has_message_ahead(self) -> bool:
-        """Return whether parts of a message behind the current one are there.
+    def has_later_message(self) -> bool:
+        """Return whether parts of a message after the current one were parsed.
 
-        The peer's current message is consumed.
+        False while the peer's current message is not consumed.
         """
         return self.their_state is State.DONE and bool(self._reader.parts)
 
@@ -115,11 +115,11 @@
             raise RemoteProtocolError('Connection closed without a response.')
         return CLOSED
 
-    def message_ahead(self, number: int) -> list[Part] | None:
-        """Return a message behind the current one without consuming it.
+    def find_later_message(self, number: int) -> list[Part] | None:
+        """Return a message after the current one without consuming it.
 
-        ``number`` counts them from 0. Return None if it has not arrived whole,
-        or if the peer's current message is not consumed.
+        ``number`` counts these messages from 0. Return None if it has not
+        arrived whole, or if the peer's current message is not consumed.
         """
         if self.their_state is not State.DONE:
             return None
--- a/plantaingrade/http/const.py
+++ b/plantaingrade/http/const.py
@@ -2,9 +2,11 @@
 
 MAX_HEAD_BYTES = 16_384
 MAX_UNREAD_BYTES = 262_144
-# Of requests behind the current one.
-MAX_FURTHER_BYTES = 65_536
-# A request in the parser takes some times the memory of its bytes.
+# Bytes of the connection that are read while a request is served, if they
+# belong to later requests.
+MAX_READ_AHEAD_BYTES = 65_536
+# Number of parsed parts from which on the parser gets no more bytes, and bytes
+# that it gets at once: a parsed request takes several times their memory.
 MAX_PARSED_PARTS = 128
 PARSED_AT_ONCE_BYTES = 16_384
 CONNECT_TIMEOUT_S = 0.5
--- a/plantaingrade/http/read_ahead.py
+++ b/plantaingrade/http/read_ahead.py
@@ -25,8 +25,9 @@
     PipelineLimits,
 )
 
-# It may have run, and may still be running.
-GIVEN_UP = (
+# Answer to the current request if this process ends before the request does,
+# which may have run.
+GIVEN_UP_ANSWER = (
     Response(
         status_code=STATUS_BAD_GATEWAY, headers=((b'content-length', b'0'),)
     ),
@@ -64,7 +65,7 @@
 
 
 class EarlyChannel:
-    """Takes the place of the connection for a request that is not its turn.
+    """Takes the place of the connection for a request before its turn.
 
     It has the methods of ``Channel`` that request handlers use. The answer is
     kept in parts, since its framing depends on whether it is the last one of
@@ -162,7 +163,7 @@
         self._is_draining = is_draining
         self._pipeline = Pipeline(hooks.limits, hooks.totals)
         self._current: Request | None = None
-        channel.on_further = self._begin_further
+        channel.on_later_message = self._begin_early_requests
         channel.on_closed = self.close
 
     @property
@@ -195,7 +196,7 @@
     async def async_deliver(self, early: EarlyRun) -> None:
         """Send the answer of the current request once it is there."""
         self._channel.http.skip_body()
-        self._begin_further()
+        self._begin_early_requests()
         try:
             await early.task
         finally:
@@ -219,7 +220,7 @@
         )
         if not finished or not is_possible or channel.closed:
             return False
-        for part in GIVEN_UP:
+        for part in GIVEN_UP_ANSWER:
             channel.send(part)
         for early in finished:
             self._send_finished(early, is_last=early is finished[-1])
@@ -241,10 +242,12 @@
         self._pipeline.close()
         self._withdraw()
 
-    def _begin_further(self) -> None:
+    def _begin_early_requests(self) -> None:
         """Begin all requests that may begin early now."""
         while self._is_open():
-            message = self._channel.http.message_ahead(self._pipeline.depth)
+            message = self._channel.http.find_later_message(
+                self._pipeline.depth
+            )
             if message is None or not self._may_begin(message[0]):
                 return
             self._begin(message)
--- a/plantaingrade/http/unparsed.py
+++ b/plantaingrade/http/unparsed.py
@@ -1,7 +1,7 @@
 """Bytes of a connection that are parsed later.
 
-A parsed request takes some times the memory of its bytes. So of many pipelined
-requests only some are parsed ahead.
+A parsed request takes several times the memory of its bytes. So of many
+pipelined requests only some are parsed before their turn.
 """
 
 from collections import deque
--- a/plantaingrade/requests/held_bytes.py
+++ b/plantaingrade/requests/held_bytes.py
@@ -17,8 +17,8 @@
 # An account may always hold this much while the budget is not used up: a short
 # request and its answer.
 MIN_ACCOUNT_BYTES = 16_384
-# Share of the process's memory for held bytes. Each is kept twice while it is
-# copied to a connection, and the rest is for the program.
+# Share of the process's memory for held bytes. They are in memory twice while
+# they are copied to a connection, and the rest is for the program.
 MEMORY_SHARE = 0.25
 BYTES_PER_MB = 1_000_000
 
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -288,7 +288,7 @@
 
     def _record_demand(self, routed: RoutedRequest, key: int) -> None:
         """Record the work that a request needs, whatever its outcome."""
-        work_s = self._gate.queue.estimate.lasting_s(routed.kind)
+        work_s = self._gate.queue.estimate.long_term_s(routed.kind)
         self._hooks.observe(key, work_s)
 
     def _needs_hold(self, routed: RoutedRequest) -> bool:
@@ -361,7 +361,7 @@
             took_s = now - began
             estimate = self._gate.queue.estimate
             estimate.observe(routed.kind, took_s)
-            estimate.lasting.observe(routed.kind, took_s, now)
+            estimate.long_term.observe(routed.kind, took_s, now)
         return outcome
 
     async def _async_exchange(
--- a/tests/admission/test_lasting.py
+++ b/tests/admission/test_long_term.py
@@ -1,4 +1,4 @@
-"""Tests for work durations that last, apart from the pace of the moment."""
+"""Tests for durations of work averaged over seconds."""
 
 import random
 
@@ -22,22 +22,22 @@
     now = from_s
     while now < to_s:
         estimate.observe(KIND, WORK_S * factor)
-        estimate.lasting.observe(KIND, WORK_S * factor, now)
+        estimate.long_term.observe(KIND, WORK_S * factor, now)
         now += step_s
 
 
-def test_pace_of_the_moment_sways_requests_but_not_keys() -> None:
+def test_short_slowdown_changes_expected_but_not_long_term_duration() -> None:
     """Keys leave a server that is slowed by others for half a second."""
     estimate = WorkEstimate()
     rng = random.Random(1)
-    momentary, lasting = [], []
+    momentary, long_term = [], []
     for interval in range(100):
         factor = NOISE if rng.random() < NOISY_SHARE else 1.0
         start = interval * INTERVAL_S
         observe(estimate, factor, start, start + INTERVAL_S)
         momentary.append(estimate.expected_s(KIND) / WORK_S)
-        lasting.append(estimate.lasting_s(KIND) / WORK_S)
-    settled = lasting[20:]
+        long_term.append(estimate.long_term_s(KIND) / WORK_S)
+    settled = long_term[20:]
     assert max(momentary) > 0.8 * NOISE
     assert max(settled) < 0.8 * NOISE
     assert sum(settled) / len(settled) < 1.2 * MEAN_FACTOR
@@ -47,11 +47,11 @@
     estimate = WorkEstimate()
     observe(estimate, 1.0, 0.0, 10.0)
     observe(estimate, 4.0, 10.0, 12.0)
-    assert estimate.lasting_s(KIND) > 1.5 * WORK_S
+    assert estimate.long_term_s(KIND) > 1.5 * WORK_S
 
 
 def test_duration_without_samples_is_the_momentary_one() -> None:
     estimate = WorkEstimate()
     estimate.observe(KIND, WORK_S)
-    assert estimate.lasting_s(KIND) == WORK_S
-    assert estimate.lasting_mean_s() == WORK_S
+    assert estimate.long_term_s(KIND) == WORK_S
+    assert estimate.long_term_mean_s() == WORK_S
--- a/tests/balance/test_isolation.py
+++ b/tests/balance/test_isolation.py
@@ -51,7 +51,7 @@
     own = Load(3.5, FAST_S, SLOTS)
     plan = plan_moves(own, PEERS, [ALL], [HOT, *NEIGHBOURS])
     assert plan.isolated is None
-    moved = [move.keys for move in plan.evening]
+    moved = [move.keys for move in plan.balancing]
     assert all(KEY not in keys for keys in moved)
     assert all(any(each.key in keys for keys in moved) for each in NEIGHBOURS)
 
