--- a/plantaingrade/holds/const.py
+++ b/plantaingrade/holds/const.py
@@ -81,8 +81,8 @@
 # The first map is created after this time, so that it includes all processes
 # that start together.
 BOOTSTRAP_WAIT_S = 3.0
-# The members of a new service try to create the first map at random times within
-# this span. The map of the first one reaches the others within some 30 ms.
+# The members of a new service try to create the first map at random times
+# within this. The map of the first one reaches the others within some 30 ms.
 FIRST_MAP_SPREAD_S = 1.0
 # Wait for the datagram about a map change before the map is read instead. It
 # arrives within milliseconds plus the wake-up of a busy process.
--- a/plantaingrade/store/feed_log.py
+++ b/plantaingrade/store/feed_log.py
@@ -38,7 +38,7 @@
         self._valid_until = 0.0
 
     def begin(self, after: int, overdue_at: float) -> None:
-        """Begin a wait for changes after a version, which ends by ``overdue_at``.
+        """Begin a wait for changes after a version, overdue at a local time.
 
         A version that no wait has returned was read from the store just before.
         """
