Each process waits for the configuration itself again

Taken out with its own tests, which tested nothing else; common renewals, counting, missed maps and the waits of the configuration's follower stay as they are.

--- a/plantaingrade/sidecar/control.py
+++ b/plantaingrade/sidecar/control.py
@@ -92,8 +92,6 @@
                 return self._store_relay.async_read
             case '/-/store/renew':
                 return self._store_relay.async_renew
-            case '/-/store/changes' if self._store_relay.changes is not None:
-                return self._store_relay.changes.async_handle
         return None
 
     def _answer_config(self) -> Answer:
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -183,12 +183,11 @@
             self._direct_store,
             self._directory,
             self._calls,
-            self._adapter.config_table,
             self._clock,
             self._log,
         )
         self._config = ConfigFollower(
-            self._store_access.shared_feed,
+            self._direct_store,
             self._adapter.config_table,
             self._adapter.config_key,
             self._adapter.decode_config,
--- a/plantaingrade/sidecar/store_access.py
+++ b/plantaingrade/sidecar/store_access.py
@@ -9,24 +9,20 @@
 from plantaingrade.peers.delegates import Delegates
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import Member
-from plantaingrade.peers.watchers import Watchers
 from plantaingrade.store.interface import Store
 from plantaingrade.store.relay import RelayedStore, RelayHandler
-from plantaingrade.store.shared_feed import SharedFeed
 
 
 class StoreAccess(Struct, frozen=True):
     """Store clients of a process, and its handler of others' calls.
 
     ``relayed`` calls the store through other processes while it rejects this
-    one. The shared clients call it together with other processes;
-    ``shared_feed`` follows the operators' table.
+    one. ``shared_renewals`` call it together with other processes.
     """
 
     relayed: RelayedStore
     relay_handler: RelayHandler
     shared_renewals: SharedRenewals
-    shared_feed: SharedFeed
 
     @classmethod
     def from_parts(
@@ -35,22 +31,12 @@
         direct: Store,
         directory: Directory,
         calls: PeerCalls,
-        config_table: str,
         clock: Clock,
         log: EventLog,
     ) -> 'StoreAccess':
         """Connect the store clients to the parts of a process."""
         relayed = RelayedStore(direct, calls, calls.relays, clock, log)
-        shared_feed = SharedFeed(
-            config_table,
-            direct,
-            Watchers(own),
-            calls,
-            directory.members,
-            clock,
-            log,
-        )
-        relay_handler = RelayHandler(direct, shared_feed)
+        relay_handler = RelayHandler(direct)
         committers = Delegates(
             own,
             'renewals',
@@ -68,5 +54,4 @@
                 clock,
                 log,
             ),
-            shared_feed,
         )
--- a/plantaingrade/store/entity.py
+++ b/plantaingrade/store/entity.py
@@ -120,13 +120,6 @@
     part: str
 
 
-class ChangesWanted(Struct, frozen=True):
-    """Request for the changes of a table after a version."""
-
-    table: str
-    after: int
-
-
 class RangeRead(Message):
     """Consistent snapshot of the rows of one part of a table."""
 
@@ -140,7 +133,7 @@
         return epoch_of(self.version)
 
 
-class Changes(Message):
+class Changes(Struct, frozen=True):
     """Rows changed since a version; the next call continues at ``version``."""
 
     rows: tuple[Row, ...]
@@ -148,7 +141,7 @@
     now_s: float
 
 
-class HistoryGone(Message):
+class HistoryGone(Struct, frozen=True):
     """The changes since that version are gone; the rows must be read."""
 
 
--- a/plantaingrade/store/relay.py
+++ b/plantaingrade/store/relay.py
@@ -235,27 +235,14 @@
         self.clock.observe(sent_at, self._clock.now(), store_s)
 
 
-class ChangesHandler(Protocol):
-    """Waits for changes on behalf of other processes."""
-
-    async def async_handle(self, body: bytes) -> bytes:
-        """Answer the encoded request of another process."""
-
-
 class RelayHandler:
     """Handle store calls on behalf of other processes."""
 
-    __slots__ = ('_direct', 'batches', 'changes')
+    __slots__ = ('_direct', 'batches')
 
-    def __init__(
-        self, direct: Store, changes: ChangesHandler | None = None
-    ) -> None:
-        """Use only direct store calls, so that relays cannot form a loop.
-
-        ``changes`` waits for changes on behalf of other processes.
-        """
+    def __init__(self, direct: Store) -> None:
+        """Use only direct store calls, so that relays cannot form a loop."""
         self._direct = direct
-        self.changes = changes
         self.batches = CommitBatches(direct)
 
     async def async_commit(self, body: bytes) -> bytes:
