Review: requests reach a leaving server after its drain time

A case with a script: under heavy load requests wait for the slots of a server that begins to leave, and are sent to it up to 2.7 s after that was acknowledged; most of them are lost when it exits.

--- a/review/common/server.py
+++ b/review/common/server.py
@@ -65,6 +65,11 @@
     running: int = 0
     waiting: int = 0
     sequence: int = 0
+    # Whether the server says that it leaves, in its reports and its answers.
+    is_leaving: bool = False
+    acknowledged_at: float | None = None
+    late: list[str] = field(default_factory=list)
+    drain_s: float = 2.0
     rng: random.Random = field(default_factory=random.Random)
     free: asyncio.Condition = field(default_factory=asyncio.Condition)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -77,6 +82,14 @@
         self._spawn(listener.serve_forever())
         self._spawn(self._async_report())
 
+    async def async_exit(self) -> None:
+        """Say goodbye and end, with what still runs."""
+        self.record.write('exits', server=self.name, running=self.running)
+        with suppress(OSError, TimeoutError, BrokenMessageError):
+            async with asyncio.timeout(REPORT_LIMIT_S):
+                await self._async_report_call('DELETE', {})
+        self.stop()
+
     def stop(self) -> None:
         """Stop to listen and to report."""
         for task in self.tasks:
@@ -89,13 +102,22 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    async def async_leave(self) -> None:
+        """Report that this server leaves; it goes on to serve."""
+        self.is_leaving = True
+        self.record.write('leaves', server=self.name)
+        await self._async_try_report()
+
     async def _async_report(self) -> None:
         while True:
-            with suppress(OSError, TimeoutError, BrokenMessageError):
-                async with asyncio.timeout(REPORT_LIMIT_S):
-                    await self._async_send_heartbeat()
+            await self._async_try_report()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def _async_try_report(self) -> None:
+        with suppress(OSError, TimeoutError, BrokenMessageError):
+            async with asyncio.timeout(REPORT_LIMIT_S):
+                await self._async_send_heartbeat()
+
     async def _async_send_heartbeat(self) -> None:
         self.sequence += 1
         fields = {
@@ -104,21 +126,30 @@
             'zone': self.zone,
             'version': 'v1',
             'capacity': self.capacity,
-            'state': 'ready',
+            'state': 'draining' if self.is_leaving else 'ready',
             'coldRemaining': '0ms',
             'sequence': self.sequence,
         }
+        answer = await self._async_report_call('PUT', fields)
+        is_acknowledged = answer is not None and 200 <= answer.status < 300
+        if self.is_leaving and is_acknowledged and not self.acknowledged_at:
+            self.acknowledged_at = time.monotonic()
+            self.record.write('leaving-acknowledged', server=self.name)
+
+    async def _async_report_call(
+        self, method: str, fields: dict
+    ) -> Message | None:
         host, _, port = self.reports.rpartition(':')
         reader, writer = await asyncio.open_connection(host, port)
         try:
             writer.write(
                 encode(
-                    f'PUT /v1/instances/{self.name} HTTP/1.1',
+                    f'{method} /v1/instances/{self.name} HTTP/1.1',
                     {'Host': self.reports, 'Content-Type': 'application/json'},
-                    json.dumps(fields).encode(),
+                    json.dumps(fields).encode() if fields else b'',
                 )
             )
-            await async_read(reader, is_response=True)
+            return await async_read(reader, is_response=True)
         finally:
             writer.close()
 
@@ -213,6 +244,7 @@
         key = int(request.headers.get('shard-key', '-1'))
         if expected != self.name or (self.is_keyed and not self._holds(key)):
             return self._refuse(HTTPStatus.MISDIRECTED_REQUEST, refused)
+        self._note_late(attempt)
         is_full = self.running >= self.capacity and self.waiting >= QUEUE
         if is_full or self.rng.random() < self.faults.shed:
             return self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, refused)
@@ -240,6 +272,20 @@
             body,
         )
 
+    def _note_late(self, attempt: str) -> None:
+        """Record a request that arrives after the end of the drain time."""
+        if self.acknowledged_at is None:
+            return
+        after_s = time.monotonic() - self.acknowledged_at
+        if after_s > self.drain_s:
+            self.late.append(attempt)
+            self.record.write(
+                'arrives-after-drain',
+                attempt=attempt,
+                server=self.name,
+                after_s=round(after_s, 3),
+            )
+
     def _refuse(self, status: HTTPStatus, headers: dict[str, str]) -> bytes:
         self.record.write(
             'refused',
@@ -255,6 +301,11 @@
         load = f'{self.running},{self.waiting},{self.capacity}'
         return encode(
             f'HTTP/1.1 {int(status)} {status.phrase}',
-            {'Instance-Id': self.name, 'Server-Load': load, **headers},
+            {
+                'Instance-Id': self.name,
+                'Server-Load': load,
+                **({'Server-Leaving': '1'} if self.is_leaving else {}),
+                **headers,
+            },
             body,
         )
