--- a/review/common/load.py
+++ b/review/common/load.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from review.common.cluster import Cluster, Machine
 
-Send = Callable[[Machine, random.Random], 'asyncio.Future']
+Send = Callable[[Machine], Coroutine]
 
 
 async def async_send_steadily(
@@ -14,19 +14,20 @@
     machines: list[Machine],
     per_s: float,
     lasts_s: float,
-    send,
+    send: Send,
 ) -> None:
-    """Call ``send(machine)`` at each machine ``per_s`` times a second."""
+    """Call ``send`` for each machine ``per_s`` times a second at random."""
+    cluster.record.write('load', machines=len(machines), per_s=per_s)
     loop = asyncio.get_running_loop()
     ends = loop.time() + lasts_s
-    tasks = [
-        asyncio.create_task(_async_run(machine, per_s, ends, send))
-        for machine in machines
-    ]
-    await asyncio.gather(*tasks)
+    await asyncio.gather(
+        *(_async_run(machine, per_s, ends, send) for machine in machines)
+    )
 
 
-async def _async_run(machine: Machine, per_s: float, ends: float, send) -> None:
+async def _async_run(
+    machine: Machine, per_s: float, ends: float, send: Send
+) -> None:
     loop = asyncio.get_running_loop()
     requests = []
     while loop.time() < ends:
