--- a/review/common/cluster.py
+++ b/review/common/cluster.py
@@ -27,21 +27,22 @@
 # A client waits a little longer than the time limit that it states.
 EXTRA_WAIT_S = 0.5
 READY = b'GET /v1/readyz HTTP/1.1\r\nHost: ready\r\n\r\n'
+# Those of the site file that the claims name, sereno-mesh-grown.
 BOUNDS = {
     'seedLag': '3s',
     'addrReuse': '2s',
     'contact': '3000ms',
-    'ack': '4000ms',
-    'catchUp': '4s',
-    'drain': '2000ms',
+    'ack': '5000ms',
+    'catchUp': '6s',
+    'drain': '2500ms',
     'grace': '6s',
     'lossSlack': '200ms',
-    'configApply': '2000ms',
+    'configApply': '2500ms',
     'rollbackSlack': '250ms',
     'maxSkew': '5000ms',
     'retryBudgetRatio': 0.2,
     'budgetWindow': '10s',
-    'retryBudgetSlack': 58,
+    'retryBudgetSlack': 208,
     'recovery': '15s',
     'maxHold': '10000ms',
     'thawSlack': '300ms',
--- a/review/common/server.py
+++ b/review/common/server.py
@@ -69,7 +69,7 @@
     is_leaving: bool = False
     acknowledged_at: float | None = None
     late: list[str] = field(default_factory=list)
-    drain_s: float = 2.0
+    drain_s: float = 2.5
     rng: random.Random = field(default_factory=random.Random)
     free: asyncio.Condition = field(default_factory=asyncio.Condition)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
