A task or callback that ends by an exception is a line and a counter

What callers saw: nothing told why a process was old: the end of its follower of the configuration was a traceback in plain text, and the ends of pulls, grants, transfers, look-ups, batches and timers were printed late or never.

Change: the loop's exception handler writes one line, task-failed, with the name of the task, the error and its innermost calls; lines are counted by kind, so the metrics have it too. Short tasks are started by start_job, which reports their exception at once instead of when the task object is collected. The wait for changes no longer drops the failure of its second task.

No logic changes.

--- a/plantaingrade/balance/mover.py
+++ b/plantaingrade/balance/mover.py
@@ -18,6 +18,7 @@
 from plantaingrade.holds.coordinator import HoldCoordinator
 from plantaingrade.keyspace.entity import KeyRange
 from plantaingrade.peers.entity import Member, Offer, OfferReply
+from plantaingrade.supervision.jobs import start_job
 
 # Time in seconds after which moves that have not ended wait for long requests
 # rather than for the map, and so no longer delay others.
@@ -103,7 +104,7 @@
         """Start moves, offered with the own load."""
         self._started_at = self._clock.now()
         self._moves.update(moves)
-        moving = asyncio.create_task(self._async_run(own, moves))
+        moving = start_job('moves', self._async_run(own, moves))
         self._rounds.add(moving)
         moving.add_done_callback(self._rounds.discard)
 
--- a/plantaingrade/config/coordinator.py
+++ b/plantaingrade/config/coordinator.py
@@ -188,6 +188,8 @@
             await asyncio.wait(
                 (feed, hint), return_when=asyncio.FIRST_COMPLETED
             )
+            if hint.done():
+                hint.result()
             return feed.result() if feed.done() else after
         finally:
             await _async_cancel(feed, hint)
--- a/plantaingrade/holds/granter.py
+++ b/plantaingrade/holds/granter.py
@@ -37,6 +37,7 @@
 from plantaingrade.holds.session_opener import SessionOpener
 from plantaingrade.keyspace.entity import Assignment, KeyRange
 from plantaingrade.peers.entity import Token
+from plantaingrade.supervision.jobs import start_job
 
 
 class RefenceReason(StrEnum):
@@ -251,9 +252,9 @@
     def _start(self, keys: KeyRange, fence: int, session: int) -> None:
         lowest = min(each.fence for each in self._owned())
         self._fences.bind(fence, session, lowest)
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(self._async_grant(keys, fence, session))
-        self._grants_by_keys[keys] = task
+        self._grants_by_keys[keys] = start_job(
+            'grant', self._async_grant(keys, fence, session)
+        )
 
     async def _async_grant(
         self, keys: KeyRange, fence: int, session: int
--- a/plantaingrade/holds/transfer.py
+++ b/plantaingrade/holds/transfer.py
@@ -19,6 +19,7 @@
 from plantaingrade.keyspace.entity import Assignment, KeyMap, KeyRange
 from plantaingrade.peers.entity import Token
 from plantaingrade.peers.map_relay import MapRelay
+from plantaingrade.supervision.jobs import start_job
 
 # Time limit of the change in the store; nobody serves the range meanwhile.
 MOVE_LIMIT_S = 2.0
@@ -89,8 +90,7 @@
         change may still be applied, and the ranges must not be granted here
         again.
         """
-        loop = asyncio.get_running_loop()
-        move = loop.create_task(self._async_transfer(keys, target))
+        move = start_job('transfer', self._async_transfer(keys, target))
         self._moves.add(move)
         move.add_done_callback(self._moves.discard)
         return await asyncio.shield(move)
--- a/plantaingrade/http/read_ahead.py
+++ b/plantaingrade/http/read_ahead.py
@@ -24,6 +24,7 @@
     Pipeline,
     PipelineLimits,
 )
+from plantaingrade.supervision.jobs import start_job
 
 # Answer to the current request if this process ends before the request does,
 # which may have run.
@@ -273,8 +274,7 @@
             request=request, channel=EarlyChannel(self._channel, rest)
         )
         self._pipeline.begin(early)
-        loop = asyncio.get_running_loop()
-        early.task = loop.create_task(self._async_run(early))
+        early.task = start_job('early-request', self._async_run(early))
 
     async def _async_run(self, early: EarlyRun) -> None:
         if not self._hooks.may_repeat(early.request):
--- a/plantaingrade/http/server.py
+++ b/plantaingrade/http/server.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 server that handles the requests of each connection in order."""
 
 import asyncio
-import logging
 from collections.abc import Callable
 
 from plantaingrade.clock import Clock
@@ -19,11 +18,9 @@
     ReadAheadHooks,
     RequestHandler,
 )
+from plantaingrade.supervision.jobs import start_job
 
 ProtocolErrorHandler = Callable[[Channel, RemoteProtocolError], None]
-# The logger of the standard library, since importing absl takes 10 ms of CPU
-# time at start. Only bugs of the program are logged here.
-_LOGGER = logging.getLogger(__name__)
 
 
 class HttpServer:
@@ -110,19 +107,12 @@
 
     def _accept(self) -> Channel:
         channel = Channel(Role.SERVER, self._clock)
-        task = asyncio.get_running_loop().create_task(self._serve(channel))
+        task = start_job('connection', self._serve(channel))
         self._tasks.add(task)
         self._channels.add(channel)
-        task.add_done_callback(self._on_connection_done)
+        task.add_done_callback(self._tasks.discard)
         return channel
 
-    def _on_connection_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _LOGGER.error(
-                'Unexpected error on a connection', exc_info=task.exception()
-            )
-
     def _make_read_ahead(self, channel: Channel) -> ReadAhead | None:
         if self._read_ahead_hooks is None:
             return None
--- a/plantaingrade/http/session.py
+++ b/plantaingrade/http/session.py
@@ -10,6 +10,7 @@
 from plantaingrade.http.channel import Channel, ChannelClosedError
 from plantaingrade.http.client import Call, Reply, exchange
 from plantaingrade.http.pool import ConnectFailedError, Pool
+from plantaingrade.supervision.jobs import start_job
 
 # Maximum number of connections of a session. An order takes a millisecond, but
 # 0.2 s on a server that is nearly full: 40 orders per second then need eight.
@@ -163,8 +164,9 @@
         is_opening = self._open_task is not None and not self._open_task.done()
         if is_opening or self._is_closed or len(self._channels) >= MAX_CHANNELS:
             return
-        loop = asyncio.get_running_loop()
-        self._open_task = loop.create_task(self._async_open_spare())
+        self._open_task = start_job(
+            'spare-connection', self._async_open_spare()
+        )
 
     async def _async_open_spare(self) -> None:
         try:
--- a/plantaingrade/peers/coordinator.py
+++ b/plantaingrade/peers/coordinator.py
@@ -45,6 +45,7 @@
 from plantaingrade.peers.service_rows import ServiceRows
 from plantaingrade.peers.witnesses import PeerWitnesses
 from plantaingrade.store.interface import Store
+from plantaingrade.supervision.jobs import start_job
 
 HANDOVER_CODEC = Codec(Handover)
 PATH_HANDOVER = '/-/handed'
@@ -208,8 +209,7 @@
             return
         self._looked_up_names.add(name)
         self._log.write('member-looked-up', member=name)
-        loop = asyncio.get_running_loop()
-        self._lookup_task = loop.create_task(self._async_look_up())
+        self._lookup_task = start_job('member-look-up', self._async_look_up())
 
     async def _async_look_up(self) -> None:
         await self.async_refresh()
--- a/plantaingrade/peers/map_follower.py
+++ b/plantaingrade/peers/map_follower.py
@@ -16,6 +16,7 @@
 from plantaingrade.peers.directory import Directory
 from plantaingrade.peers.entity import MapChanged, Member
 from plantaingrade.peers.out_of_order import OutOfOrderChanges
+from plantaingrade.supervision.jobs import start_job
 
 PATH_MAP = '/-/map/'
 # Wait before a missing change is fetched. Changes of other senders arrive
@@ -64,8 +65,7 @@
         """
         if service in self._pull_by_service:
             return
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(self._async_pull(service, source, wanted))
+        task = start_job('map-pull', self._async_pull(service, source, wanted))
         self._pull_by_service[service] = task
         task.add_done_callback(
             lambda _: self._pull_by_service.pop(service, None)
--- a/plantaingrade/sidecar/evacuation.py
+++ b/plantaingrade/sidecar/evacuation.py
@@ -7,6 +7,7 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.operators.desired_state import DesiredState, TargetState
 from plantaingrade.requests.server_path import ServerPath
+from plantaingrade.supervision.jobs import start_job
 
 # Fraction of the evacuation time after which the server gets no more work,
 # even if its keys are not transferred yet. The rest is reserved for a process
@@ -100,8 +101,7 @@
             self._close_timer = loop.call_later(left_s, self._close)
             self._update()
         else:
-            loop = asyncio.get_running_loop()
-            self._return_task = loop.create_task(self._async_return())
+            self._return_task = start_job('zone-return', self._async_return())
 
     def stop(self) -> None:
         """Cancel the pending timer and task."""
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -1,7 +1,6 @@
 """The sidecar process of one backend server, from start to shutdown."""
 
 import asyncio
-import logging
 import os
 from types import TracebackType
 
@@ -62,9 +61,9 @@
 from plantaingrade.sidecar.shutdown import GracefulShutdown
 from plantaingrade.sidecar.store_access import StoreAccess
 from plantaingrade.store.counting import CountingStore
+from plantaingrade.supervision.jobs import start_job
 
 BOOT_BYTES = 4
-_LOGGER = logging.getLogger(__name__)
 DEFAULT_OPTIONS = ProcessOptions()
 
 
@@ -95,8 +94,8 @@
     async def __aenter__(self) -> 'Process':
         """Open the listeners and start the background tasks."""
         await self._async_listen()
-        self._start(self._config.async_run())
-        self._start(self._async_join())
+        self._start('config', self._config.async_run())
+        self._start('membership', self._async_join())
         return self
 
     async def __aexit__(
@@ -447,15 +446,10 @@
             await self._servers.async_listen(address, serve)
         await self._peers.endpoint.async_open(*split_address(peers_bind))
 
-    def _start(self, work) -> None:
-        task = asyncio.get_running_loop().create_task(work)
+    def _start(self, name: str, work) -> None:
+        task = start_job(name, work)
         self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _LOGGER.error('Background task failed', exc_info=task.exception())
+        task.add_done_callback(self._tasks.discard)
 
     def _on_leaving(self) -> None:
         """Move what the leaving server has and what waits for it."""
@@ -471,8 +465,8 @@
         if service is not None and not self._tracker.instance:
             await self._server_watch.async_identify()
         if is_keyed:
-            self._start(self.holds.async_run())
-            self._start(self._balance.async_run())
+            self._start('holds', self.holds.async_run())
+            self._start('balance', self._balance.async_run())
         await self._peers.async_join(is_keyed=is_keyed)
         await self._peers.async_run()
 
@@ -514,8 +508,11 @@
     def _on_store_epoch(self, epoch: int, before: int | None) -> None:
         self._log.write('store-epoch', epoch=epoch, before=before)
         if self._peers.has_joined:
-            self._start(self._peers.async_begin_epoch())
-            self._start(self._operators.desired_states.async_restore_all())
+            self._start('epoch', self._peers.async_begin_epoch())
+            self._start(
+                'desired-states',
+                self._operators.desired_states.async_restore_all(),
+            )
 
     def _on_joined(self) -> None:
-        self._start(self._peers.async_introduce())
+        self._start('introduction', self._peers.async_introduce())
--- a/plantaingrade/sidecar/run.py
+++ b/plantaingrade/sidecar/run.py
@@ -16,6 +16,7 @@
     InstanceSettingsError,
     ProcessOptions,
 )
+from plantaingrade.supervision.failures import FailureLog
 
 EXIT_BAD_SETTINGS = 2
 
@@ -40,6 +41,7 @@
     clock: BootClock,
     log: EventLog,
 ) -> None:
+    FailureLog(log).install()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
--- a/plantaingrade/sidecar/server_watch.py
+++ b/plantaingrade/sidecar/server_watch.py
@@ -21,6 +21,7 @@
 from plantaingrade.holds.orders import ServerOrders
 from plantaingrade.sidecar.const import INITIAL_SLOTS
 from plantaingrade.sidecar.server_notices import ServerNotices
+from plantaingrade.supervision.jobs import start_job
 
 
 class OwnServer(Struct, frozen=True):
@@ -129,8 +130,7 @@
             known=self._tracker.instance,
             named=instance,
         )
-        loop = asyncio.get_running_loop()
-        self._verify_task = loop.create_task(self.async_identify())
+        self._verify_task = start_job('server-identity', self.async_identify())
 
     async def async_identify(self) -> None:
         """Ask the server for its id instead of waiting for a heartbeat."""
--- a/plantaingrade/sidecar/shutdown.py
+++ b/plantaingrade/sidecar/shutdown.py
@@ -17,6 +17,7 @@
     SHUTDOWN_POLL_S,
 )
 from plantaingrade.sidecar.endpoints import CallerEndpoint
+from plantaingrade.supervision.jobs import start_job
 
 
 class GracefulShutdown:
@@ -81,8 +82,7 @@
         if self._holds.owns_keys:
             return None
         self._stop_serving_peers()
-        loop = asyncio.get_running_loop()
-        return loop.create_task(self._async_remove())
+        return start_job('row-removal', self._async_remove())
 
     async def _async_remove(self) -> None:
         """Remove the row, which is of one of the two kinds of member."""
--- a/plantaingrade/store/batches.py
+++ b/plantaingrade/store/batches.py
@@ -14,6 +14,7 @@
 )
 from plantaingrade.store.interface import Store
 from plantaingrade.store.merging import can_merge, conflict_of, merge
+from plantaingrade.supervision.jobs import start_job
 
 # Time from the first transaction to the commit. Members send their renewals at
 # the same reading of the store's clock, which they know within some 20 ms, and
@@ -50,7 +51,7 @@
         answer: asyncio.Future[TransactionOutcome] = loop.create_future()
         self._waiting.append(WaitingCommit(transaction, answer))
         if len(self._waiting) == 1:
-            flush = loop.create_task(self._async_flush())
+            flush = start_job('commit-batch', self._async_flush())
             self._flushes.add(flush)
             flush.add_done_callback(self._flushes.discard)
         return await answer
--- /dev/null
+++ b/plantaingrade/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""Background tasks: their failures are reported, and loops started again."""
--- /dev/null
+++ b/tests/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the supervision of background tasks."""
--- a/tests/tools/test_random_days.py
+++ b/tests/tools/test_random_days.py
@@ -14,8 +14,9 @@
 
 def test_days_are_readable_and_all_their_entries_have_a_time() -> None:
     for seed in SEEDS:
-        (day,) = tomllib.loads(RandomDay.from_seed(seed).to_toml())['day']
-        for entry in day['plan'] + day['faults']:
+        days = tomllib.loads(RandomDay.from_seed(seed).to_toml())['day']
+        assert len(days) == 1
+        for entry in days[0]['plan'] + days[0]['faults']:
             assert FIRST_S <= entry['at'] <= LAST_S
 
 
