--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -90,6 +90,8 @@
     def __init__(self) -> None:
         self.body = b'1'
         self.version = 1
+        # Rows of the table that come before that of the configuration.
+        self.odd_rows: tuple[Row, ...] = ()
         self.is_unavailable = False
         self.is_feed_silent = False
         self.history_from = 0
@@ -116,7 +118,7 @@
                 return HistoryGone()
             if self.version > after:
                 row = Row(NAME, self.body, self.version)
-                return Changes((row,), self.version, 0)
+                return Changes((*self.odd_rows, row), self.version, 0)
         return Changes((), after, 0)
 
     def put(self, body: bytes) -> None:
--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -64,14 +64,17 @@
         self._seed = 0
         self.evacuate_s = 0.0
         self._log = EventLog('rig', self.clock, _null())
+        # Exceptions that ended tasks or callbacks and were not expected.
+        self._failures: list[BaseException | str] = []
 
     async def __aenter__(self) -> 'Harness':
         """Start the store with an initial configuration."""
+        asyncio.get_running_loop().set_exception_handler(self._on_failure)
         await self.store.async_listen(self.store_address)
         self.configure(1)
         return self
 
-    async def __aexit__(self, *_: object) -> None:
+    async def __aexit__(self, kind: object, *_: object) -> None:
         """Stop everything."""
         for node in self.nodes:
             await self.async_kill(node)
@@ -79,6 +82,25 @@
                 await node.server.async_crash()
         self._pool.close()
         await self.store.async_close()
+        assert kind or not self._failures
+
+    async def async_take_failures(
+        self, kind: type[BaseException], count: int
+    ) -> None:
+        """Wait until ``count`` failures of a kind are reported; drop them."""
+
+        def others() -> list[BaseException | str]:
+            return [
+                each for each in self._failures if not isinstance(each, kind)
+            ]
+
+        await self.async_until(
+            lambda: len(self._failures) - len(others()) >= count
+        )
+        self._failures = others()
+
+    def _on_failure(self, _, context: dict) -> None:
+        self._failures.append(context.get('exception') or context['message'])
 
     @property
     def store_address(self) -> str:
