A change is told to nobody, not to a part of nobody, before members are known

What callers saw: 404 for routes that exist and requests run as older versions allow, from one process, until it ended.

Cause: a change that a process receives between its first read of the configuration and its first read of the members is told to others, and the order of no members was divided by their number. The exception ended the follower of the configuration.

--- a/plantaingrade/peers/directory.py
+++ b/plantaingrade/peers/directory.py
@@ -72,9 +72,12 @@
         """Return other members' names, evenly spread in their order.
 
         They are the next one in the order of names and those that divide the
-        order from there into ``count`` equal parts.
+        order from there into ``count`` equal parts. There are none before
+        this process has read the members.
         """
         names = sorted(self._member_by_name)
+        if not names:
+            return set()
         first = self.rank_of(name) + 1
         places = (first + part * len(names) // count for part in range(count))
         return {names[place % len(names)] for place in places} - {name}
--- a/tests/peers/test_directory.py
+++ b/tests/peers/test_directory.py
@@ -23,6 +23,14 @@
     assert names == [name for name in NAMES if name != 's@4']
 
 
+def test_no_members_are_told_before_any_is_known() -> None:
+    """Guards against a division by the number of no members."""
+    directory = Directory()
+    assert directory.spread_from('s@8', 3) == set()
+    directory.add(Member('s@8', 's', 'a', '1', 'b'))
+    assert directory.spread_from('s@8', 3) == set()
+
+
 def test_told_members_are_spread_over_the_order() -> None:
     directory = Directory()
     for name in NAMES:
