A listener or a decoder that fails no longer ends the follower

An exception in a listener of rows kept the configuration behind it from being activated, one in a listener of the configuration skipped those behind it, and both ended the follower. Routes were built after the version had been set, so a failure there left a version in force with the routes of the one before.

Change: the configuration is activated before the listeners of rows are called; all listeners are called, also behind one that fails, whose exception is reported; a configuration is decoded and its routes are built before anything of it is set, and one for which either fails is rejected. Listeners of epochs and key maps are called in the same way.

--- a/plantaingrade/config/coordinator.py
+++ b/plantaingrade/config/coordinator.py
@@ -1,14 +1,15 @@
 """Follow the operators' configuration in the store."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
 
 from plantaingrade.config.entity import RoutingConfig
 from plantaingrade.config.lookup import RouteTable
 from plantaingrade.config.peers import ConfigPeers
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.eventlog import EventLog
+from plantaingrade.listeners import notify_all
 from plantaingrade.store.entity import (
     Changes,
     HistoryGone,
@@ -17,6 +18,7 @@
     Row,
 )
 from plantaingrade.store.interface import Store
+from plantaingrade.supervision.failures import report_failure
 
 # Rows that come this soon after a wait began were there before it: a read of a
 # slow store takes 0.31 s.
@@ -320,21 +322,28 @@
         is_full_read: bool,
         may_lack_rows: bool = False,
     ) -> None:
-        for listener in self._row_listeners:
-            listener(
-                rows, is_full_read=is_full_read, may_lack_rows=may_lack_rows
-            )
         for row in rows:
             if row.name.key == self._key and not row.is_deleted:
                 self._activate(row.body, source='store')
+        self._notify(
+            self._row_listeners,
+            rows,
+            is_full_read=is_full_read,
+            may_lack_rows=may_lack_rows,
+        )
 
     def _activate(self, body: bytes, source: str) -> None:
         """Activate a configuration if it is valid and newer."""
         try:
             config = self._decode(body)
+            routes = RouteTable(config)
         except PlantaingradeError as error:
             self._log.write('config-rejected', source=source, why=str(error))
             return
+        except Exception as error:
+            self._log.write('config-rejected', source=source, why=repr(error))
+            report_failure('config-decoder', error)
+            return
         if config.version <= self.version:
             return
         self._log.write(
@@ -355,10 +364,21 @@
                 routes=len(config.unknown_kind_by_route),
             )
         self.config = config
-        self.routes = RouteTable(config)
+        self.routes = routes
         self._on_progress()
-        for listener in self._listeners:
-            listener(config)
+        self._notify(self._listeners, config)
+
+    def _notify(
+        self,
+        listeners: Iterable[Callable[..., None]],
+        *args: Any,
+        **options: Any,
+    ) -> None:
+        """Call all listeners; none of them may end the follower."""
+        try:
+            notify_all(listeners, *args, **options)
+        except Exception as error:
+            report_failure('config-listener', error)
 
 
 def _now() -> float:
--- a/plantaingrade/keyspace/directory.py
+++ b/plantaingrade/keyspace/directory.py
@@ -4,6 +4,7 @@
 
 from plantaingrade.keyspace.assign import is_complete, merge, overlay
 from plantaingrade.keyspace.entity import NO_MAP, Assignment, KeyMap
+from plantaingrade.listeners import notify_all
 
 MapListener = Callable[[str, KeyMap], None]
 
@@ -70,8 +71,7 @@
 
     def _set(self, service: str, key_map: KeyMap) -> None:
         self._map_by_service[service] = key_map
-        for listener in self._listeners:
-            listener(service, key_map)
+        notify_all(self._listeners, service, key_map)
 
     def apply(
         self,
--- a/plantaingrade/store/epochs.py
+++ b/plantaingrade/store/epochs.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Callable
 
+from plantaingrade.listeners import notify_all
+
 # More than a store assigns in its lifetime.
 VERSIONS_PER_EPOCH = 1_000_000_000_000
 # Keeps the largest version below 2**53, so that any JSON codec preserves it.
@@ -63,5 +65,4 @@
         if before is not None and epoch <= before:
             return
         self._newest = epoch
-        for listener in self._listeners:
-            listener(epoch, before)
+        notify_all(self._listeners, epoch, before)
