An exception in a change of the map gives no key to two servers

What callers saw: nothing; found by throwing exceptions into calls of the store once failed tasks are started again. If the call that commits a transfer raised although the store had applied it, the source granted the keys again under the old map while the target granted them under the new one: two owners (test_transfer_that_fails_while_it_may_be_applied, done-raised, and one seed of twelve among other faults failed before).

Cause: an attempt ended by an exception forgot the writes that may be applied.

Change: such an attempt gives up the lease, so that nothing is granted until the run has joined anew, which reads the rows and makes open writes impossible. An order that fails is counted as one that may be executed. A batch of commits that fails answers all that wait for it; they waited for ever before.

Evidence: tests/holds/test_task_failures.py (twelve seeds of exceptions among other faults) and tests/store/test_failing_batches.py failed before and pass; tests/holds and tests/store: 521 passed.

--- a/plantaingrade/holds/changes.py
+++ b/plantaingrade/holds/changes.py
@@ -1,6 +1,8 @@
 """Changes to a service's rows, and their results."""
 
+from collections.abc import Callable
 from enum import StrEnum
+from types import TracebackType
 
 from msgspec import Struct, field
 
@@ -60,15 +62,35 @@
     An attempt ends with the epoch of the store in which it began. As long as
     ``has_only_conflicts`` is set, the store has answered each write and only
     changes by others are in the way; then ``contended_until`` is the limit.
-    ``committer`` applies the next write.
+    ``committer`` applies the next write; ``has_sent`` is set from the first on.
+
+    As a context manager it calls ``on_open_failure`` after an exception if a
+    write may be applied unseen: keys that it transfers must not be granted here
+    any more.
     """
 
     epoch: int
     until: float
     contended_until: float
     committer: Committer
+    on_open_failure: Callable[[], object]
     sent_by_id: dict[str, SentWrite] = field(default_factory=dict)
     has_only_conflicts: bool = True
+    has_sent: bool = False
+
+    def __enter__(self) -> 'CommitAttempt':
+        """Return the attempt."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Report an exception, but not a cancellation, after a write."""
+        if self.has_sent and isinstance(error, Exception):
+            self.on_open_failure()
 
     @property
     def ends(self) -> float:
--- a/plantaingrade/holds/const.py
+++ b/plantaingrade/holds/const.py
@@ -16,6 +16,9 @@
 # Pause after a failed renewal. The end of an outage is noticed within this
 # time.
 RETRY_S = 0.25
+# Time after which a member whose grants keep failing gives up its lease, so
+# that others take its keys: its server's holds have run out by then.
+GIVE_UP_S = 3.0
 # Witnesses are asked this long before a lease ends: a renewal is late by then,
 # and a grant of the usual hold would outlast the lease.
 EXTEND_BEFORE_S = 2.7
--- a/plantaingrade/holds/coordinator.py
+++ b/plantaingrade/holds/coordinator.py
@@ -12,6 +12,7 @@
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.changes import RENEWAL, Change, CommitResult
 from plantaingrade.holds.const import (
+    GIVE_UP_S,
     MAP_HINT_DELAY_S,
     MAX_RESPONSE_AGE_S,
     RETRY_S,
@@ -38,6 +39,8 @@
 
 CHANGE_LIMIT_S = 1.0
 RENEW_LIMIT_S = 1.0
+# Tasks without which the keys of this member are not served.
+GRANTING_TASKS = frozenset(('grants', 'fences'))
 
 
 async def _async_fetch_nothing(service: str) -> None:
@@ -301,6 +304,9 @@
         """Join or renew once; return the pause until the next time."""
         registry = self.registry
         self._epoch_started.clear()
+        if self.supervisor.failing_s(GRANTING_TASKS) > GIVE_UP_S:
+            await registry.async_give_up('grants keep failing')
+            return RETRY_S
         registry.advance_epoch()
         if not self._tracker.accepts_work and not registry.is_joined:
             return RETRY_S
--- a/plantaingrade/holds/granter.py
+++ b/plantaingrade/holds/granter.py
@@ -286,7 +286,8 @@
         self.ledger.on_sent(grant, sent_at)
         try:
             outcome = await turn.async_grant(grant, ORDER_TIMEOUT_S)
-        except asyncio.CancelledError:
+        except BaseException:
+            # Cancelled or failed, the order may still be executed.
             self.ledger.on_unanswered(grant, sent_at)
             raise
         self._apply_outcome(grant, outcome, sent_at, is_first=first)
--- a/plantaingrade/holds/registry.py
+++ b/plantaingrade/holds/registry.py
@@ -198,7 +198,9 @@
         """Store when members without a lease may join, unless it is stored."""
         if self.epochs.missing_start() is None:
             return
-        lease_s = await self._async_earlier_lease_s()
+        lease_s = await _async_earlier_lease_s(
+            self._store, self.member.service, self.epochs
+        )
         start = self.epochs.missing_start(lease_s)
         if start is not None and self.rows.is_loaded:
             transaction = make_epoch_start_write(self._names(), start)
@@ -265,11 +267,19 @@
                 now + limit_s,
                 now + contended_s,
                 self._shared_renewals if is_shared else self._store,
+                lambda: self._lose_lease('failure while a write was open'),
             )
             is_deferrable = self.accepts_keys and contended_s < limit_s
-            with self.change_pacing.attempt(MapTurnRank(is_deferrable)):
+            rank = MapTurnRank(is_deferrable)
+            with attempt, self.change_pacing.attempt(rank):
                 return await self._async_attempt(plan, attempt)
 
+    async def async_give_up(self, why: str) -> None:
+        """Stop holding the lease; others may take the keys after its end."""
+        async with self._writing:
+            if self.is_joined:
+                self._lose_lease(why)
+
     async def async_leave(self) -> None:
         """Remove the own row once no key is owned any more."""
         async with self._writing:
@@ -332,6 +342,7 @@
     ) -> CommitResult | None:
         """Send one transaction; return ``None`` if another must follow."""
         sent_at = self._clock.now()
+        attempt.has_sent = True
         self.term.on_sent(write.row)
         is_map_current = self.key_map.epoch == self.epochs.current
         transaction = make_transaction(
@@ -414,21 +425,6 @@
     def _names(self) -> RowNames:
         return RowNames(self.member.service, self.epochs.current)
 
-    async def _async_earlier_lease_s(self) -> float:
-        """Return the longest lease of the epoch before, in seconds.
-
-        The rows of that epoch show how many members the snapshot contained.
-        """
-        if self.epochs.is_base:
-            return 0.0
-        earlier = RowNames(self.member.service, self.epochs.current - 1)
-        outcome = await self._store.async_read(TABLE, earlier.part)
-        rows = outcome.rows if isinstance(outcome, RangeRead) else ()
-        members = sum(row.name.key.startswith(KEY_MEMBER) for row in rows)
-        if not members:
-            return LONGEST_LEASE_S
-        return lease_times(MAX_MEMBER_GROWTH * members).full_s
-
     async def _async_read_rows(self) -> ReadOutcome:
         """Read the rows of the newest epoch, as given in the response."""
         while True:
@@ -524,3 +520,21 @@
         self.is_migrating = False
         self.term.on_lost()
         return CommitResult.LOST
+
+
+async def _async_earlier_lease_s(
+    store: Store, service: str, epochs: MemberEpochs
+) -> float:
+    """Return the longest lease of the epoch before, in seconds.
+
+    The rows of that epoch show how many members the snapshot contained.
+    """
+    if epochs.is_base:
+        return 0.0
+    earlier = RowNames(service, epochs.current - 1)
+    outcome = await store.async_read(TABLE, earlier.part)
+    rows = outcome.rows if isinstance(outcome, RangeRead) else ()
+    members = sum(row.name.key.startswith(KEY_MEMBER) for row in rows)
+    if not members:
+        return LONGEST_LEASE_S
+    return lease_times(MAX_MEMBER_GROWTH * members).full_s
--- a/plantaingrade/store/batches.py
+++ b/plantaingrade/store/batches.py
@@ -60,9 +60,14 @@
         await asyncio.sleep(COLLECT_S)
         waiting = self._waiting
         self._waiting = []
-        await asyncio.gather(
-            *(self._async_commit_group(group) for group in _group(waiting))
-        )
+        try:
+            await asyncio.gather(
+                *(self._async_commit_group(group) for group in _group(waiting))
+            )
+        except BaseException:
+            # Cancelled or failed, the commits may still be applied.
+            _answer_all(waiting, OutcomeUnknown(StoreFailure.LOST))
+            raise
 
     async def _async_commit_group(self, group: list[WaitingCommit]) -> None:
         for _ in range(MAX_COMMITS):
@@ -79,11 +84,7 @@
         self, group: list[WaitingCommit]
     ) -> TransactionOutcome:
         merged = merge([each.transaction for each in group])
-        try:
-            return await self._store.async_commit(merged)
-        except asyncio.CancelledError:
-            _answer_all(group, OutcomeUnknown(StoreFailure.LOST))
-            raise
+        return await self._store.async_commit(merged)
 
 
 def _group(waiting: list[WaitingCommit]) -> list[list[WaitingCommit]]:
--- a/tests/holds/fakes.py
+++ b/tests/holds/fakes.py
@@ -83,6 +83,17 @@
     LOST = 'done-not-answered'
     LATE = 'done-late'
     SILENT = 'silent'
+    # The call raises an exception that nobody expects.
+    RAISED = 'done-raised'
+    RAISED_LATE = 'raised-done-late'
+    RAISED_UNDONE = 'raised'
+
+
+RAISED_FAULTS = (Fault.RAISED, Fault.RAISED_LATE, Fault.RAISED_UNDONE)
+
+
+class ThrownError(Exception):
+    """Failure that no task expects."""
 
 
 @dataclass(slots=True)
@@ -202,11 +213,13 @@
         match fault:
             case Fault.BUSY:
                 return NotDone(StoreFailure.BUSY)
-            case Fault.LOST:
+            case Fault.LOST | Fault.RAISED:
                 self.rows.commit(transaction)
-            case Fault.LATE:
+            case Fault.LATE | Fault.RAISED_LATE:
                 loop = asyncio.get_running_loop()
                 loop.call_later(self.late_s, self.rows.commit, transaction)
+        if fault in RAISED_FAULTS:
+            raise ThrownError(fault)
         if fault is not Fault.NONE:
             await asyncio.sleep(CALL_LIMIT_S)
             return OutcomeUnknown(StoreFailure.LOST)
--- /dev/null
+++ b/tests/holds/test_task_failures.py
@@ -0,0 +1,124 @@
+"""Which server holds which keys, while tasks of a member fail."""
+
+import asyncio
+import random
+
+import pytest
+
+from plantaingrade.holds.const import LEASE_S
+from plantaingrade.holds.granter import Granter
+from plantaingrade.keyspace.entity import KEY_COUNT
+from tests.holds.fakes import (
+    RAISED_FAULTS,
+    FakeCluster,
+    FakeMember,
+    ThrownError,
+)
+from tests.holds.test_coordinator import (
+    NAMES,
+    clear_faults,
+    inject_fault,
+    wait_until_settled,
+    watch,
+)
+from tests.virtual import run
+
+KINDS = 11
+CASES = 40
+
+
+def run_cluster(scenario) -> list[BaseException]:
+    """Run a scenario with a settled cluster; return the reported failures."""
+    failures: list[BaseException] = []
+
+    async def run_scenario() -> None:
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: failures.append(context['exception'])
+        )
+        cluster = FakeCluster()
+        members = [cluster.add(name) for name in NAMES]
+        await wait_until_settled(cluster)
+        await scenario(cluster, members)
+        await cluster.async_stop()
+
+    run(run_scenario())
+    return failures
+
+
+async def async_move(member: FakeMember, target: str) -> None:
+    """Give a range away; the transfer may raise."""
+    given = member.maps.find('cases').owned_by(member.name)[0].keys
+    try:
+        await member.holds.async_transfer([given], target)
+    except ThrownError:
+        return
+
+
+@pytest.mark.parametrize('fault', RAISED_FAULTS)
+def test_transfer_that_fails_while_it_may_be_applied_gives_nothing_twice(
+    fault,
+) -> None:
+    """Guards against two owners after an exception in a transfer."""
+
+    async def scenario(cluster, members) -> None:
+        members[0].store.late_s = 1.5
+        members[0].store.faults.append(fault)
+        await async_move(members[0], 'm2')
+        for _ in range(40):
+            await watch(cluster, 0.1)
+            await members[1].holds.registry.async_read()
+        await watch(cluster, 6.0)
+        assert cluster.held_keys() == KEY_COUNT
+
+    failures = run_cluster(scenario)
+    assert {type(each) for each in failures} == {ThrownError}
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_failures_of_tasks_among_other_faults_never_give_a_key_twice(
+    seed,
+) -> None:
+    """Guards against two owners, and keys without one, after exceptions."""
+
+    async def scenario(cluster, members) -> None:
+        rng = random.Random(seed)
+        for _ in range(CASES):
+            member = rng.choice(cluster.members)
+            member.store.late_s = rng.uniform(0.2, 4.0)
+            if rng.choice((True, False)):
+                member.store.faults.append(rng.choice(RAISED_FAULTS))
+            inject_fault(cluster, rng, kinds=KINDS)
+            await watch(cluster, rng.uniform(0.1, 2.0))
+            assert not cluster.stale_fence_grants()
+        clear_faults(cluster)
+        await watch(cluster, LEASE_S + 20)
+        assert not cluster.stale_fence_grants()
+        assert cluster.held_keys() == KEY_COUNT
+
+    run_cluster(scenario)
+
+
+def test_member_whose_grants_keep_failing_lets_others_have_its_keys(
+    monkeypatch,
+) -> None:
+    """Guards against keys that stay with a member which can't grant them."""
+
+    async def scenario(cluster, members) -> None:
+        failing = members[0].holds.granter
+        start = Granter.start_grants
+
+        def fail_at_one(granter: Granter) -> None:
+            if granter is failing:
+                raise ThrownError
+            start(granter)
+
+        monkeypatch.setattr(Granter, 'start_grants', fail_at_one)
+        await watch(cluster, LEASE_S + 10)
+        assert cluster.held_keys() == KEY_COUNT
+        assert not members[1].maps.find('cases').owned_by('m1')
+        monkeypatch.undo()
+        await watch(cluster, 10)
+        assert members[0].holds.registry.is_joined
+        assert not members[0].holds.supervisor.failing_names
+
+    assert run_cluster(scenario)
