--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
 from soak.schedule import ALL_FAULTS, FaultKind, make_schedule
 from soak.verdict import (
     Verdict,
+    count_unhandled,
     judge,
     read_acquisitions,
     read_runs,
@@ -77,6 +78,7 @@
     verdict.old_configs = injector.old_configs
     verdict.unfelt_faults = len(injector.felt.unfelt())
     verdict.ended_by_itself = len(ended)
+    verdict.unhandled = count_unhandled(folder)
     return verdict
 
 
--- a/soak/verdict.py
+++ b/soak/verdict.py
@@ -12,6 +12,7 @@
 from standins.fences import Acquisition, find_stale_acquisitions
 from standins.incarnation import Incarnation
 from standins.notices import Told
+from tools.unhandled import find_unhandled
 
 # Tolerance for overlaps of runs on a key, as two clocks are read.
 OVERLAP_TOLERANCE_S = 0.001
@@ -20,6 +21,7 @@
 DEADLINE_S = 1.5
 # A server processes calls received during its pause within this time.
 RESUME_S = 0.5
+ROUTER_LOGS = 'router-*.log'
 EVENT_TAKEN = 'taken'
 EVENT_TOLD = 'told'
 UNKNOWN_STATUSES = frozenset((502, 504))
@@ -74,6 +76,7 @@
     answered_late: int = 0
     unserved_at_end: int = 0
     ended_by_itself: int = 0
+    unhandled: int = 0
     old_configs: int = 0
     unfelt_faults: int = 0
 
@@ -84,6 +87,14 @@
         return [name for name in guarantees if counts[name]]
 
 
+def count_unhandled(folder: Path) -> int:
+    """Return how many exceptions the processes of a run did not handle."""
+    return sum(
+        len(find_unhandled(path.read_text(errors='replace').splitlines()))
+        for path in folder.glob(ROUTER_LOGS)
+    )
+
+
 def read_runs(path: Path) -> list[Run]:
     """Return the runs that servers recorded."""
     run_by_name: dict[tuple[str, Incarnation, float], Run] = {}
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,7 @@
 from soak.__main__ import async_run
 from soak.callers import RequestRecord
 from soak.schedule import ALL_FAULTS, FaultKind, make_schedule
-from soak.verdict import Pause, Run, judge
+from soak.verdict import Pause, Run, Verdict, count_unhandled, judge
 from standins.fences import Acquisition
 
 SPOTS = 5
@@ -211,3 +211,11 @@
         )
     )
     assert not verdict.broken(), verdict
+
+
+def test_unhandled_exception_of_a_process_breaks_a_run(tmp_path) -> None:
+    """Guards against a run that passes beside a failed task."""
+    (tmp_path / 'router-1.log').write_text('{"event":"task-failed"}\n')
+    (tmp_path / 'router-2.log').write_text('{"event":"request"}\n')
+    assert count_unhandled(tmp_path) == 1
+    assert Verdict(unhandled=1).broken() == ['unhandled']
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -60,13 +60,21 @@
 
 
 def run(scenario: Coroutine[Any, Any, Any]) -> Any:
-    """Run a scenario in virtual time and return its result."""
+    """Run a scenario in virtual time and return its result.
+
+    It fails if an exception ends a task or a callback, unless the scenario
+    handles the exceptions of its loop.
+    """
     loop = VirtualLoop()
+    failures: list[dict[str, Any]] = []
+    loop.set_exception_handler(lambda _, context: failures.append(context))
     try:
-        return loop.run_until_complete(scenario)
+        returned = loop.run_until_complete(scenario)
     finally:
         _end_tasks(loop)
         loop.close()
+    assert not failures
+    return returned
 
 
 def _end_tasks(loop: asyncio.AbstractEventLoop) -> None:
