A row at which the program fails does not hide the rows behind it

What callers saw: nothing yet.

Change: such a row counts as unreadable, is logged once for each version, and the failure is reported.

Evidence: with a decoder that raises for one member's row, the reader of services met none of the members behind it before; it does now.

--- a/plantaingrade/holds/rows.py
+++ b/plantaingrade/holds/rows.py
@@ -116,6 +116,10 @@
             self.unreadable.log_once(row, str(error))
             self._apply_unreadable(row, known, now_s)
             return False
+        except Exception as error:
+            self.unreadable.log_failure_once(row, error)
+            self._apply_unreadable(row, known, now_s)
+            return False
         return True
 
     def _apply_readable(self, row: Row, now_s: float) -> None:
--- a/plantaingrade/peers/service_rows.py
+++ b/plantaingrade/peers/service_rows.py
@@ -101,6 +101,8 @@
             self._apply_row(service, row)
         except UNREADABLE_ERRORS as error:
             self._unreadable.log_once(row, str(error))
+        except Exception as error:
+            self._unreadable.log_failure_once(row, error)
 
     def _apply_row(self, service: str, row: Row) -> None:
         if row.name.key == KEY_MAP:
--- a/plantaingrade/store/unreadable.py
+++ b/plantaingrade/store/unreadable.py
@@ -4,6 +4,7 @@
 
 from plantaingrade.eventlog import EventLog
 from plantaingrade.store.entity import Row, RowName
+from plantaingrade.supervision.failures import report_failure
 
 # Row versions that are remembered as already logged.
 MAX_LOGGED_VERSIONS = 256
@@ -26,10 +27,18 @@
             maxlen=MAX_LOGGED_VERSIONS
         )
 
-    def log_once(self, row: Row, why: str) -> None:
-        """Log a row that could not be decoded, unless already logged."""
+    def log_failure_once(self, row: Row, error: Exception) -> None:
+        """Log a row at which the program fails, and report the failure.
+
+        It must not keep the rows behind it from being read.
+        """
+        if self.log_once(row, repr(error)):
+            report_failure('row', error)
+
+    def log_once(self, row: Row, why: str) -> bool:
+        """Log a row that could not be decoded; return False if logged before."""
         if (row.name, row.version) in self._logged:
-            return
+            return False
         self._logged.append((row.name, row.version))
         self._log.write(
             'row-unreadable',
@@ -38,3 +47,4 @@
             version=row.version,
             why=why[:MAX_WHY_CHARS],
         )
+        return True
--- a/tests/holds/test_task_failures.py
+++ b/tests/holds/test_task_failures.py
@@ -1,13 +1,17 @@
 """Which server holds which keys, while tasks of a member fail."""
 
 import asyncio
+import os
 import random
 
 import pytest
 
+from plantaingrade.eventlog import EventLog
+from plantaingrade.holds import rows
 from plantaingrade.holds.const import LEASE_S
 from plantaingrade.holds.granter import Granter
 from plantaingrade.keyspace.entity import KEY_COUNT
+from plantaingrade.peers import service_rows
 from tests.holds.fakes import (
     RAISED_FAULTS,
     FakeCluster,
@@ -21,7 +25,7 @@
     wait_until_settled,
     watch,
 )
-from tests.virtual import run
+from tests.virtual import LoopClock, run
 
 KINDS = 11
 CASES = 40
@@ -122,3 +126,35 @@
         assert not members[0].holds.supervisor.failing_names
 
     assert run_cluster(scenario)
+
+
+@pytest.mark.parametrize('reader', (rows, service_rows))
+def test_row_at_which_the_program_fails_does_not_hide_the_others(
+    monkeypatch, reader
+) -> None:
+    """Guards against one odd row that stops all members at once."""
+    decode = reader.decode_member_row
+
+    def fail_at_odd(name: str, *args):
+        if name == 'm2':
+            raise ThrownError
+        return decode(name, *args)
+
+    async def scenario(cluster, members) -> None:
+        monkeypatch.setattr(reader, 'decode_member_row', fail_at_odd)
+        met = []
+        readers = service_rows.ServiceRows(
+            members[0].holds.registry.member,
+            members[0].store,
+            members[0].maps,
+            lambda: ['cases'],
+            lambda member: met.append(member.name),
+            lambda desired: None,
+            EventLog('t', LoopClock(), os.open(os.devnull, os.O_WRONLY)),
+        )
+        assert await readers.async_read()
+        assert 'm3' in met
+        await watch(cluster, LEASE_S + 10)
+        assert cluster.held_keys() == KEY_COUNT
+
+    assert run_cluster(scenario)
