--- a/plantaingrade/store/unreadable.py
+++ b/plantaingrade/store/unreadable.py
@@ -36,7 +36,7 @@
             report_failure('row', error)
 
     def log_once(self, row: Row, why: str) -> bool:
-        """Log a row that could not be decoded; return False if logged before."""
+        """Log an unreadable row; return False if it was logged before."""
         if (row.name, row.version) in self._logged:
             return False
         self._logged.append((row.name, row.version))
