A task whose await others cancel is started again as well

What callers saw: nothing yet. A cancellation that reaches a task through what it awaits, such as a transfer that is stopped with the tasks of holds while the balance waits for it, ended the task as if it had been cancelled itself, without a line.

Change: the supervisor takes a cancellation that nobody asked of the task for a failure.

Evidence: test_task_whose_await_is_cancelled_by_others_runs_again (started once before, twice now); tests/supervision and two files of tests/holds: 150 passed.

--- a/plantaingrade/supervision/coordinator.py
+++ b/plantaingrade/supervision/coordinator.py
@@ -109,17 +109,31 @@
             self._healths.discard(health)
 
     async def _async_try(self, health: TaskHealth, work: Work) -> bool:
-        """Run the work; after a failure pause, and return False."""
+        """Run the work; after a failure pause, and return False.
+
+        What the work awaits may be cancelled by others. That would end the task
+        as if it had been cancelled itself.
+        """
         try:
             await work()
+        except asyncio.CancelledError as cancelled:
+            if asyncio.current_task().cancelling():
+                raise
+            await self._async_pause(health, cancelled)
+            return False
         except Exception as error:
-            longest_s = health.on_failure(_now())
-            pause_s = longest_s * self._random.uniform(*PAUSE_JITTER)
-            report_failure(health.name, error, round(pause_s, 3))
-            await asyncio.sleep(pause_s)
+            await self._async_pause(health, error)
             return False
         return True
 
+    async def _async_pause(
+        self, health: TaskHealth, error: BaseException
+    ) -> None:
+        longest_s = health.on_failure(_now())
+        pause_s = longest_s * self._random.uniform(*PAUSE_JITTER)
+        report_failure(health.name, error, round(pause_s, 3))
+        await asyncio.sleep(pause_s)
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/supervision/test_coordinator.py
+++ b/tests/supervision/test_coordinator.py
@@ -135,6 +135,34 @@
     assert len(pauses) > 4
 
 
+def test_task_whose_await_is_cancelled_by_others_runs_again() -> None:
+    """Guards against a task that ends as if it had been cancelled itself."""
+    failures: list[BaseException] = []
+    starts: list[asyncio.Future[None]] = []
+
+    async def async_work() -> None:
+        starts.append(asyncio.get_running_loop().create_future())
+        await starts[-1]
+
+    async def scenario() -> None:
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: failures.append(context['exception'])
+        )
+        async with Supervisor('p1') as supervisor:
+            task = supervisor.start('balance', async_work)
+            await asyncio.sleep(0.01)
+            starts[0].cancel()
+            await asyncio.sleep(1)
+            assert len(starts) == 2
+            task.cancel()
+            await asyncio.sleep(1)
+            assert task.cancelled()
+        assert len(starts) == 2
+
+    run(scenario())
+    assert [type(each) for each in failures] == [asyncio.CancelledError]
+
+
 def test_work_that_returns_is_not_started_again() -> None:
     async def scenario() -> None:
         done = []
