Lines about failures are written without the event loop

Decisions may not import I/O, also not by way of a row reader that reports a failure; the linter showed it. The line is written in a module of its own, which needs only the log.

--- a/plantaingrade/store/unreadable.py
+++ b/plantaingrade/store/unreadable.py
@@ -4,7 +4,7 @@
 
 from plantaingrade.eventlog import EventLog
 from plantaingrade.store.entity import Row, RowName
-from plantaingrade.supervision.failures import report_failure
+from plantaingrade.supervision.lines import write_failure
 
 # Row versions that are remembered as already logged.
 MAX_LOGGED_VERSIONS = 256
@@ -33,7 +33,7 @@
         It must not keep the rows behind it from being read.
         """
         if self.log_once(row, repr(error)):
-            report_failure('row', error)
+            write_failure(self._log, 'row', error)
 
     def log_once(self, row: Row, why: str) -> bool:
         """Log an unreadable row; return False if it was logged before."""
