--- a/plantaingrade/sidecar/background.py
+++ b/plantaingrade/sidecar/background.py
@@ -1,7 +1,6 @@
 """The background tasks of one process, and whether all of them run."""
 
 import asyncio
-from types import TracebackType
 
 from plantaingrade.backends.incarnation import IncarnationTracker
 from plantaingrade.balance.coordinator import BalanceCoordinator
@@ -52,20 +51,10 @@
         self._desired_states = desired_states
         self._has_started_holds = False
 
-    async def __aenter__(self) -> 'BackgroundTasks':
-        """Start to follow the configuration."""
+    def start(self) -> None:
+        """Start to follow the configuration, and to join once it is known."""
         self._supervisor.start('config', self._config.async_run)
         self._supervisor.start('membership', self._async_join)
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stop all tasks."""
-        await self._supervisor.__aexit__(kind, error, trace)
 
     @property
     def failing_names(self) -> list[str]:
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -93,7 +93,7 @@
     async def __aenter__(self) -> 'Process':
         """Open the listeners and start the background tasks."""
         await self._async_listen()
-        await self._background.__aenter__()
+        self._background.start()
         return self
 
     async def __aexit__(
@@ -105,7 +105,7 @@
         """Stop all tasks and close all connections."""
         self._server_watch.stop()
         self._server_evacuation.stop()
-        await self._background.__aexit__(kind, error, trace)
+        await self._supervisor.__aexit__(kind, error, trace)
         await self._servers.async_close()
         self._peers.endpoint.close()
         self._orders.close()
