The limit of a route on servers stands once

Two checks counted the servers that a request has reached against the same limit; the progress of the request does so now. tests/requests pass.

--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -98,6 +98,11 @@
     unknown: Unknown | None = None
     next_member: Member | None = None
 
+    @property
+    def may_reach_more_servers(self) -> bool:
+        """Return whether the route allows one that was not reached before."""
+        return len(self.reached) < self.routed.max_servers
+
 
 class RequestCoordinator:
     """Routes requests, retries them where it is safe, and reports outcomes."""
@@ -295,9 +300,10 @@
 
         The owner of a key may be a server that was reached before.
         """
-        routed = progress.routed
-        has_left = len(progress.reached) < routed.max_servers
-        return has_left or self._targets.is_keyed(routed.service)
+        service = progress.routed.service
+        return progress.may_reach_more_servers or self._targets.is_keyed(
+            service
+        )
 
     async def _async_choose_spillover(self, progress: RequestProgress) -> bool:
         """Choose another server; return whether there is a candidate."""
@@ -347,8 +353,7 @@
 
 def _may_reach(progress: RequestProgress, member: Member) -> bool:
     """Return whether the route allows the server of a member for a request."""
-    is_known = member.name in progress.reached
-    return is_known or len(progress.reached) < progress.routed.max_servers
+    return progress.may_reach_more_servers or member.name in progress.reached
 
 
 def _has_reached_server(outcome: Outcome) -> bool:
