--- a/tests/guards.py
+++ b/tests/guards.py
@@ -13,7 +13,15 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 LIMIT_S = 600
-COPIED_FOLDERS = ('plantaingrade', 'standins', 'demo', 'tests', 'bench')
+COPIED_FOLDERS = (
+    'plantaingrade',
+    'standins',
+    'demo',
+    'tests',
+    'bench',
+    'soak',
+    'tools',
+)
 
 
 @dataclass(frozen=True)
@@ -402,6 +410,55 @@
         'return True',
         'tests/admission/test_server_bytes.py',
     ),
+    Guard(
+        'a change before any member is known ends no task',
+        'plantaingrade/peers/directory.py',
+        '        if not names:\n            return set()\n',
+        '',
+        'tests/config/test_follower_failures.py tests/peers/test_directory.py',
+    ),
+    Guard(
+        'a task that failed is started again',
+        'plantaingrade/supervision/coordinator.py',
+        'while not await self._async_try(health, work):',
+        'for _ in (await self._async_try(health, work),):',
+        'tests/supervision tests/holds/test_task_failures.py',
+    ),
+    Guard(
+        'a task that was cancelled by others is started again',
+        'plantaingrade/supervision/coordinator.py',
+        'if asyncio.current_task().cancelling():',
+        'if True:',
+        'tests/supervision',
+    ),
+    Guard(
+        'a task that failed is failing until it has proven sound',
+        'plantaingrade/supervision/coordinator.py',
+        'is None or now < self.restarted_at + PROVEN_S',
+        'is None',
+        'tests/supervision',
+    ),
+    Guard(
+        'a listener that fails skips no other',
+        'plantaingrade/listeners.py',
+        '            errors.append(error)',
+        '            raise',
+        'tests/config/test_follower_failures.py',
+    ),
+    Guard(
+        'an exception while a write is open gives up the lease',
+        'plantaingrade/holds/changes.py',
+        'if self.has_sent and isinstance(error, Exception):',
+        'if False:',
+        'tests/holds/test_task_failures.py',
+    ),
+    Guard(
+        'a member whose grants keep failing gives up its lease',
+        'plantaingrade/holds/coordinator.py',
+        'if self.supervisor.failing_s(GRANTING_TASKS) > GIVE_UP_S:',
+        'if False:',
+        'tests/holds/test_task_failures.py',
+    ),
 )
 
 
