Commits and grants are not lost with a short task that fails

What callers saw: nothing; found by a play that lets short tasks fail where they first wait, and by reading after it.

Cause: a batch that failed while it collected commits left them in its list, so no later batch began: every commit by way of this member waited for ever. A grant that was cancelled before it began stayed listed as being sent, so its keys were never granted again once the tasks of holds had been started again (43,691 of 65,536 keys held).

Change: a batch that ends in any way answers all that it has collected and leaves an empty list; a grant is unlisted when its task is done.

--- a/plantaingrade/holds/granter.py
+++ b/plantaingrade/holds/granter.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from enum import StrEnum
+from functools import partial
 
 from plantaingrade.clock import Clock
 from plantaingrade.eventlog import EventLog
@@ -252,8 +253,11 @@
     def _start(self, keys: KeyRange, fence: int, session: int) -> None:
         lowest = min(each.fence for each in self._owned())
         self._fences.bind(fence, session, lowest)
-        self._grants_by_keys[keys] = start_job(
-            'grant', self._async_grant(keys, fence, session)
+        grant = start_job('grant', self._async_grant(keys, fence, session))
+        self._grants_by_keys[keys] = grant
+        # A task that is cancelled before it begins runs no ``finally``.
+        grant.add_done_callback(
+            partial(_remove_task, self._grants_by_keys, keys)
         )
 
     async def _async_grant(
@@ -343,3 +347,12 @@
             session=session,
             outcome=type(outcome).__name__,
         )
+
+
+def _remove_task(
+    task_by_keys: dict[KeyRange, asyncio.Task[None]],
+    keys: KeyRange,
+    task: asyncio.Task[None],
+) -> None:
+    if task_by_keys.get(keys) is task:
+        task_by_keys.pop(keys)
--- a/plantaingrade/store/batches.py
+++ b/plantaingrade/store/batches.py
@@ -57,15 +57,17 @@
         return await answer
 
     async def _async_flush(self) -> None:
-        await asyncio.sleep(COLLECT_S)
         waiting = self._waiting
-        self._waiting = []
         try:
+            await asyncio.sleep(COLLECT_S)
+            self._waiting = []
             await asyncio.gather(
                 *(self._async_commit_group(group) for group in _group(waiting))
             )
         except BaseException:
             # Cancelled or failed, the commits may still be applied.
+            if self._waiting is waiting:
+                self._waiting = []
             _answer_all(waiting, OutcomeUnknown(StoreFailure.LOST))
             raise
 
--- a/tests/holds/test_task_failures.py
+++ b/tests/holds/test_task_failures.py
@@ -10,7 +10,7 @@
 from plantaingrade.holds import rows
 from plantaingrade.holds.const import LEASE_S
 from plantaingrade.holds.granter import Granter
-from plantaingrade.keyspace.entity import KEY_COUNT
+from plantaingrade.keyspace.entity import KEY_COUNT, KeyRange
 from plantaingrade.peers import service_rows
 from tests.holds.fakes import (
     RAISED_FAULTS,
@@ -164,3 +164,17 @@
 
     run_cluster(scenario)
     assert 'task-failed' in events
+
+
+def test_grants_that_are_cancelled_before_they_begin_are_sent_again() -> None:
+    """Guards against keys that are never granted after holds start again."""
+
+    async def scenario(cluster, members) -> None:
+        granter = members[0].holds.granter
+        granter.ledger.forget(KeyRange(0, KEY_COUNT - 1))
+        granter.start_grants()
+        await granter.async_stop()
+        await watch(cluster, 6.0)
+        assert cluster.held_keys() == KEY_COUNT
+
+    assert not run_cluster(scenario)
--- a/tests/store/test_failing_batches.py
+++ b/tests/store/test_failing_batches.py
@@ -4,6 +4,7 @@
 
 from plantaingrade.store.batches import CommitBatches
 from plantaingrade.store.entity import (
+    Committed,
     Expected,
     OutcomeUnknown,
     Put,
@@ -11,6 +12,7 @@
     StoreFailure,
     Transaction,
 )
+from tests.holds.fakes import FakeRows, FakeStore
 from tests.virtual import run
 
 
@@ -26,6 +28,24 @@
         raise ThrownError
 
 
+def test_batch_that_fails_while_it_collects_ends_no_later_batch() -> None:
+    """Guards against commits that nothing sends any more."""
+
+    async def scenario() -> None:
+        batches = CommitBatches(FakeStore(FakeRows()))
+        name = RowName('t', 'p', '1')
+        change = Transaction((Expected(name, 0),), (Put(name, b''),))
+        lost = asyncio.ensure_future(batches.async_commit(change))
+        await asyncio.sleep(0.01)
+        for task in asyncio.all_tasks():
+            if task.get_name() == 'commit-batch':
+                task.cancel()
+        assert await lost == OutcomeUnknown(StoreFailure.LOST)
+        assert isinstance(await batches.async_commit(change), Committed)
+
+    run(scenario())
+
+
 def test_commits_of_a_batch_that_fails_are_answered() -> None:
     """Guards against renewals that wait for ever for a task that has ended."""
     failures = []
