A process that others have told of a newer version denies no route

What callers saw: in the incident, 404 for routes that exist; a final answer that was false. The process had heard of the newer version from requests of others all the while.

Change: while others have told of a newer version than the one in force, a request without a route is refused with 503 and a time to come back; the newer version may have the route. The line no-route says so.

Evidence: test_route_that_a_newer_configuration_may_have_is_not_denied; tests/requests and tests/config pass. Readiness alone takes two probes to stop the traffic; this holds from the first hint on.

--- a/plantaingrade/config/coordinator.py
+++ b/plantaingrade/config/coordinator.py
@@ -140,6 +140,11 @@
         """Return the active version; 0 if there is none yet."""
         return 0 if self.config is None else self.config.version
 
+    @property
+    def is_behind(self) -> bool:
+        """Return whether others have told of a newer version."""
+        return self._hinted_version > self.version
+
     def add_listener(self, listener: Callable[[RoutingConfig], None]) -> None:
         """Add a callback for each new configuration."""
         self._listeners.append(listener)
@@ -157,7 +162,7 @@
         """
         if version <= max(self.version, self._hinted_version):
             return
-        if not self._is_behind():
+        if not self.is_behind:
             self._hinted_at = _now()
         self._hinted_version = version
         self._hinted.set()
@@ -204,18 +209,15 @@
     def _must_read(self) -> bool:
         return self._is_overdue() or _now() >= self._reread_at
 
-    def _is_behind(self) -> bool:
-        return self._hinted_version > self.version
-
     def _is_overdue(self) -> bool:
         """Return whether the feed is late with a version that peers have."""
         is_late = _now() - self._hinted_at >= HINT_DELAY_S
-        return is_late and self._is_behind()
+        return is_late and self.is_behind
 
     def _on_progress(self) -> None:
         """Restart the delay: the feed has just delivered a change."""
         self._hinted_at = _now()
-        if not self._is_behind():
+        if not self.is_behind:
             self._hinted.clear()
 
     async def _async_ask_peers(self) -> None:
--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -151,8 +151,7 @@
             return NotRun(NotRunReason.NO_CONFIG, DEFAULT_RETRY_AFTER_S)
         routed = self._route(caller)
         if routed is None:
-            self._log.write('no-route', id=caller.request_id.decode())
-            return NoRoute()
+            return self._refuse_unrouted(caller)
         self._budget.on_request(
             routed.service, self._targets.count_members(), caller.arrived
         )
@@ -161,6 +160,18 @@
         self._report(progress, outcome)
         return outcome
 
+    def _refuse_unrouted(self, caller: CallerRequest) -> NotRun | NoRoute:
+        """Refuse a request without a route.
+
+        A newer configuration that others have told of may have one.
+        """
+        is_behind = self._config.is_behind
+        request_id = caller.request_id.decode()
+        self._log.write('no-route', id=request_id, is_behind=is_behind)
+        if is_behind:
+            return NotRun(NotRunReason.OLD_CONFIG, DEFAULT_RETRY_AFTER_S)
+        return NoRoute()
+
     def may_repeat(self, raw: Request) -> bool:
         """Return whether a request is idempotent by its route."""
         host = dict(raw.headers).get(b'host', b'')
--- a/plantaingrade/requests/entity.py
+++ b/plantaingrade/requests/entity.py
@@ -16,6 +16,7 @@
     """Why a request was definitely not run."""
 
     NO_CONFIG = 'no-config'
+    OLD_CONFIG = 'older-config'
     NO_SERVER = 'no-server'
     NO_OWNER = 'no-owner'
     NOT_OWNER = 'not-owner'
--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -247,9 +247,12 @@
         store.put(b'6')
         await asyncio.sleep(2)
         assert follower.version == 1
+        assert not follower.is_behind
         follower.on_hint(6)
+        assert follower.is_behind
         await asyncio.sleep(APPLY_S / 2)
         assert follower.version == 6
+        assert not follower.is_behind
 
     follow(scenario)
 
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -79,7 +79,8 @@
 
     version = 3
 
-    def __init__(self, *routes: Route) -> None:
+    def __init__(self, *routes: Route, is_behind: bool = False) -> None:
+        self.is_behind = is_behind
         limits = Limits(16384, 1000, 3, 15)
         config = RoutingConfig(3, routes, {}, limits)
         self.routes = RouteTable(config) if routes else None
@@ -117,6 +118,7 @@
     members: tuple[Member, ...] = (OWN, NEAR, FAR, *KEYED),
     load_by_name: Mapping[str, Load] = NO_LOADS,
     unreachable: tuple[str, ...] = (),
+    is_behind: bool = False,
 ) -> tuple[Outcome | NoRoute, list[str]]:
     """Return the outcome of one request and the members that were asked."""
     paths = FakePaths(outcomes)
@@ -138,7 +140,7 @@
         )
         coordinator = RequestCoordinator(
             OWN,
-            FakeConfig(*routes),
+            FakeConfig(*routes, is_behind=is_behind),
             TargetChooser(
                 OWN,
                 directory,
@@ -319,6 +321,14 @@
     assert outcome.reason is NotRunReason.NO_CONFIG
 
 
+def test_route_that_a_newer_configuration_may_have_is_not_denied() -> None:
+    """Guards against 404 for a route from a process that is behind."""
+    outcome, _ = ask('/nowhere/', [], is_behind=True)
+    assert outcome.reason is NotRunReason.OLD_CONFIG
+    assert outcome.retry_after_s
+    assert ask('/s/i/1', [SERVED], is_behind=True)[0] == SERVED
+
+
 def test_service_without_servers_refuses() -> None:
     outcome, _ = ask('/s/i/1', [], members=())
     assert outcome.reason is NotRunReason.NO_SERVER
