--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -14,7 +14,7 @@
 MIN_STEP_S = 1e-8
 
 
-class VirtualSelector(selectors.SelectSelector):
+class VirtualSelector(selectors.PollSelector):
     """Selector that advances the virtual time instead of blocking."""
 
     def __init__(self) -> None:
