A task that is cancelled ends also if its work fails meanwhile

Found in the last read of the change. The supervisor's two branches for failures were alike but for one check: a task whose clean-up raised while it was being cancelled paused and was started again, and who waited for its end waited for ever, such as a process that is told to stop. One branch serves both now.

Evidence: test_task_that_fails_while_it_is_cancelled_is_not_started_again did not end within 20 s before and passes now; it ends reported as failed.

Tests: tests/supervision, two files of tests/config and the failures of tasks in tests/holds (64 passed), linters, guards.

--- a/plantaingrade/config/coordinator.py
+++ b/plantaingrade/config/coordinator.py
@@ -338,6 +338,8 @@
         """Activate a configuration if it is valid and newer."""
         try:
             config = self._decode(body)
+            if config.version <= self.version:
+                return
             routes = RouteTable(config)
         except PlantaingradeError as error:
             self._log.write('config-rejected', source=source, why=str(error))
@@ -346,8 +348,6 @@
             self._log.write('config-rejected', source=source, why=repr(error))
             report_failure('config-decoder', error)
             return
-        if config.version <= self.version:
-            return
         self._log.write(
             'config-in-force',
             version=config.version,
--- a/plantaingrade/supervision/coordinator.py
+++ b/plantaingrade/supervision/coordinator.py
@@ -112,16 +112,14 @@
         """Run the work; after a failure pause, and return False.
 
         What the work awaits may be cancelled by others. That would end the task
-        as if it had been cancelled itself.
+        as if it had been cancelled itself. A task that is cancelled ends, also
+        if its work fails meanwhile.
         """
         try:
             await work()
-        except asyncio.CancelledError as cancelled:
+        except (asyncio.CancelledError, Exception) as error:
             if asyncio.current_task().cancelling():
                 raise
-            await self._async_pause(health, cancelled)
-            return False
-        except Exception as error:
             await self._async_pause(health, error)
             return False
         return True
--- a/tests/supervision/test_coordinator.py
+++ b/tests/supervision/test_coordinator.py
@@ -163,6 +163,32 @@
     assert [type(each) for each in failures] == [asyncio.CancelledError]
 
 
+def test_task_that_fails_while_it_is_cancelled_is_not_started_again() -> None:
+    """Guards against a process that can't end."""
+    starts: list[int] = []
+    failures: list[BaseException] = []
+
+    async def async_work() -> None:
+        starts.append(1)
+        try:
+            await asyncio.sleep(9)
+        finally:
+            raise OddRowError
+
+    async def scenario() -> None:
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: failures.append(context['exception'])
+        )
+        async with asyncio.timeout(5):
+            async with Supervisor('p1') as supervisor:
+                supervisor.start('balance', async_work)
+                await asyncio.sleep(0.01)
+
+    run(scenario())
+    assert starts == [1]
+    assert [type(each) for each in failures] == [OddRowError]
+
+
 def test_work_that_returns_is_not_started_again() -> None:
     async def scenario() -> None:
         done = []
