--- a/review/lab2/deployment.py
+++ b/review/lab2/deployment.py
@@ -89,7 +89,14 @@
 class Deployment:
     """Starts and ends the processes of one run."""
 
-    def __init__(self, services: list[str], keyed: set[str], record: Path):
+    def __init__(
+        self,
+        services: list[str],
+        keyed: set[str],
+        record: Path,
+        bounds: dict = BOUNDS,
+    ) -> None:
+        self.bounds = bounds
         self.block = free_block()
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.record = record
@@ -203,7 +210,7 @@
                     'blobMbS': 80.0,
                 },
             },
-            'terms': {'bounds': BOUNDS},
+            'terms': {'bounds': self.bounds},
         }
         path.write_text(json.dumps(settings))
         self.spawn(machine.name, ROUTER, PLANTAINGRADE_BOOT=str(path))
--- a/review/lab2/worker.py
+++ b/review/lab2/worker.py
@@ -37,6 +37,12 @@
     return float(text[:-1])
 
 
+def work_s(path: str, usual_s: float) -> float:
+    """Return how long a request takes: ``/.../work-2400`` names its time."""
+    _, marked, ms = path.rpartition('/work-')
+    return int(ms) / 1000 if marked else usual_s
+
+
 class Record:
     """Appends events to a file, one JSON object a line."""
 
@@ -265,14 +271,16 @@
                         path=request[1],
                     )
                     late = b''
-                late = await self.serve_one(request, writer, is_late_order)
+                late = await self.serve_one(
+                    request, reader, writer, is_late_order
+                )
                 await writer.drain()
         except ConnectionError:
             return
         finally:
             writer.close()
 
-    async def serve_one(self, request, writer, is_late_order) -> bytes:
+    async def serve_one(self, request, reader, writer, is_late_order) -> bytes:
         method, path, headers, body = request
         if path == '/v1/grant':
             return self.serve_grant(json.loads(body), writer, is_late_order)
@@ -283,7 +291,7 @@
             status = 503 if self.state == 'draining' else 200
             writer.write(self.answer(status, [('Instance-Id', self.id)]))
             return b''
-        await self.serve_work(method, path, headers, body, writer)
+        await self.serve_work(method, path, headers, body, reader, writer)
         return self.next_extra()
 
     def serve_grant(self, order: dict, writer, is_late: bool) -> bytes:
@@ -324,7 +332,9 @@
             return response(503, [('Not-Executed', '1')])
         return response(200, [], b'bytes that belong to no request')
 
-    async def serve_work(self, method, path, headers, body, writer) -> None:
+    async def serve_work(
+        self, method, path, headers, body, reader, writer
+    ) -> None:
         ident = headers.get('attempt-id', '')
         key = headers.get('shard-key')
         expected = headers.get('expect-instance', '')
@@ -354,8 +364,14 @@
             crc=zlib.crc32(body),
             caller=headers.get('caller-service'),
         )
+        ends = now() + work_s(path, self.flags.work_ms / 1000)
         try:
-            await asyncio.sleep(self.flags.work_ms / 1000)
+            while now() < ends:
+                await asyncio.sleep(min(0.02, max(0.0, ends - now())))
+                if reader.at_eof() or writer.transport.is_closing():
+                    # As most workers, it drops work whose caller has left.
+                    self.record.write('broken-off', request=ident)
+                    return
         finally:
             self.running -= 1
             self.working.remove(int(key or 0))
