A process that stops begins no work that may outlast it

Cause: keys can't be transferred while the store is away, so a process that stops serves them until 1.5 s before its end, and where work begins nobody asked whether it may still end. Ruled out as causes of their own: FINISH_S (1.5 s are enough for most work) and the estimate of a class (no estimate tells how long a single request takes; in the case no long one had been seen before).

Change: once callers have been moved away (2.3 s after the signal), work begins only if its time limit is before the end of the process, so that it ends in time whatever it takes. Asked at admission, after each wait, and of all that waits at that moment. The refusal says not run and names the time after the end; who sent the request on asks once, not four times. What a stopping process sends on is limited by its own end.

Why it works: a time limit bounds a request whatever its class, and the one place where work is sent to the server asks for it last.

--- a/plantaingrade/admission/gate.py
+++ b/plantaingrade/admission/gate.py
@@ -1,7 +1,7 @@
 """Asynchronous access to the slots of the local backend server."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from plantaingrade.admission.entity import Decision, Refuse, Start, Ticket, Wait
@@ -67,15 +67,30 @@
 
         The server accepts no more of them.
         """
-        refused = [
+        return self.refuse_by(
+            lambda ticket: None if ticket.is_bound else outcome
+        )
+
+    def refuse_by(self, find: Callable[[Ticket], NotRun | None]) -> int:
+        """Refuse the waiting requests for which ``find`` returns an outcome.
+
+        Return their count.
+        """
+        waiting = [
             ticket
             for ticket, waiter in self._waiter_by_ticket.items()
-            if ticket.is_waiting and not ticket.is_bound and not waiter.done()
+            if ticket.is_waiting and not waiter.done()
         ]
-        for ticket in refused:
-            self.queue.remove(ticket)
-        self._wake_waiters([Refuse(ticket, outcome) for ticket in refused])
-        return len(refused)
+        outcome_by_ticket = {ticket: find(ticket) for ticket in waiting}
+        refusals = [
+            Refuse(ticket, outcome)
+            for ticket, outcome in outcome_by_ticket.items()
+            if outcome is not None
+        ]
+        for refusal in refusals:
+            self.queue.remove(refusal.ticket)
+        self._wake_waiters(refusals)
+        return len(refusals)
 
     async def _wait(self, wait: Wait) -> Decision:
         waiter = asyncio.get_running_loop().create_future()
--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -295,6 +295,9 @@
         if not self._may_reach_another(progress):
             return False
         match outcome:
+            case NotRun(reason=NotRunReason.LEAVING, retry_after_s=after_s):
+                # An owner that tells a time keeps its keys until then.
+                return not after_s
             case NotRun(reason=reason):
                 if reason in OVERLOAD_REASONS:
                     return await self._async_choose_spillover(progress)
--- a/plantaingrade/requests/peer_path.py
+++ b/plantaingrade/requests/peer_path.py
@@ -47,6 +47,7 @@
     encode_leaving,
 )
 from plantaingrade.requests.leaving import LeavingServers
+from plantaingrade.requests.process_end import ProcessEnd
 
 
 class PeerPath:
@@ -56,6 +57,7 @@
         '_budget',
         '_clock',
         '_directory',
+        '_end',
         '_known',
         '_leaving',
         '_loads',
@@ -71,13 +73,16 @@
         budget: BufferBudget,
         clock: Clock,
         known: Callable[[str], KnownVersions],
+        end: ProcessEnd,
         log: EventLog,
     ) -> None:
         """Use a pool of connections to other processes.
 
         ``budget`` limits the bytes of answers while they are read, and
         ``known`` returns the versions that this process uses for a service.
+        ``end`` tells when this process ends, if it stops.
         """
+        self._end = end
         self._budget = budget
         self._log = log
         self._loads = loads
@@ -96,6 +101,8 @@
         """
         known = self._known(routed.service)
         known = replace(known, key_map=max(known.key_map, map_version))
+        # Nobody receives an answer that comes after the end of this process.
+        routed = replace(routed, until=min(routed.until, self._end.ends_at))
         left_s = routed.until - self._clock.now()
         try:
             async with asyncio.timeout(left_s + PEER_GRACE_S):
--- /dev/null
+++ b/plantaingrade/requests/process_end.py
@@ -0,0 +1,38 @@
+"""Decide which requests a process that stops may still begin.
+
+Performs no I/O. Points in time are readings of this instance's boot clock, in
+seconds.
+"""
+
+# Time after the end of a process until its keys are served again: the next
+# process has started, or another member has taken them over.
+NEXT_PROCESS_S = 0.5
+NEVER = float('inf')
+
+
+class ProcessEnd:
+    """When a process ends, and until when work of unknown length may begin.
+
+    Whatever still runs at the end is broken off. How long a request will take
+    is not known, only until when it must be answered.
+    """
+
+    __slots__ = ('_begins_until', 'ends_at')
+
+    def __init__(self) -> None:
+        """Create for a process that is not told to stop."""
+        self._begins_until = NEVER
+        self.ends_at = NEVER
+
+    def plan(self, begins_until: float, ends_at: float) -> None:
+        """Begin work of unknown length until one time, and end at another."""
+        self._begins_until = begins_until
+        self.ends_at = ends_at
+
+    def may_begin(self, until: float, now: float) -> bool:
+        """Return whether a request that ends at ``until`` may begin now."""
+        return now < self._begins_until or until <= self.ends_at
+
+    def retry_after_s(self, now: float) -> float:
+        """Return the time until keys that remain here are served again."""
+        return max(0.0, self.ends_at - now) + NEXT_PROCESS_S
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -33,6 +33,7 @@
     UnknownReason,
 )
 from plantaingrade.requests.failures import FailureRates
+from plantaingrade.requests.process_end import ProcessEnd
 from plantaingrade.requests.server_exchange import (
     ServerCodec,
     ServerExchange,
@@ -65,6 +66,7 @@
         '_log',
         '_failures',
         '_unreached_until',
+        'end',
         'is_closed',
         'is_drained',
         'is_evacuated',
@@ -86,6 +88,8 @@
 
         ``budget`` limits the bytes of answers while they are read.
         """
+        # Which requests may still begin if this process stops.
+        self.end = ProcessEnd()
         self.is_closed = False
         # Set by an operator; requests with a key are still served until the
         # keys have been transferred.
@@ -145,6 +149,11 @@
         )
         self._log.write('queue-refused', count=refused)
 
+    def on_end_near(self) -> None:
+        """Refuse what waits and may outlast this process, which stops."""
+        refused = self._gate.refuse_by(self._refuse_waiting_by_end)
+        self._log.write('queue-refused', count=refused)
+
     def record_crash(self, digests: tuple[str, ...]) -> None:
         """Record the requests that ran at a server when it crashed.
 
@@ -226,6 +235,7 @@
             self._record_demand(routed, NO_KEY)
         if refusal is None and self._needs_hold(routed):
             refusal = await self._async_wait_for_hold(routed)
+        refusal = refusal or self._refuse_by_end(routed)
         if refusal is not None:
             return refusal
         ticket = Ticket(
@@ -280,7 +290,7 @@
 
     def _refuse_by_state(self, routed: RoutedRequest) -> NotRun | None:
         if self.is_closed:
-            return NotRun(NotRunReason.LEAVING)
+            return self._refuse_leaving(routed)
         if self.is_evacuated:
             return NotRun(NotRunReason.DRAINING, DEFAULT_RETRY_AFTER_S)
         if self.is_drained and not self._needs_hold(routed):
@@ -289,6 +299,30 @@
             return NotRun(NotRunReason.NO_CONFIG, DEFAULT_RETRY_AFTER_S)
         return self._refuse_by_server(routed)
 
+    def _refuse_by_end(self, routed: RoutedRequest) -> NotRun | None:
+        """Refuse a request that may outlast this process."""
+        if self.end.may_begin(routed.until, self._clock.now()):
+            return None
+        return self._refuse_leaving(routed)
+
+    def _refuse_waiting_by_end(self, ticket: Ticket) -> NotRun | None:
+        now = self._clock.now()
+        if self.end.may_begin(ticket.deadline, now):
+            return None
+        after_s = self.end.retry_after_s(now) if ticket.is_bound else 0.0
+        return NotRun(NotRunReason.LEAVING, after_s)
+
+    def _refuse_leaving(self, routed: RoutedRequest) -> NotRun:
+        """Refuse a request because this process stops.
+
+        While keys can't be transferred, nobody else serves them before its end.
+        """
+        after_s = 0.0
+        key = routed.caller.key or 0
+        if self._needs_hold(routed) and self._holds.find_own(key) is not None:
+            after_s = self.end.retry_after_s(self._clock.now())
+        return NotRun(NotRunReason.LEAVING, after_s)
+
     def _refuse_by_server(self, routed: RoutedRequest) -> NotRun | None:
         if self._tracker.accepts_work:
             return None
@@ -330,8 +364,10 @@
     ) -> Outcome:
         """Send the request to the server; requires a slot that is held."""
         # The request may have waited since its admission.
-        refusal = self._refuse_by_server(routed) or self._refuse_quarantined(
-            routed
+        refusal = (
+            self._refuse_by_server(routed)
+            or self._refuse_quarantined(routed)
+            or self._refuse_by_end(routed)
         )
         if refusal is not None:
             return refusal
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -279,6 +279,7 @@
             self._bytes.budget,
             self._clock,
             self._known_versions,
+            self._server_path.end,
             self._log,
         )
         targets = TargetChooser(
--- a/plantaingrade/sidecar/shutdown.py
+++ b/plantaingrade/sidecar/shutdown.py
@@ -66,17 +66,26 @@
     async def async_run(self) -> None:
         """Run all steps within the platform's grace period."""
         began = self._clock.now()
-        self._log.write('leaving', owns_keys=self._holds.owns_keys)
-        self._balance.leave()
+        self._start_leaving(began)
         await self._async_wait(began + HANDOVER_LIMIT_S, self._owns_no_keys)
         removal = self._start_removal()
         await self._async_wait(began + LINGER_S, _never)
-        self._callers.is_closed = True
+        self._close_to_callers()
         await self._async_finish(began + self._limit_s)
         if removal is not None:
             removal.cancel()
         self._log.write('stopped', busy=self._busy())
 
+    def _start_leaving(self, began: float) -> None:
+        self._log.write('leaving', owns_keys=self._holds.owns_keys)
+        self._server_path.end.plan(began + LINGER_S, began + self._limit_s)
+        self._balance.leave()
+
+    def _close_to_callers(self) -> None:
+        """Accept no more requests of callers, nor work that may not end."""
+        self._callers.is_closed = True
+        self._server_path.on_end_near()
+
     def _start_removal(self) -> asyncio.Task[None] | None:
         """Start to remove this member's row if it owns no keys any more."""
         if self._holds.owns_keys:
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -145,3 +145,25 @@
         assert gate.queue.waiting == 0
 
     run(scenario())
+
+
+def test_waiting_requests_are_refused_by_a_condition() -> None:
+    """Guards against a request that waits where it can't end in time."""
+
+    async def scenario() -> None:
+        gate = make_gate()
+        tickets = [ticket(5, limit_s) for limit_s in (5, 9, 5, 9)]
+        tasks = [asyncio.create_task(work(gate, each)) for each in tickets]
+        await asyncio.sleep(WORK_S / 2)
+        leaving = NotRun(NotRunReason.LEAVING)
+        ends_at = asyncio.get_running_loop().time() + 7
+        refused = gate.refuse_by(
+            lambda each: leaving if each.deadline > ends_at else None
+        )
+        assert refused == 2
+        left = leaving.reason.value
+        outcomes = await asyncio.gather(*tasks)
+        assert outcomes == ['served', left, 'served', left]
+        assert gate.queue.running == 0
+
+    run(scenario())
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -36,6 +36,13 @@
 
 
 GUARDS = (
+    Guard(
+        'a process that stops begins nothing that may outlast it',
+        'plantaingrade/requests/process_end.py',
+        'return now < self._begins_until or until <= self.ends_at',
+        'return True',
+        'tests/requests/test_process_end.py tests/sidecar/test_late_work.py',
+    ),
     Guard(
         'a request that runs at most once does not begin before its turn',
         'plantaingrade/http/pipeline.py',
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -408,3 +408,11 @@
             directory.on_unreachable(NEAR.name, now)
             tries += 1
     assert tries <= 20
+
+
+def test_owner_that_keeps_its_keys_until_its_end_is_asked_once() -> None:
+    """Guards against four requests where the owner has told when to return."""
+    refusal = NotRun(NotRunReason.LEAVING, 2.8)
+    outcome, asked = ask('/k/o/1', [refusal, SERVED], key=10)
+    assert outcome == refusal
+    assert asked == ['k@4']
