An answer whose status HTTP does not know is no answer

What callers saw: 600 and 999 from a server reached them as its answer; 000 and 099 without a body were waited on until the time limit (504), with their slot.

Cause: the reader takes each status below 200 for an interim one and each other for a final one; the parser below it takes any three digits.

Change: outside of 100 to 599 is a protocol error (RFC 9110, 15). The exchange ends at once: idempotent work is tried again, other work is told 502, and the slot is free. Why it works: the one reader serves servers, members and the store.

--- a/plantaingrade/http/const.py
+++ b/plantaingrade/http/const.py
@@ -52,6 +52,9 @@
 
 # Status codes of responses that never have a body.
 BODILESS_STATUSES = frozenset((204, 304))
+# Statuses that HTTP knows (RFC 9110, section 15).
+MIN_STATUS = 100
+MAX_STATUS = 599
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
--- a/plantaingrade/http/reader.py
+++ b/plantaingrade/http/reader.py
@@ -19,6 +19,8 @@
 
 from plantaingrade.http.const import (
     BODILESS_STATUSES,
+    MAX_STATUS,
+    MIN_STATUS,
     STATUS_OK,
     STATUS_TOO_LARGE,
 )
@@ -290,6 +292,8 @@
 
     def _end_head(self) -> None:
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise RemoteProtocolError('Invalid status code.')
         headers = tuple(self._headers)
         self._is_informational = status < STATUS_OK
         if self._is_informational:
--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -77,6 +77,7 @@
 
     ``late_copies`` sends a refusal again when the next request has arrived on
     its connection. ``answer_bytes`` is the least length of an answer.
+    ``status`` is the three digits of the status line of each answer, if any.
     ``late_s`` delays a late grant; its hold time still counts from arrival.
     """
 
@@ -90,6 +91,7 @@
     refuse: int = 0
     late_copies: int = 0
     answer_bytes: int = 0
+    status: bytes = b''
 
     def update(self, fields: dict[str, Any]) -> None:
         """Apply a command, such as ``{"refuse": 9, "late_copies": 9}``."""
@@ -474,6 +476,13 @@
         if self.endless.draw():
             await self.endless.async_send(channel, request_id)
             return
+        if self.faults.status:
+            channel.transport.write(
+                _raw_answer(
+                    self.faults.status, request_id, self.faults.answer_bytes
+                )
+            )
+            await asyncio.Event().wait()
         request_name = request_id.decode()
         response_headers = (
             *echo,
@@ -513,6 +522,17 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _raw_answer(status: bytes, request_id: bytes, length: int) -> bytes:
+    """Return an answer with any status, which no writer of messages accepts."""
+    head = (
+        b'HTTP/1.1 %b Odd' % status,
+        b'%b: %b' % (HEADER_REQUEST_ID, request_id),
+        b'%b: stamp.%b' % (HEADER_STAMP, request_id),
+        b'content-length: %d' % length,
+    )
+    return b'\r\n'.join((*head, b'', b'x' * length))
+
+
 def _apply_command(server: KeyedServer, fields: dict[str, Any]) -> bytes:
     """Apply a command; return what the faults of answers have hit so far."""
     server.faults.update(fields)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -36,6 +36,13 @@
 
 
 GUARDS = (
+    Guard(
+        'an answer whose status HTTP does not know is no answer',
+        'plantaingrade/http/reader.py',
+        'if not MIN_STATUS <= status <= MAX_STATUS:',
+        'if False:',
+        'tests/http/test_messages.py tests/sidecar/test_invalid_statuses.py',
+    ),
     Guard(
         'a process that stops begins nothing that may outlast it',
         'plantaingrade/requests/process_end.py',
--- a/tests/http/test_messages.py
+++ b/tests/http/test_messages.py
@@ -354,3 +354,17 @@
     connection.send(Response.build(200, [('content-length', '2')]))
     with pytest.raises(LocalProtocolError):
         connection.send(Data(body)) + connection.send(EndOfMessage())
+
+
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+@pytest.mark.parametrize('body', [b'', b'x' * 5])
+def test_status_outside_of_http_is_an_error(status, body) -> None:
+    """Guards against bytes that are no answer and are told to a caller."""
+    client = Connection(Role.CLIENT, MAX_HEAD)
+    client.send(Request(b'GET', b'/', ((b'host', b'x'),)))
+    client.send(EndOfMessage())
+    length = b'%d' % len(body)
+    client.receive(b'HTTP/1.1 ' + status + b' Odd\r\ncontent-length: ' + length)
+    client.receive(b'\r\n\r\n' + body)
+    with pytest.raises(RemoteProtocolError):
+        read(client)
--- a/tests/sidecar/test_late_work.py
+++ b/tests/sidecar/test_late_work.py
@@ -70,7 +70,7 @@
         assert harness.record.count_runs(request_id) == (status == 200)
 
 
-@pytest.mark.parametrize(('net', 'is_leaving'), [(226, False), (227, True)])
+@pytest.mark.parametrize(('net', 'is_leaving'), [(228, False), (229, True)])
 def test_owner_that_stops_begins_no_work_it_cannot_end(net, is_leaving) -> None:
     """Guards against work broken off at an owner whose keys could not move."""
 
