Requests that hang beside answered ones teach nothing of their class

What callers saw: after a third of a server's answers had been lost (or had been of status 000 without a body) for 3 s, the sound server refused its class for four more seconds: 85 refusals by six callers, none before and none after.

Cause: a request that hung until its limit counted as work of that length, so the class seemed to take longer than its objective and all that had to wait for a slot was refused.

Change: the rule moves with all learning from outcomes into WorkSamples; a request without an answer counts only if nothing of its class was answered since it began. Why it works: then the server is at work and the answer is lost; a silent or slow server answers nothing, or 504 by itself, and counts as before.

--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -4,7 +4,6 @@
 
 
 from plantaingrade.admission.entity import Ticket
-from plantaingrade.admission.estimate import SMOOTHING
 from plantaingrade.admission.gate import Gate, RefusedError
 from plantaingrade.backends.incarnation import IncarnationTracker
 from plantaingrade.balance.entity import FreeCapacity
@@ -41,13 +40,12 @@
     ServerProgress,
 )
 from plantaingrade.requests.suspects import Suspects, fingerprint
+from plantaingrade.requests.work_samples import WorkSamples
 
 # A server that could not be reached gets no requests without a key for this
 # long, in seconds. As it runs nothing, it would otherwise seem to have the most
 # free capacity.
 UNREACHED_PAUSE_S = 0.5
-# Weight of what a request shows that was let through for it.
-PROBE_WEIGHT = 0.5
 # Placeholder for requests without a key where load is counted by key.
 NO_KEY = -1
 
@@ -65,6 +63,7 @@
         '_tracker',
         '_log',
         '_failures',
+        '_samples',
         '_unreached_until',
         'end',
         'is_closed',
@@ -99,6 +98,7 @@
         self._hooks = hooks
         self._crashes = CrashDetector(Suspects())
         self._failures = FailureRates()
+        self._samples = WorkSamples(gate.queue.estimate)
         self._unreached_until = 0.0
         self._exchange = ServerExchange(
             codec, tracker, pool, budget, clock, log, hooks
@@ -388,12 +388,7 @@
             outcome = Unknown(UnknownReason.TIMEOUT)
         now = self._clock.now()
         self._failures.observe(self._tracker.instance, outcome, now)
-        if not isinstance(outcome, NotRun):
-            took_s = progress.work_s(outcome, now)
-            estimate = self._gate.queue.estimate
-            weight = PROBE_WEIGHT if ticket.is_probe else SMOOTHING
-            estimate.observe(routed.kind, took_s, weight)
-            estimate.long_term.observe(routed.kind, took_s, now)
+        self._samples.observe(ticket, progress, outcome, now)
         return outcome
 
     async def _async_exchange(
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -36,6 +36,13 @@
 
 
 GUARDS = (
+    Guard(
+        'requests that hang beside answered ones make no class seem long',
+        'plantaingrade/requests/work_samples.py',
+        'return answered_at > progress.began',
+        'return False',
+        'tests/requests/test_work_samples.py',
+    ),
     Guard(
         'an answer whose status HTTP does not know is no answer',
         'plantaingrade/http/reader.py',
