Bytes around a body are bounded like a head

What callers saw: a server that sent a trailer, an extension of a chunk or interim answers without end was read until the time limit, with its slot; one line of a trailer was kept whole, so a process could be killed for its memory and the requests of all others on it ended.

Cause: only the bytes of heads were bounded; the parser library keeps a line of a trailer until it ends.

Change: bytes that bring no part forward count together, wherever they stand, and as many as a head may have end the exchange at once. Ruled out: a bound on all bytes around the body of a message, which refuses sound answers in short chunks.

--- a/plantaingrade/http/reader.py
+++ b/plantaingrade/http/reader.py
@@ -53,13 +53,13 @@
         '_arrived',
         '_ends_at_close',
         '_error',
-        '_has_ended_message',
-        '_head_size',
+        '_has_progressed',
         '_headers',
         '_in_head',
         '_in_message',
         '_is_stopped',
         '_max_head_bytes',
+        '_overhead',
         '_parser',
         '_target',
         'keeps_alive',
@@ -68,7 +68,11 @@
     )
 
     def __init__(self, max_head_bytes: int) -> None:
-        """Create a parser that rejects heads above ``max_head_bytes``."""
+        """Create a parser that rejects heads above ``max_head_bytes``.
+
+        So it does as many bytes without a part of a body elsewhere: interim
+        heads before the final one, what stands around chunks, and trailers.
+        """
         self._max_head_bytes = max_head_bytes
         self._parser = self._make_parser()
         self._error: RemoteProtocolError | None = None
@@ -76,9 +80,11 @@
         self._ends_at_close = False
         self._in_head = False
         self._in_message = False
-        # Whether a message has ended in the bytes that are being parsed.
-        self._has_ended_message = False
-        self._head_size = 0
+        # Whether the bytes that are being parsed ended a final head or
+        # a message, or had a part of a body.
+        self._has_progressed = False
+        # Bytes without any of these since the last one.
+        self._overhead = 0
         self._arrived = 0.0
         self._headers: list[tuple[bytes, bytes]] = []
         self._target = b''
@@ -98,7 +104,7 @@
         if self._error is not None or self._is_stopped:
             return
         self._arrived = at
-        self._has_ended_message = False
+        self._has_progressed = False
         try:
             self._parser.feed_data(chunk)
         except HttpParserUpgrade:
@@ -129,7 +135,6 @@
         """Start a message."""
         self._in_message = True
         self._in_head = True
-        self._head_size = 0
         self._headers = []
         self._target = b''
 
@@ -155,12 +160,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._has_progressed = True
         self.parts.append(Data(body))
 
     def on_message_complete(self) -> None:
         """Append the end of the message."""
         self._in_message = False
-        self._has_ended_message = True
+        self._has_progressed = True
         self.parts.append(EndOfMessage())
 
     def _make_parser(self) -> HttpRequestParser | HttpResponseParser:
@@ -191,15 +197,15 @@
             )
 
     def _check_size(self, added: int) -> None:
-        # Where a head begins behind another message is not known, so it counts
-        # from the next bytes on.
-        if not self._in_head or self._has_ended_message:
-            self._head_size = 0
+        # Where a part ends within these bytes is not known, so what follows it
+        # counts from the next bytes on.
+        if self._has_progressed:
+            self._overhead = 0
             return
-        self._head_size += added
-        if self._head_size > self._max_head_bytes:
+        self._overhead += added
+        if self._overhead > self._max_head_bytes:
             self._error = RemoteProtocolError(
-                'Message head too long.', STATUS_TOO_LARGE
+                'Message head or trailers too long.', STATUS_TOO_LARGE
             )
 
     def _set_error(self, error: HttpParserError) -> None:
@@ -235,6 +241,7 @@
         if hosts > 1 or (not hosts and self.version == '1.1'):
             raise RemoteProtocolError('Missing or repeated Host header.')
         method = self._parser.get_method()
+        self._has_progressed = True
         self.parts.append(
             Request(
                 method,
@@ -300,6 +307,7 @@
             self.keeps_alive = True
             self.parts.append(InformationalResponse(status, headers))
             return
+        self._has_progressed = True
         self.parts.append(Response(status, headers, self._reason))
         has_length = bool(
             self._header_texts(b'content-length')
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -19,20 +19,31 @@
     GARBAGE = 'garbage'
     CHUNKS = 'chunks'
     UNTIL_CLOSE = 'until-close'
+    INTERIM = 'interim'
+    TRAILER = 'trailer'
+    TRAILERS = 'trailers'
+    EXTENSION = 'extension'
 
 
+CHUNKED_HEAD = (
+    b'HTTP/1.1 200 OK\r\nattempt-id: %b\r\ntransfer-encoding: chunked\r\n\r\n'
+)
+LINES = b'x-more: and more\r\n' * 3000
 BEGIN_BY_KIND = {
     Endless.HEADER: b'HTTP/1.1 200 OK\r\nx-long: ',
     Endless.HEADERS: b'HTTP/1.1 200 OK\r\n',
     Endless.GARBAGE: b'',
-    Endless.CHUNKS: (
-        b'HTTP/1.1 200 OK\r\nattempt-id: %b\r\n'
-        b'transfer-encoding: chunked\r\n\r\n'
-    ),
+    Endless.CHUNKS: CHUNKED_HEAD,
+    Endless.INTERIM: b'',
+    Endless.TRAILER: b'%b0\r\nx-long: ' % CHUNKED_HEAD,
+    Endless.TRAILERS: b'%b0\r\n' % CHUNKED_HEAD,
+    Endless.EXTENSION: b'%b1;x=' % CHUNKED_HEAD,
     Endless.UNTIL_CLOSE: b'HTTP/1.1 200 OK\r\nattempt-id: %b\r\n\r\n',
 }
 PIECE_BY_KIND = {
-    Endless.HEADERS: b'x-more: and more\r\n' * 3000,
+    Endless.HEADERS: LINES,
+    Endless.TRAILERS: LINES,
+    Endless.INTERIM: b'HTTP/1.1 102 Wait\r\n\r\n' * 2000,
     Endless.CHUNKS: b'%x\r\n%b\r\n' % (PIECE_BYTES, FILLING),
 }
 
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -36,6 +36,13 @@
 
 
 GUARDS = (
+    Guard(
+        'bytes around a body are bounded like a head',
+        'plantaingrade/http/reader.py',
+        'if self._overhead > self._max_head_bytes:',
+        'if self._in_head and self._overhead > self._max_head_bytes:',
+        'tests/http/test_messages.py',
+    ),
     Guard(
         'requests that hang beside answered ones make no class seem long',
         'plantaingrade/requests/work_samples.py',
--- a/tests/http/test_messages.py
+++ b/tests/http/test_messages.py
@@ -368,3 +368,54 @@
     client.receive(b'\r\n\r\n' + body)
     with pytest.raises(RemoteProtocolError):
         read(client)
+
+
+CHUNKED_ANSWER = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+CHUNKED_REQUEST = (
+    b'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize('is_server', [False, True])
+@pytest.mark.parametrize(
+    ('begin', 'piece'),
+    [
+        (b'1\r\na\r\n0\r\nx-long: ', b'y' * 1000),
+        (b'1\r\na\r\n0\r\n', b'x-more: and more\r\n' * 50),
+        (b'1;x=', b'y' * 1000),
+    ],
+)
+def test_bytes_without_end_around_a_body_are_an_error(
+    is_server, begin, piece
+) -> None:
+    """Guards against bytes that are read, or kept, until the time limit."""
+    head = CHUNKED_REQUEST if is_server else CHUNKED_ANSWER
+    connection = server() if is_server else client()
+    connection.receive(head + begin)
+    read(connection)
+    for _ in range(2 * MAX_HEAD // len(piece)):
+        connection.receive(piece)
+    with pytest.raises(RemoteProtocolError):
+        read(connection)
+
+
+@pytest.mark.parametrize(
+    'piece', [b'HTTP/1.1 102 Wait\r\n\r\n' * 40, b'\r\n' * 500]
+)
+def test_answer_that_never_begins_is_an_error(piece) -> None:
+    """Guards against interim answers, or none, until the time limit."""
+    connection = client()
+    for _ in range(2 * MAX_HEAD // len(piece)):
+        connection.receive(piece)
+    with pytest.raises(RemoteProtocolError):
+        read(connection)
+
+
+def test_body_in_many_short_chunks_is_read() -> None:
+    connection = client()
+    connection.receive(CHUNKED_ANSWER)
+    for _ in range(MAX_HEAD):
+        connection.receive(b'1;x=y\r\n')
+        connection.receive(b'a\r\n')
+    connection.receive(b'0\r\n\r\n')
+    assert join_parts(read(connection))[1:] == (b'a' * MAX_HEAD, True)
--- a/tests/sidecar/test_endless_answers.py
+++ b/tests/sidecar/test_endless_answers.py
@@ -52,6 +52,37 @@
     run_scenario(net, (KEYED, PLAIN), scenario)
 
 
+@pytest.mark.parametrize(
+    ('net', 'kind'),
+    [
+        (233, Endless.INTERIM),
+        (234, Endless.TRAILER),
+        (235, Endless.TRAILERS),
+        (236, Endless.EXTENSION),
+    ],
+)
+def test_bytes_that_are_no_part_of_an_answer_end_it_at_once(net, kind) -> None:
+    """Guards against slots, and memory, that are taken until the time limit."""
+
+    async def scenario(harness: Harness) -> None:
+        server = harness.nodes[1].server
+        server.endless.kind = kind
+        replies = await asyncio.gather(
+            *(
+                harness.async_ask(node, '/letters/1', f'r{number}', 5, 3000)
+                for number, node in enumerate(harness.nodes * 3)
+            )
+        )
+        assert {reply.status for reply in replies} == {502}
+        server.endless.kind = Endless.NONE
+        reply = await harness.async_ask(
+            harness.nodes[0], '/letters/1', 'last', 5
+        )
+        assert reply.status == 200
+
+    run_scenario(net, (KEYED, PLAIN), scenario)
+
+
 def test_small_call_ends_at_its_limit() -> None:
     """Guards against an order whose answer takes all memory."""
 
