A process that stops passes on no long work that it can't await

Cause: the process has 3.2 s left for what comes last. How long a class takes at times is known, but was not held against the end of the process.

Evidence: the new test, with keys and without, failed before (504, and connections closed with no answer) and passes: what has no time is 503, not run.

Ruled out: a shorter time for callers (the platform moves them after two missed checks), and the same rule for idempotent work (few take that long).

--- a/plantaingrade/requests/coordinator.py
+++ b/plantaingrade/requests/coordinator.py
@@ -31,6 +31,7 @@
     Unknown,
 )
 from plantaingrade.requests.peer_path import PeerPath
+from plantaingrade.requests.recent_durations import RecentDurations
 from plantaingrade.requests.server_path import ServerPath
 from plantaingrade.requests.targets import TargetChooser
 from plantaingrade.requests.usual_deadlines import UsualDeadlines
@@ -111,6 +112,7 @@
         '_budget',
         '_clock',
         '_config',
+        '_durations',
         '_log',
         '_on_done',
         '_own',
@@ -141,6 +143,7 @@
         self._peers = peers
         self._budget = budget
         self._usual_deadlines = UsualDeadlines()
+        self._durations = RecentDurations()
         self._clock = clock
         self._log = log
         self._on_done = on_done
@@ -254,6 +257,8 @@
             return NotRun(NotRunReason.NO_SERVER, DEFAULT_RETRY_AFTER_S)
         if not _may_reach(progress, member):
             return NotRun(NotRunReason.TRIES_USED_UP, DEFAULT_RETRY_AFTER_S)
+        if not self._may_end_in_time(routed):
+            return self._refuse_leaving()
         if not self._targets.may_ask(member):
             progress.path.append(member.name)
             return NotRun(NotRunReason.UNREACHABLE, UNREACHABLE_RETRY_AFTER_S)
@@ -262,7 +267,11 @@
         if not self._targets.is_keyed(routed.service):
             progress.tried.add(member.name)
         progress.last_asked = member.name
+        began = self._clock.now()
         outcome = await self._async_send(progress, member)
+        if not isinstance(outcome, NotRun):
+            took_s = self._clock.now() - began
+            self._durations.observe(_work_class(routed), took_s)
         self._targets.record_outcome(member, outcome)
         if _has_reached_server(outcome):
             progress.reached.add(member.name)
@@ -273,6 +282,19 @@
             self._targets.avoid(member)
         return outcome
 
+    def _may_end_in_time(self, routed: RoutedRequest) -> bool:
+        """Return whether a request ends before this process, if that stops."""
+        end = self._server.end
+        if not end.is_planned:
+            return True
+        longest_s = self._durations.longest_s(_work_class(routed))
+        return end.has_time_for(routed, longest_s, self._clock.now())
+
+    def _refuse_leaving(self) -> NotRun:
+        """Refuse a request because this process stops; others may serve it."""
+        after_s = self._server.end.closes_in_s(self._clock.now())
+        return NotRun(NotRunReason.LEAVING, max(DEFAULT_RETRY_AFTER_S, after_s))
+
     async def _async_send(
         self, progress: RequestProgress, member: Member
     ) -> Outcome:
@@ -370,6 +392,11 @@
     return progress.may_reach_more_servers or member.name in progress.reached
 
 
+def _work_class(routed: RoutedRequest) -> str:
+    """Return the class of work of a request among those of all services."""
+    return f'{routed.service} {routed.kind}'
+
+
 def _has_reached_server(outcome: Outcome) -> bool:
     """Return whether a server may have received the request."""
     if isinstance(outcome, NotRun):
--- a/plantaingrade/requests/process_end.py
+++ b/plantaingrade/requests/process_end.py
@@ -4,6 +4,8 @@
 seconds.
 """
 
+from plantaingrade.requests.entity import RoutedRequest
+
 # Time after the end of a process until its keys are served again: the next
 # process has started, or another member has taken them over.
 NEXT_PROCESS_S = 0.5
@@ -29,10 +31,31 @@
         self._begins_until = begins_until
         self.ends_at = ends_at
 
+    @property
+    def is_planned(self) -> bool:
+        """Return whether the process is told to stop."""
+        return self.ends_at < NEVER
+
     def may_begin(self, until: float, now: float) -> bool:
-        """Return whether a request that ends at ``until`` may begin now."""
+        """Return whether work that ends at ``until`` may begin here now."""
         return now < self._begins_until or until <= self.ends_at
 
+    def has_time_for(
+        self, routed: RoutedRequest, longest_s: float, now: float
+    ) -> bool:
+        """Return whether a request is likely to end before the process.
+
+        ``longest_s`` is the longest time that requests of its class are known
+        to take. Few take that long: whoever may repeat a request had better
+        risk it than be refused.
+        """
+        known_s = 0.0 if routed.is_idempotent else longest_s
+        return routed.until <= self.ends_at or now + known_s <= self.ends_at
+
+    def closes_in_s(self, now: float) -> float:
+        """Return the time until callers have been moved elsewhere."""
+        return max(0.0, self._begins_until - now)
+
     def retry_after_s(self, now: float) -> float:
         """Return the time until keys that remain here are served again."""
         return max(0.0, self.ends_at - now) + NEXT_PROCESS_S
--- a/plantaingrade/requests/server_path.py
+++ b/plantaingrade/requests/server_path.py
@@ -301,7 +301,12 @@
 
     def _refuse_by_end(self, routed: RoutedRequest) -> NotRun | None:
         """Refuse a request that may outlast this process."""
-        if self.end.may_begin(routed.until, self._clock.now()):
+        if not self.end.is_planned:
+            return None
+        now = self._clock.now()
+        longest_s = self._samples.recent.longest_s(routed.kind)
+        has_time = self.end.has_time_for(routed, longest_s, now)
+        if has_time and self.end.may_begin(routed.until, now):
             return None
         return self._refuse_leaving(routed)
 
--- a/plantaingrade/requests/work_samples.py
+++ b/plantaingrade/requests/work_samples.py
@@ -9,6 +9,7 @@
     Unknown,
     UnknownReason,
 )
+from plantaingrade.requests.recent_durations import RecentDurations
 from plantaingrade.requests.server_exchange import ServerProgress
 
 # Weight of what a request shows that was let through for it.
@@ -18,11 +19,12 @@
 class WorkSamples:
     """Passes the durations of requests on to an estimate."""
 
-    __slots__ = ('_answered_at_by_kind', '_estimate')
+    __slots__ = ('_answered_at_by_kind', '_estimate', 'recent')
 
     def __init__(self, estimate: WorkEstimate) -> None:
         """Teach an estimate."""
         self._estimate = estimate
+        self.recent = RecentDurations()
         self._answered_at_by_kind: dict[str, float] = {}
 
     def observe(
@@ -41,6 +43,7 @@
             return
         took_s = progress.work_s(outcome, now)
         weight = PROBE_WEIGHT if ticket.is_probe else SMOOTHING
+        self.recent.observe(ticket.kind, took_s)
         self._estimate.observe(ticket.kind, took_s, weight)
         self._estimate.long_term.observe(ticket.kind, took_s, now)
 
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -36,6 +36,13 @@
 
 
 GUARDS = (
+    Guard(
+        'a process that stops passes on no long work that must not be repeated',
+        'plantaingrade/requests/process_end.py',
+        'known_s = 0.0 if routed.is_idempotent else longest_s',
+        'known_s = 0.0',
+        'tests/requests/test_process_end.py tests/sidecar/test_late_work.py',
+    ),
     Guard(
         'bytes around a body are bounded like a head',
         'plantaingrade/http/reader.py',
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -34,6 +34,7 @@
     Unknown,
     UnknownReason,
 )
+from plantaingrade.requests.process_end import ProcessEnd
 from plantaingrade.requests.targets import TargetChooser
 from plantaingrade.requests.usual_deadlines import UsualDeadlines
 from tests.virtual import LoopClock, run
@@ -61,6 +62,7 @@
 
     def __init__(self, outcomes: list[Outcome]) -> None:
         self.outcomes = deque(outcomes)
+        self.end = ProcessEnd()
         self.asked: list[str] = []
         self.pulled: list[str] = []
 
--- a/tests/requests/test_process_end.py
+++ b/tests/requests/test_process_end.py
@@ -1,6 +1,13 @@
 """Which requests a process that stops may begin."""
 
+import pytest
+
+from plantaingrade.requests.entity import CallerRequest, RoutedRequest
 from plantaingrade.requests.process_end import NEXT_PROCESS_S, ProcessEnd
+from plantaingrade.requests.recent_durations import (
+    MAX_SAMPLES,
+    RecentDurations,
+)
 
 BEGINS_UNTIL = 2.3
 ENDS_AT = 5.5
@@ -29,3 +36,26 @@
     end = make_end()
     assert end.retry_after_s(3.5) == 2.0 + NEXT_PROCESS_S
     assert end.retry_after_s(6.0) == NEXT_PROCESS_S
+
+
+@pytest.mark.parametrize('is_idempotent', [False, True])
+def test_long_work_that_must_not_be_repeated_begins_early_or_not_at_all(
+    is_idempotent,
+) -> None:
+    """Guards against long work broken off at the end of a calm shutdown."""
+    caller = CallerRequest(b'', b'', b'', b'', None, (), b'', 0.0, 10.0)
+    routed = RoutedRequest(caller, '', '', is_idempotent, 1, 10.0, 1.0)
+    end = make_end()
+    assert end.has_time_for(routed, 3.6, 1.8)
+    assert end.has_time_for(routed, 3.6, 2.0) == is_idempotent
+
+
+def test_longest_of_the_last_durations_is_known() -> None:
+    recent = RecentDurations()
+    assert not recent.longest_s('k')
+    recent.observe('k', 3)
+    for _ in range(MAX_SAMPLES - 1):
+        recent.observe('k', 1)
+    assert recent.longest_s('k') == 3
+    recent.observe('k', 1)
+    assert recent.longest_s('k') == 1
--- a/tests/sidecar/test_late_work.py
+++ b/tests/sidecar/test_late_work.py
@@ -12,6 +12,11 @@
 DEADLINE_MS = 8000
 PATH_BY_SERVICE = {KEYED: '/cases/1', PLAIN: '/letters/1'}
 CUT_OFF = 0
+# Work that the grace period has time for only if it begins early.
+LONG_WORK_S = 3.6
+FIRST_LATE_S = 1.8
+LATE_PAUSE_S = 0.1
+LATE_REQUESTS = 4
 
 
 def route_with_long_limit(service: str) -> dict:
@@ -103,3 +108,34 @@
         check_not_lost(harness, statuses)
 
     run_scenario(net, (KEYED, KEYED), scenario)
+
+
+@pytest.mark.parametrize(('net', 'service'), [(237, PLAIN), (238, KEYED)])
+def test_process_that_stops_passes_on_no_work_it_cannot_await(
+    net, service
+) -> None:
+    """Guards against long work cut off at the end of a calm shutdown."""
+
+    async def scenario(harness: Harness) -> None:
+        await configure_long_limits(harness)
+        leaving, other = harness.nodes
+        path = PATH_BY_SERVICE[service]
+        hold = other.server.holds[0] if service == KEYED else None
+        key = 5 if hold is None else hold.keys.first
+        set_work(harness, LONG_WORK_S)
+        await ask_status(harness, leaving, path, 'first', key)
+        stopping = asyncio.create_task(stop(harness, leaving))
+        await asyncio.sleep(FIRST_LATE_S)
+        asked = []
+        for number in range(LATE_REQUESTS):
+            asked.append(
+                asyncio.create_task(
+                    ask_status(harness, leaving, path, f'r{number}', key)
+                )
+            )
+            await asyncio.sleep(LATE_PAUSE_S)
+        statuses = await asyncio.gather(*asked)
+        await stopping
+        check_not_lost(harness, statuses)
+
+    run_scenario(net, (service, service), scenario)
