Addresses are read at one place, with an error of their own

What was reported: an odd entry of another writer ended the processes that read the list. Here the platform's program leaves such rows out; stand-alone, one row with an odd address ended the heartbeats of every process that knew it.

Cause: addresses were texts, split unchecked where they are used; the pool raised OverflowError, ValueError or UnicodeError in place of its own error.

Change: addresses.py turns a text into host and port or a typed error; pool and pulls turn it into their errors, datagrams skip and count it. Three more readers of addresses are gone, so the check can't be forgotten on a new road.

--- a/plantaingrade/datagrams.py
+++ b/plantaingrade/datagrams.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable, Collection
 from typing import Any
 
+from plantaingrade.addresses import is_ip_address, split_address
 from plantaingrade.codec import Codec, MalformedMessageError
-from plantaingrade.http.pool import split_address
 
 # Below the MTU of Ethernet, so that datagrams are not fragmented.
 MAX_DATAGRAM_BYTES = 1400
@@ -23,6 +23,7 @@
         'malformed',
         'received',
         'sent',
+        'unsendable',
     )
 
     def __init__(self, on_message: Callable[[Any], None], codec: Codec) -> None:
@@ -33,6 +34,8 @@
         self.sent = 0
         self.received = 0
         self.malformed = 0
+        # Messages to addresses that nothing can be sent to.
+        self.unsendable = 0
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -66,17 +69,20 @@
     def send_all(self, message: Any, addresses: Collection[str]) -> None:
         """Encode a message once and send it to several addresses.
 
-        A message too long for one datagram is dropped.
+        A message too long for one datagram is dropped, and so is one to
+        an address that is not valid.
         """
         if self._transport is None or not addresses:
             return
         raw = self._codec.encode(message)
         if len(raw) > MAX_DATAGRAM_BYTES:
             return
-        for address in addresses:
+        valid = [each for each in addresses if is_ip_address(each)]
+        for address in valid:
             self._transport.sendto(raw, split_address(address))
-        self.sent += len(addresses)
-        self.bytes_sent += len(raw) * len(addresses)
+        self.unsendable += len(addresses) - len(valid)
+        self.sent += len(valid)
+        self.bytes_sent += len(raw) * len(valid)
 
     def fits(self, message: Any) -> bool:
         """Return whether a message fits into one datagram."""
--- a/plantaingrade/http/pool.py
+++ b/plantaingrade/http/pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from types import TracebackType
 
+from plantaingrade.addresses import InvalidAddressError, split_address
 from plantaingrade.clock import Clock
 from plantaingrade.errors import PlantaingradeError
 from plantaingrade.http.channel import Channel
@@ -23,12 +24,6 @@
     advice = 'Nothing was sent; try another server.'
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and port of an address ``host:port``."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 class Pool:
     """Keeps idle connections by address and reuses the latest first."""
 
@@ -144,7 +139,10 @@
         Raises:
             ConnectFailedError: no connection could be opened.
         """
-        host, port = split_address(address)
+        try:
+            host, port = split_address(address)
+        except InvalidAddressError as error:
+            raise ConnectFailedError('The address is not valid.') from error
         local = (self._local_host, 0) if self._local_host else None
         loop = asyncio.get_running_loop()
         try:
--- a/plantaingrade/membership/rpc.py
+++ b/plantaingrade/membership/rpc.py
@@ -12,9 +12,9 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
+from plantaingrade.addresses import InvalidAddressError, split_address
 from plantaingrade.codec import Codec, MalformedMessageError
 from plantaingrade.errors import PlantaingradeError
-from plantaingrade.http.pool import split_address
 from plantaingrade.journal.coordinator import JournalCoordinator
 from plantaingrade.membership.const import PULL_PATH, PULL_TIMEOUT_S
 from plantaingrade.membership.entity import PullReply, PullRequest
@@ -85,7 +85,10 @@
     Raises:
         PullFailedError: the peer did not answer in time, or not properly.
     """
-    host, port = split_address(address)
+    try:
+        host, port = split_address(address)
+    except InvalidAddressError as error:
+        raise PullFailedError('The peer has no valid address.') from error
     channel = Channel(host, port, codec=JsonCodec())
     method = UnaryUnaryMethod(channel, PULL_PATH, PullRequest, PullReply)
     try:
--- a/plantaingrade/node/components.py
+++ b/plantaingrade/node/components.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct
 
+from plantaingrade.addresses import split_address
 from plantaingrade.admission.queue import AdmissionQueue
 from plantaingrade.backends.coordinator import BackendCoordinator
 from plantaingrade.backends.dialects import DIALECT_BY_NAME
@@ -12,7 +13,7 @@
 from plantaingrade.clock import Clock
 from plantaingrade.cloud.objects import ObjectClient
 from plantaingrade.cloud.table import TableClient
-from plantaingrade.http.pool import Pool, split_address
+from plantaingrade.http.pool import Pool
 from plantaingrade.journal.coordinator import JournalCoordinator
 from plantaingrade.journal.entity import (
     ChangeOutcome,
--- a/plantaingrade/node/runtime.py
+++ b/plantaingrade/node/runtime.py
@@ -6,11 +6,11 @@
 
 from absl import logging
 
+from plantaingrade.addresses import split_address
 from plantaingrade.clock import BootClock, Clock
 from plantaingrade.cloud.entity import PlatformUnavailableError
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.messages import Request
-from plantaingrade.http.pool import split_address
 from plantaingrade.http.server import HttpServer
 from plantaingrade.journal.entity import (
     Applied,
--- a/plantaingrade/node/settings.py
+++ b/plantaingrade/node/settings.py
@@ -1,16 +1,15 @@
 """Validated settings of one process."""
 
-import ipaddress
 import re
 
 from msgspec import Struct
 from msgspec.structs import asdict, fields
 
+from plantaingrade.addresses import is_ip_address
 from plantaingrade.backends.dialects import DIALECT_BY_NAME
 from plantaingrade.errors import PlantaingradeError
 
 NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]*')
-MAX_PORT = 65535
 ADDRESSES = ('http', 'udp', 'rpc', 'backend', 'table', 'objects')
 OPTIONAL_ADDRESSES = ('advertise_http', 'advertise_udp', 'advertise_rpc')
 NAMES = ('server', 'service', 'zone', 'table_name', 'bucket')
@@ -75,12 +74,12 @@
         found = [
             f'{name}: {text!r} is not an IP address and port'
             for name, text in text_by_name.items()
-            if name in ADDRESSES and not is_address(text)
+            if name in ADDRESSES and not is_ip_address(text)
         ]
         found.extend(
             f'{name}: {text!r} is not an IP address and port'
             for name, text in text_by_name.items()
-            if name in OPTIONAL_ADDRESSES and text and not is_address(text)
+            if name in OPTIONAL_ADDRESSES and text and not is_ip_address(text)
         )
         found.extend(
             f'{name}: {text!r} may hold only letters, digits, dots, dashes and'
@@ -96,13 +95,3 @@
             choices = ', '.join(sorted(DIALECT_BY_NAME))
             found.append(f'dialect: {self.dialect!r} is not one of {choices}')
         return found
-
-
-def is_address(text: str) -> bool:
-    """Return whether a text is an IP address with a port."""
-    host, _, port = text.rpartition(':')
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-    return port.isdigit() and 0 < int(port) <= MAX_PORT
--- a/plantaingrade/peers/capacity_queries.py
+++ b/plantaingrade/peers/capacity_queries.py
@@ -6,6 +6,7 @@
 
 from msgspec.structs import replace
 
+from plantaingrade.addresses import is_ip_address
 from plantaingrade.balance.entity import FreeCapacity
 from plantaingrade.clock import Clock
 from plantaingrade.const import MS_PER_S, PERCENT
@@ -14,7 +15,6 @@
     CapacityRequest,
     CapacityResponse,
     Member,
-    is_valid_address,
 )
 
 FreeCapacityOf = Callable[[str, int], FreeCapacity | None]
@@ -111,7 +111,7 @@
         reassigned from an instance of that service.
         """
         is_own = request.service == self._own.service
-        if not is_own or not is_valid_address(request.address):
+        if not is_own or not is_ip_address(request.address):
             return
         capacity = self._free_capacity_of(request.kind, request.priority)
         response = CapacityResponse(request.number, self._own.name)
--- a/plantaingrade/peers/entity.py
+++ b/plantaingrade/peers/entity.py
@@ -1,9 +1,8 @@
 """Members, and the typed messages between them."""
 
-import ipaddress
-
 from msgspec import Struct, field
 
+from plantaingrade.addresses import is_ip_address
 from plantaingrade.balance.entity import Load
 from plantaingrade.codec import Message
 from plantaingrade.keyspace.directory import differences
@@ -17,9 +16,6 @@
 # Ranges of a change that is sent within another message, at most 40 bytes each
 # with their owner.
 MAX_SHORT_RANGES = 20
-MAX_PORT = 65_535
-# One digit more than MAX_PORT has, so that longer numbers are out of bounds.
-MAX_PORT_DIGITS = 6
 
 
 class Member(Struct, frozen=True):
@@ -38,21 +34,7 @@
 
     def has_valid_address(self) -> bool:
         """Return whether the address can be sent to."""
-        return is_valid_address(self.address)
-
-
-def is_valid_address(text: str) -> bool:
-    """Return whether a text is an IP address and port.
-
-    Another program may write any text to a row or a datagram.
-    """
-    host, _, port = text.rpartition(':')
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-    is_number = port.isascii() and port.isdigit()
-    return is_number and 0 < int(port[:MAX_PORT_DIGITS]) <= MAX_PORT
+        return is_ip_address(self.address)
 
 
 class Hello(Message):
--- a/plantaingrade/peers/map_turn_granter.py
+++ b/plantaingrade/peers/map_turn_granter.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from plantaingrade.addresses import is_ip_address
 from plantaingrade.clock import Clock
 from plantaingrade.const import MS_PER_S
 from plantaingrade.eventlog import EventLog
@@ -13,7 +14,6 @@
     TurnAnswer,
     TurnEnded,
     TurnRequest,
-    is_valid_address,
 )
 
 # A turn that has not been returned after this time is granted once more, as the
@@ -76,7 +76,7 @@
         reassigned from an instance of that service.
         """
         is_own = request.service == self._own.service
-        if not is_own or not is_valid_address(request.address):
+        if not is_own or not is_ip_address(request.address):
             return
         name, number = request.name, request.number
         self._queue.request(
--- a/plantaingrade/platform/settings.py
+++ b/plantaingrade/platform/settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from plantaingrade.addresses import MAX_PORT, is_ip_address
 from plantaingrade.platform.units import UnreadableFieldError, parse_time
 from plantaingrade.sidecar.settings import (
     Bounds,
@@ -15,7 +16,6 @@
     Listeners,
 )
 
-MAX_PORT = 65_535
 MISSING = object()
 # Port of the metrics listener, as declared in the deploy file.
 METRICS_PORT = 9464
@@ -205,8 +205,6 @@
 
 
 def _address(raw: Any) -> str:
-    host, _, port = _text(raw).rpartition(':')
-    ipaddress.ip_address(host)
-    if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f'{raw!r} has no valid port')
+    if not is_ip_address(_text(raw)):
+        raise ValueError(f'{raw!r} is not an IP address and port')
     return raw
--- a/plantaingrade/sidecar/http_servers.py
+++ b/plantaingrade/sidecar/http_servers.py
@@ -1,7 +1,7 @@
 """HTTP servers on the listeners of one process."""
 
+from plantaingrade.addresses import split_address
 from plantaingrade.clock import Clock
-from plantaingrade.http.pool import split_address
 from plantaingrade.http.read_ahead import ReadAheadHooks, RequestHandler
 from plantaingrade.http.server import HttpServer
 from plantaingrade.sidecar.const import INTERNAL_IDLE_S
--- a/plantaingrade/sidecar/process.py
+++ b/plantaingrade/sidecar/process.py
@@ -3,6 +3,7 @@
 import os
 from types import TracebackType
 
+from plantaingrade.addresses import split_address
 from plantaingrade.admission.gate import Gate
 from plantaingrade.admission.service_retries import ServiceRetryBudget
 from plantaingrade.backends.incarnation import IncarnationTracker
@@ -14,7 +15,6 @@
 from plantaingrade.config.evacuations import Evacuations
 from plantaingrade.eventlog import EventLog
 from plantaingrade.holds.coordinator import HoldCoordinator, MemberLinks
-from plantaingrade.http.pool import split_address
 from plantaingrade.keyspace.directory import KeyMaps
 from plantaingrade.operators.api import OperatorApi
 from plantaingrade.operators.queries import LocalState
--- a/standins/keyed_server.py
+++ b/standins/keyed_server.py
@@ -17,12 +17,13 @@
 
 import click
 
+from plantaingrade.addresses import split_address
 from plantaingrade.clock import BootClock, Clock
 from plantaingrade.const import MS_PER_S
 from plantaingrade.http.channel import Channel, ChannelClosedError
 from plantaingrade.http.client import read_body
 from plantaingrade.http.messages import Request
-from plantaingrade.http.pool import Pool, split_address
+from plantaingrade.http.pool import Pool
 from plantaingrade.http.server import HttpServer
 from plantaingrade.keyspace.entity import KeyRange
 from plantaingrade.platform.const import (
--- a/standins/malformed.py
+++ b/standins/malformed.py
@@ -24,6 +24,16 @@
     [],
     {'x': 1},
 )
+# Addresses that nothing can be sent to.
+ODD_ADDRESSES = (
+    '',
+    '127.0.0.1',
+    '127.0.0.1:70000',
+    '127.0.0.1:-1',
+    '127.0.0.1:x',
+    ':18142',
+    'a..b:18142',
+)
 # Nesting too deep for a recursive decoder.
 DEEP_NESTING = 100_000
 UNREADABLE = (
@@ -34,6 +44,7 @@
     b'[]',
     b'7',
     b'[' * DEEP_NESTING,
+    b'{"until":%b}' % (b'9' * 5000),
 )
 
 
@@ -44,6 +55,7 @@
     OTHER_TYPE = 'other-type'
     UNKNOWN_VALUE = 'unknown-word'
     UNREADABLE = 'unreadable'
+    ADDRESS = 'address'
 
 
 def corrupt(fields: dict[str, Any], flaw: Flaw, rng: random.Random) -> bytes:
@@ -67,6 +79,8 @@
             return _with_value(fields, rng.choice(listed), UNKNOWN_VALUE)
         case Flaw.UNREADABLE:
             return rng.choice(UNREADABLE)
+        case Flaw.ADDRESS:
+            return _with_value(fields, 'address', rng.choice(ODD_ADDRESSES))
 
 
 def _with_value(fields: dict[str, Any], name: str, wrong: object) -> bytes:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,11 +6,11 @@
 
 import click
 
+from plantaingrade.addresses import split_address
 from plantaingrade.clock import BootClock
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.client import read_body
 from plantaingrade.http.messages import Request
-from plantaingrade.http.pool import split_address
 from plantaingrade.http.server import HttpServer
 from plantaingrade.routing.respond import refuse_malformed, send_plain
 from standins.faults import Faults
--- a/standins/shared_store.py
+++ b/standins/shared_store.py
@@ -18,11 +18,11 @@
 
 import click
 
+from plantaingrade.addresses import split_address
 from plantaingrade.clock import BootClock, Clock
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.client import read_body
 from plantaingrade.http.messages import Request
-from plantaingrade.http.pool import split_address
 from plantaingrade.http.server import HttpServer
 from plantaingrade.platform import const as paths
 from plantaingrade.platform.const import HEADER_EPOCH
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -36,6 +36,13 @@
 
 
 GUARDS = (
+    Guard(
+        'an odd address keeps no datagram from the others',
+        'plantaingrade/datagrams.py',
+        'valid = [each for each in addresses if is_ip_address(each)]',
+        'valid = list(addresses)',
+        'tests/membership/test_datagrams.py',
+    ),
     Guard(
         'a process that stops passes on no long work that must not be repeated',
         'plantaingrade/requests/process_end.py',
--- a/tests/http/test_pool.py
+++ b/tests/http/test_pool.py
@@ -6,10 +6,11 @@
 
 from plantaingrade.clock import BootClock
 from plantaingrade.http.client import Call, fetch
-from plantaingrade.http.pool import Pool
+from plantaingrade.http.pool import ConnectFailedError, Pool
 from plantaingrade.http.server import HttpServer
 from plantaingrade.requests.entity import Answer
 from plantaingrade.sidecar.endpoints import refuse_malformed, send_answer
+from tests.malformed import ODD_ADDRESSES
 
 ADDRESS = '127.0.0.1:18779'
 CALL = Call('GET', ADDRESS, '/')
@@ -73,3 +74,14 @@
         return found
 
     assert asyncio.run(scenario()) == 2
+
+
+@pytest.mark.parametrize('address', ODD_ADDRESSES)
+def test_odd_address_cannot_be_connected_to(address) -> None:
+    """Guards against a task that ends by the address in another's entry."""
+
+    async def scenario() -> None:
+        with Pool(BootClock()) as pool, pytest.raises(ConnectFailedError):
+            await pool.acquire(address)
+
+    asyncio.run(scenario())
--- a/tests/malformed.py
+++ b/tests/malformed.py
@@ -52,6 +52,26 @@
     ),
     max_leaves=5,
 )
+# Texts that other writers may leave where an address is due.
+ODD_ADDRESSES = (
+    '',
+    ':',
+    '127.0.0.1',
+    '127.0.0.1:',
+    '127.0.0.1:x',
+    '127.0.0.1:²',
+    '127.0.0.1:-1',
+    '127.0.0.1:70000',
+    f'127.0.0.1:{"9" * 5000}',
+    ':18779',
+    '\x00:18779',
+    '127.0.0.1\x00:18779',
+    'a..b:18779',
+    'é:18779',
+    '\ud800:18779',
+    f'{"x" * 64}.example:18779',
+    f'{"x" * 400}:18779',
+)
 # Bodies that our encoders never produce.
 BAD_BODIES = (
     b'',
--- a/tests/membership/test_datagrams.py
+++ b/tests/membership/test_datagrams.py
@@ -1,5 +1,7 @@
 """Malformed datagrams and those for other members are dropped."""
 
+import asyncio
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -8,8 +10,20 @@
 from plantaingrade.leases.entity import Renew, RenewAck, RenewRefused
 from plantaingrade.membership.datagrams import DATAGRAM_CODEC, DatagramEndpoint
 from plantaingrade.membership.entity import Heartbeat
+from plantaingrade.membership.rpc import PullFailedError, async_pull
 from plantaingrade.ownership.entity import Release
 from tests.cluster import FakeCluster
+from tests.malformed import ODD_ADDRESSES
+
+
+class RecordingTransport:
+    """Keep where datagrams were sent to."""
+
+    def __init__(self) -> None:
+        self.targets: list[tuple[str, int]] = []
+
+    def sendto(self, _: bytes, target: tuple[str, int]) -> None:
+        self.targets.append(target)
 
 
 @pytest.mark.parametrize(
@@ -72,3 +86,22 @@
     assert not cluster.network
     assert member.leases.expires_at() == until
     assert not member.leases.holder.is_lost()
+
+
+@pytest.mark.parametrize('address', ODD_ADDRESSES)
+def test_odd_address_keeps_no_datagram_from_the_others(address) -> None:
+    """Guards against heartbeats that end by the address of one member."""
+    transport = RecordingTransport()
+    endpoint = DatagramEndpoint(lambda _: None)
+    endpoint.connection_made(transport)
+    message = Heartbeat('a#1', 7, '127.0.0.1:1', '127.0.0.1:2', draining=False)
+    endpoint.send_all(message, ('127.0.0.1:3', address, '127.0.0.1:4'))
+    assert transport.targets == [('127.0.0.1', 3), ('127.0.0.1', 4)]
+    assert (endpoint.sent, endpoint.unsendable) == (2, 1)
+
+
+@pytest.mark.parametrize('address', ODD_ADDRESSES)
+def test_pull_from_an_odd_address_fails(address) -> None:
+    """Guards against a member that follows no records any more."""
+    with pytest.raises(PullFailedError):
+        asyncio.run(async_pull(address, 0))
--- a/tests/sidecar/test_withdrawn.py
+++ b/tests/sidecar/test_withdrawn.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from plantaingrade.addresses import split_address
 from plantaingrade.http.exchange import send_request
-from plantaingrade.http.pool import split_address
 from plantaingrade.requests import server_exchange
 from tests.sidecar.harness import HOST, PLAIN, Harness, Node, run_scenario
 
--- a/tests/standins/test_incarnations.py
+++ b/tests/standins/test_incarnations.py
@@ -6,11 +6,12 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+from plantaingrade.addresses import split_address
 from plantaingrade.clock import BootClock
 from plantaingrade.http.channel import Channel
 from plantaingrade.http.client import Call, Reply, fetch, read_body
 from plantaingrade.http.messages import Request
-from plantaingrade.http.pool import Pool, split_address
+from plantaingrade.http.pool import Pool
 from plantaingrade.http.server import HttpServer
 from plantaingrade.requests.entity import Answer
 from plantaingrade.sidecar.endpoints import refuse_malformed, send_answer
--- a/tests/standins/test_malformed.py
+++ b/tests/standins/test_malformed.py
@@ -8,7 +8,13 @@
 from hypothesis import strategies as st
 
 from standins.incarnation import Heartbeat, Incarnation
-from standins.malformed import OTHER_VALUES, UNKNOWN_VALUE, Flaw, corrupt
+from standins.malformed import (
+    ODD_ADDRESSES,
+    OTHER_VALUES,
+    UNKNOWN_VALUE,
+    Flaw,
+    corrupt,
+)
 
 VALID = Heartbeat(
     Incarnation('i-1', 1_700_000_000_000),
@@ -72,3 +78,10 @@
 @pytest.mark.parametrize('flaw', Flaw)
 def test_a_seed_repeats_its_flaw(flaw: Flaw) -> None:
     assert malformed(flaw, 5) == malformed(flaw, 5)
+
+
+@given(SEEDS)
+def test_nothing_can_be_sent_to_the_address(seed: int) -> None:
+    found = json.loads(malformed(Flaw.ADDRESS, seed))
+    assert found.pop('address') in ODD_ADDRESSES
+    assert found.items() <= VALID.items()
