An odd document is a mistake of its writer

What operators saw: declarations that are nested 900 deep, or have a number of 5,000 digits, a date that does not exist or a zero byte, ended the request without an answer that names the mistake; weights of .nan and .inf were taken. A settings file of the platform like that ended the process without saying why.

Cause: one kind of error of the YAML library was caught, at one of two places.

Change: all errors of these texts become mistakes, with a line where one is known; numbers are finite. Why it works: a value that can't be read is of no type that a field may have, so each field's own check names it.

--- a/plantaingrade/operators/declarations.py
+++ b/plantaingrade/operators/declarations.py
@@ -21,6 +21,13 @@
     MAX_SLICES,
     MIN_SLICES,
 )
+from plantaingrade.schema import MAX_SAFE_INTEGER
+
+# Errors of the YAML library for texts that another program may have left:
+# nested too deeply, numbers with too many digits, dates that do not exist.
+UNREADABLE_ERRORS = (yaml.YAMLError, ValueError, RecursionError)
+# Value of a field that cannot be read; it is of no type that a field may have.
+UNREADABLE = object()
 
 WEIGHTS = ('imbalance', 'churn', 'unavailable')
 FIELDS = frozenset(
@@ -62,11 +69,8 @@
     """
     try:
         root = yaml.compose(text, yaml.SafeLoader)
-    except yaml.MarkedYAMLError as error:
-        line = error.problem_mark.line + 1 if error.problem_mark else 1
-        raise DeclarationError(
-            [Mistake(line, error.problem or 'invalid YAML')],
-        ) from error
+    except UNREADABLE_ERRORS as error:
+        raise DeclarationError([_to_mistake(error, text)]) from error
     reader = _DocumentReader()
     services = reader.read(root)
     if reader.mistakes:
@@ -176,7 +180,7 @@
             return default
         number = _convert(node)
         is_number = _is_integer(number) or isinstance(number, float)
-        if not is_number or number < 0:
+        if not is_number or not 0 <= number <= MAX_SAFE_INTEGER:
             self._add_mistake(node, 'must be a number, 0 or more')
             return default
         return float(number)
@@ -209,9 +213,24 @@
         self.mistakes.append(Mistake(line, text))
 
 
+def _to_mistake(error: Exception, text: str) -> Mistake:
+    match error:
+        case yaml.MarkedYAMLError(problem_mark=mark, problem=problem):
+            line = mark.line + 1 if mark else 1
+            return Mistake(line, problem or 'invalid YAML')
+        case yaml.reader.ReaderError(position=position):
+            line = text.count('\n', 0, position) + 1
+            return Mistake(line, 'a character that YAML does not allow')
+    return Mistake(1, 'nested too deeply, or a value that cannot be read')
+
+
 def _is_integer(number: Any) -> bool:
     return isinstance(number, int) and not isinstance(number, bool)
 
 
 def _convert(node: yaml.Node) -> Any:
-    return yaml.safe_load(yaml.serialize(node))
+    """Return the value of a node, or ``UNREADABLE``."""
+    try:
+        return yaml.safe_load(yaml.serialize(node))
+    except UNREADABLE_ERRORS:
+        return UNREADABLE
--- a/plantaingrade/platform/settings.py
+++ b/plantaingrade/platform/settings.py
@@ -9,6 +9,7 @@
 
 from plantaingrade.addresses import MAX_PORT, is_ip_address
 from plantaingrade.platform.units import UnreadableFieldError, parse_time
+from plantaingrade.schema import DECODE_ERRORS
 from plantaingrade.sidecar.settings import (
     Bounds,
     InstanceSettings,
@@ -108,7 +109,7 @@
     """
     try:
         return json.loads(text)
-    except ValueError:
+    except DECODE_ERRORS:
         return _parse_yaml(text)
 
 
@@ -117,7 +118,7 @@
 
     try:
         return yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         raise InstanceSettingsError([f'invalid YAML: {error}']) from error
 
 
--- a/tests/operators/test_declarations.py
+++ b/tests/operators/test_declarations.py
@@ -71,3 +71,30 @@
     ]
     assert describe_changes(VALID, VALID) == []
     assert describe_changes('', VALID) == ['+ casebook', '+ referrals']
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        '[' * 5000,
+        '{a: ' * 5000,
+        'services:\n  a:\n    slices: 4\n    tenants: ' + '[' * 900 + ']' * 900,
+        'services:\n  a:\n    slices: ' + '9' * 5000 + '\n',
+        'services:\n  a:\n    slices: 4\n    churn_budget: 1' + '0' * 5000,
+        'services:\n  a:\n    slices: 4\n    churn_budget: .nan\n',
+        'services:\n  a:\n    slices: 4\n    weights: {churn: .nan}\n',
+        'services:\n  a:\n    slices: 4\n    weights: {churn: .inf}\n',
+        f'services:\n  a:\n    slices: 4\n    weights: {{churn: 1{"0" * 400}}}',
+        'services:\n  a:\n    slices: 2001-99-99\n',
+        'services:\n  a:\n    slices: \x00\n',
+        'services:\n  a:\n    slices: 4 \ud800\n',
+        'services:\n  a:\n    slices: !!python/name:os.system\n',
+        'services:\n  ? [a]\n  : {slices: 4}\n',
+        'services:\n  a: &x\n    slices: 4\n    tenants: [*x]\n',
+        '\x00',
+    ],
+)
+def test_odd_document_is_a_mistake_of_its_writer(text: str) -> None:
+    """Guards against an operator's document that ends who reads it."""
+    with pytest.raises(DeclarationError):
+        read_declaration(text)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -84,3 +84,11 @@
     with pytest.raises(InstanceSettingsError) as caught:
         load_settings('/nowhere/settings.yaml')
     assert '/nowhere/settings.yaml' in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    'text', ['[' * 100_000, '{a: ' * 5000, f'a: {"9" * 5000}', 'a: 2001-99-99']
+)
+def test_odd_settings_file_is_a_mistake_of_its_writer(text) -> None:
+    """Guards against a process that ends without saying why."""
+    assert mistakes_of(text)
