An owner that stops names a time after its transfers, not its end, while it transfers

What callers would see: while a process that stops still transfers its keys, a request refused for its length was told to return after the end of the process, up to 6 s later, though the keys are elsewhere within 2 s.

Change: until callers have been moved away the refusal names the end of that time; later the end of the process, as before. Test: red before (4.7 s named in place of 1.0 s).

--- a/plantaingrade/requests/process_end.py
+++ b/plantaingrade/requests/process_end.py
@@ -57,5 +57,10 @@
         return max(0.0, self._begins_until - now)
 
     def retry_after_s(self, now: float) -> float:
-        """Return the time until keys that remain here are served again."""
+        """Return the time until keys of this process are served again.
+
+        They may be transferred while callers are moved away, and hardly later.
+        """
+        if now < self._begins_until:
+            return self.closes_in_s(now)
         return max(0.0, self.ends_at - now) + NEXT_PROCESS_S
--- a/tests/requests/test_process_end.py
+++ b/tests/requests/test_process_end.py
@@ -32,8 +32,9 @@
     assert not end.may_begin(5.6, 5.0)
 
 
-def test_refusal_names_the_time_after_the_end() -> None:
+def test_refusal_names_the_time_after_the_transfers_or_the_end() -> None:
     end = make_end()
+    assert end.retry_after_s(1.3) == pytest.approx(1.0)
     assert end.retry_after_s(3.5) == 2.0 + NEXT_PROCESS_S
     assert end.retry_after_s(6.0) == NEXT_PROCESS_S
 
