--- a/tests/sidecar/test_endless_answers.py
+++ b/tests/sidecar/test_endless_answers.py
@@ -12,6 +12,17 @@
 LARGE_BYTES = 3_000_000
 
 
+async def async_ask_everywhere(harness: Harness) -> set[int]:
+    """Send three requests to each process; return the statuses."""
+    replies = await asyncio.gather(
+        *(
+            harness.async_ask(node, '/letters/1', f'r{number}', 5, 3000)
+            for number, node in enumerate(harness.nodes * 3)
+        )
+    )
+    return {reply.status for reply in replies}
+
+
 @pytest.mark.parametrize(
     ('net', 'kind'),
     [
@@ -28,14 +39,9 @@
     async def scenario(harness: Harness) -> None:
         server = harness.nodes[1].server
         server.endless.kind = kind
-        replies = await asyncio.gather(
-            *(
-                harness.async_ask(node, '/letters/1', f'r{number}', 5, 3000)
-                for number, node in enumerate(harness.nodes * 3)
-            )
-        )
+        statuses = await async_ask_everywhere(harness)
         assert server.endless.sent
-        assert {reply.status for reply in replies} <= {502, 504}
+        assert statuses <= {502, 504}
         for node in harness.nodes:
             held = node.process.instance_bytes.budget.held
             assert held.peak_bytes <= held.limit
@@ -67,13 +73,8 @@
     async def scenario(harness: Harness) -> None:
         server = harness.nodes[1].server
         server.endless.kind = kind
-        replies = await asyncio.gather(
-            *(
-                harness.async_ask(node, '/letters/1', f'r{number}', 5, 3000)
-                for number, node in enumerate(harness.nodes * 3)
-            )
-        )
-        assert {reply.status for reply in replies} == {502}
+        statuses = await async_ask_everywhere(harness)
+        assert statuses == {502}
         server.endless.kind = Endless.NONE
         reply = await harness.async_ask(
             harness.nodes[0], '/letters/1', 'last', 5
